--- /dev/null
+++ b/src/controller/controller.ts
@@ -0,0 +1,448 @@
+import { Core } from './core/core.js';
+import type { Env, Logger } from './core/env.js';
+import { Fleet } from './fleet/fleet.js';
+import { Frontend, type Answer } from './jobs/frontend.js';
+import { JobTable } from './jobs/table.js';
+import { Leadership, LEADER_KEY } from './leadership/leadership.js';
+import { Peers, type JobProgress } from './peers/peers.js';
+import { Estimates } from './placement/estimates.js';
+import { holdKey, Placement } from './placement/placement.js';
+import type { Settings } from './settings/settings.js';
+import { StateClient } from './store/client.js';
+import { Records } from './store/records.js';
+import { decodeBody, isMap, WireError } from './wire/cbor.js';
+import { readCatalogue, writeCatalogue, type MachineType } from './wire/cloud.js';
+import type { JobAnswer } from './wire/jobs.js';
+import type { Item } from './wire/state.js';
+import { readReport } from './wire/workers.js';
+import { Workers } from './workers/workers.js';
+
+const CATALOGUE_KEY = 'catalogue';
+
+/** What only the leader has; made anew for each term and dropped whole with it. */
+class Reign {
+  ready = false;
+  closed = false;
+  passAt = -Infinity;
+  passDue = true;
+  passTimer = false;
+  constructor(
+    readonly term: number,
+    readonly records: Records,
+    readonly table: JobTable,
+    readonly workers: Workers,
+    readonly placement: Placement,
+    readonly fleet: Fleet,
+  ) {}
+}
+
+/** One controller: its slices, and the way of requests to them. */
+export class Controller {
+  readonly core: Core;
+  private readonly client: StateClient;
+  private readonly leadership: Leadership;
+  private readonly peers: Peers;
+  private readonly frontend: Frontend;
+  private readonly estimates = new Estimates();
+  private readonly progress = new Map<string, JobProgress>();
+  private types: MachineType[] | null = null;
+  private typesAt = -Infinity;
+  private reign: Reign | null = null;
+  private served = false;
+
+  constructor(
+    env: Env,
+    log: Logger,
+    private readonly settings: Settings,
+    identity: string,
+  ) {
+    this.core = new Core(env, log);
+    const { core } = this;
+    this.client = new StateClient(core, settings);
+    this.leadership = new Leadership(core, settings, this.client, identity, {
+      elected: (term) => this.elected(term),
+      deposed: () => this.deposed(),
+    });
+    const { platform } = settings;
+    this.peers = new Peers(
+      core,
+      platform.peers.map((p) => p.host),
+      () => ({
+        host: platform.host,
+        identity,
+        stateOkAgeMs: Number.isFinite(this.client.okAgeMs) ? this.client.okAgeMs : -1,
+        leaderHost: this.leadership.leader?.host ?? '',
+        term: this.leadership.leader?.term ?? 0,
+      }),
+      {
+        final: (id, state) => {
+          this.frontend.learnFinal(id, state);
+          this.progress.delete(id);
+          // A cancellation made on another node, sooner than the watch tells.
+          if (state === 'cancelled') this.reign?.table.removed(id);
+        },
+        progress: (p) => {
+          this.progress.delete(p.id);
+          this.progress.set(p.id, p);
+          if (this.progress.size > 20_000) {
+            const oldest = this.progress.keys().next();
+            if (oldest.done !== true) this.progress.delete(oldest.value);
+          }
+        },
+      },
+    );
+    this.frontend = new Frontend(core, settings, this.client, {
+      types: () => this.types,
+      progress: (id) => this.jobProgress(id),
+      cancelled: (id) => {
+        this.peers.announce(id, 'cancelled');
+        this.progress.delete(id);
+        this.reign?.table.removed(id);
+      },
+      accepted: () => undefined,
+    });
+  }
+
+  start(): void {
+    this.core.post('start', () => {
+      this.leadership.start();
+      this.loadCatalogue();
+      this.peers.start(this.settings.reportMs / 3);
+      this.core.every(this.settings.reportMs / 3, 'tick', () => this.tick());
+      this.core.onBatchEnd(() => this.batchEnd());
+    });
+  }
+
+  private jobProgress(id: string): JobAnswer | null {
+    const job = this.reign?.table.jobs.get(id);
+    if (job !== undefined) return job.answer();
+    const p = this.progress.get(id);
+    if (p === undefined) return null;
+    const { blocked, ...rest } = p;
+    return blocked === '' ? rest : { ...rest, blocked };
+  }
+
+  // ---- catalogue
+
+  private loadCatalogue(): void {
+    this.client.tokens.force();
+    this.client.get(CATALOGUE_KEY, 1500, (got) => {
+      if (got.kind === 'ok' && got.value !== null && this.types === null) this.takeTypes(got.value.value);
+      if (this.types === null) this.askCatalogue();
+    });
+  }
+
+  private askCatalogue(): void {
+    this.core.env.call(
+      { to: this.settings.platform.cloud, method: 'GET', path: '/catalog', timeoutMs: 3000 },
+      (reply) => {
+        this.core.post('catalogue', () => {
+          const before = JSON.stringify(this.types);
+          if (reply.status === 200) this.takeTypes(reply.body);
+          if (this.types === null) this.core.after(500 + 500 * this.core.env.random(), 'catalogue', () => this.loadCatalogue());
+          else if (this.reign?.ready === true && JSON.stringify(this.types) !== before)
+            this.reign.records.set(CATALOGUE_KEY, writeCatalogue(this.types), false);
+        });
+      },
+    );
+  }
+
+  private takeTypes(body: unknown): void {
+    try {
+      this.types = readCatalogue(body);
+      this.typesAt = this.core.now();
+    } catch (err) {
+      this.core.log.warn({ err }, 'broken catalogue');
+    }
+  }
+
+  // ---- leading
+
+  private elected(term: number): void {
+    const { core, settings, client } = this;
+    const records = new Records(core, settings, client, {
+      fence: { key: LEADER_KEY, version: term },
+      mayWrite: () => this.leadership.acting,
+      onFenced: () => this.leadership.stepDown('another leader'),
+    });
+    const table: JobTable = new JobTable(core, settings, client, records, {
+      closed: (job) => {
+        workers.jobClosed(job);
+        if (records.has(holdKey(job.spec.id))) records.set(holdKey(job.spec.id), undefined, false);
+        this.progress.delete(job.spec.id);
+      },
+      changed: () => this.placeSoon(),
+      recorded: (job, task) => workers.doneRecorded(job, task),
+      ended: (id, state) => {
+        this.frontend.learnFinal(id, state);
+        this.peers.announce(id, state);
+      },
+    });
+    const workers: Workers = new Workers(core, settings, term, records, table, {
+      type: (name) => this.types?.find((t) => t.name === name),
+      higherToken: (token) => this.leadership.higherToken(token),
+      changed: () => this.placeSoon(),
+      ran: (a, tookMs) => {
+        if (a.job !== null) this.estimates.observe(a.job.spec, tookMs);
+      },
+    });
+    const placement = new Placement(core, settings, table, workers, records, this.estimates, {
+      exhausted: () => this.leadership.stepDown('attempts used up'),
+    });
+    const fleet = new Fleet(core, settings, () => this.types, table, workers, placement, () => this.leadership.acting);
+    const reign = new Reign(term, records, table, workers, placement, fleet);
+    this.reign = reign;
+    this.load(reign);
+  }
+
+  private deposed(): void {
+    const { reign } = this;
+    if (reign === null) return;
+    reign.closed = true;
+    reign.records.close();
+    this.reign = null;
+  }
+
+  /** Reads what the leaders before have left. From the election on none of them can change it. */
+  private load(reign: Reign): void {
+    const read = (prefix: string, then: (items: Item[], revision: number) => void): void => {
+      this.client.range(prefix, 3000, (got) => {
+        if (reign.closed) return;
+        if (got.kind === 'failed') {
+          this.core.after(200, 'load', () => {
+            if (!reign.closed) read(prefix, then);
+          });
+          return;
+        }
+        then(got.value.items, got.value.revision);
+      });
+    };
+    read('live/', (jobs, revision) => {
+      for (const i of jobs) reign.table.add(i.key.slice('live/'.length), i.value, i.version);
+      read('prog/', (progress) => {
+        for (const i of progress) {
+          reign.records.adopt(i.key, i.version);
+          if (!reign.table.addProgress(i.key, i.value)) reign.records.set(i.key, undefined, false);
+        }
+        read('machine/', (machines) => {
+          for (const i of machines) {
+            reign.records.adopt(i.key, i.version);
+            reign.workers.load(i.key.slice('machine/'.length), i.value);
+          }
+          read('hold/', (holds) => {
+            for (const i of holds) {
+              reign.records.adopt(i.key, i.version);
+              this.loadHold(reign, i);
+            }
+            read(CATALOGUE_KEY, (items) => {
+              for (const i of items) reign.records.adopt(i.key, i.version);
+              reign.table.settle();
+              reign.ready = true;
+              this.core.log.info(
+                { term: reign.term, jobs: jobs.length, machines: machines.length },
+                'leading',
+              );
+              if (this.types !== null && items.length === 0)
+                reign.records.set(CATALOGUE_KEY, writeCatalogue(this.types), false);
+              this.followJobs(reign, revision);
+              this.placeSoon();
+            });
+          });
+        });
+      });
+    });
+  }
+
+  private loadHold(reign: Reign, item: Item): void {
+    const job = reign.table.jobs.get(item.key.slice('hold/'.length));
+    if (job === undefined || !isMap(item.value) || !Array.isArray(item.value['machines'])) {
+      reign.records.set(item.key, undefined, false);
+      return;
+    }
+    const machines = item.value['machines'].filter((m): m is string => typeof m === 'string');
+    job.hold = { machines, since: this.core.now(), fillAt: Infinity };
+  }
+
+  /** Submissions and cancellations of all nodes, as the state service tells them. */
+  private followJobs(reign: Reign, from: number): void {
+    if (reign.closed) return;
+    this.client.follow('live/', from, this.settings.leaderLeaseMs, (got) => {
+      if (reign.closed) return;
+      if (got.kind === 'too-old') return this.reloadJobs(reign);
+      if (got.kind === 'failed') {
+        this.core.after(200, 'follow-jobs', () => this.followJobs(reign, from));
+        return;
+      }
+      for (const e of got.value.events) {
+        const id = e.key.slice('live/'.length);
+        if (e.kind === 'put') reign.table.add(id, e.value, e.version);
+        else reign.table.removed(id);
+      }
+      // Changes that come together are taken together.
+      this.core.after(this.settings.reportMs / 60, 'follow-jobs', () => this.followJobs(reign, got.value.revision));
+    });
+  }
+
+  private reloadJobs(reign: Reign): void {
+    this.client.range('live/', 3000, (got) => {
+      if (reign.closed) return;
+      if (got.kind === 'failed') {
+        this.core.after(500, 'reload', () => this.reloadJobs(reign));
+        return;
+      }
+      const there = new Set<string>();
+      for (const i of got.value.items) {
+        const id = i.key.slice('live/'.length);
+        there.add(id);
+        reign.table.add(id, i.value, i.version);
+      }
+      for (const id of [...reign.table.jobs.keys()]) if (!there.has(id)) reign.table.removed(id);
+      this.followJobs(reign, got.value.revision);
+    });
+  }
+
+  private placeSoon(): void {
+    const { reign } = this;
+    if (reign !== null) reign.passDue = true;
+  }
+
+  private batchEnd(): void {
+    const { reign } = this;
+    if (reign === null || !reign.ready || reign.closed) return;
+    if (!this.leadership.acting) return;
+    if (reign.passDue && this.types !== null) {
+      const wait = reign.passAt + this.settings.reportMs * this.settings.get('placement.interval.ratio') - this.core.now();
+      if (wait <= 0) {
+        reign.passDue = false;
+        reign.passAt = this.core.now();
+        reign.placement.pass();
+      } else if (!reign.passTimer) {
+        reign.passTimer = true;
+        this.core.after(wait, 'pass', () => {
+          reign.passTimer = false;
+        });
+      }
+    }
+    reign.table.flush();
+    reign.workers.flush();
+    reign.records.flush();
+  }
+
+  private tick(): void {
+    if (this.core.now() - this.typesAt > this.settings.workerLeaseMs * 3 && this.types !== null) {
+      this.typesAt = this.core.now();
+      this.askCatalogue();
+    }
+    const { reign } = this;
+    if (reign === null || !reign.ready || !this.leadership.acting) return;
+    reign.workers.sweep();
+    reign.fleet.step();
+    reign.passDue = true;
+    this.tellProgress(reign);
+  }
+
+  private readonly told = new Map<string, string>();
+  private tellProgress(reign: Reign): void {
+    const changed: JobProgress[] = [];
+    for (const id of this.told.keys()) if (!reign.table.jobs.has(id)) this.told.delete(id);
+    for (const job of reign.table.jobs.values()) {
+      const a = job.answer();
+      const mark = `${a.state} ${a.done} ${a.running} ${a.blocked ?? ''}`;
+      if (this.told.get(job.spec.id) === mark) continue;
+      this.told.set(job.spec.id, mark);
+      changed.push({
+        id: a.id,
+        state: a.state,
+        done: a.done ?? 0,
+        running: a.running ?? 0,
+        exits: { ...job.exits },
+        blocked: a.blocked ?? '',
+      });
+    }
+    if (changed.length > 0) this.peers.send(changed, null);
+  }
+
+  // ---- requests
+
+  /** Bytes of a frame from another controller. */
+  peerFrame(bytes: Buffer): void {
+    this.core.post('peer', () => this.peers.receive(bytes));
+  }
+
+  request(method: string, path: string, body: Buffer, respond: (a: Answer) => void): void {
+    this.core.post('request', () => {
+      const answer = (a: Answer): void => respond(a);
+      try {
+        this.route(method, path, body, answer);
+      } catch (err) {
+        if (err instanceof WireError) answer({ status: 400, body: { error: err.message } });
+        else {
+          this.core.log.error({ path, err }, 'request failed');
+          answer({ status: 500, body: { error: 'internal' } });
+        }
+      }
+    });
+  }
+
+  private decode(body: Buffer): unknown {
+    try {
+      return decodeBody(body);
+    } catch {
+      throw new WireError('body: not CBOR');
+    }
+  }
+
+  private route(method: string, target: string, body: Buffer, respond: (a: Answer) => void): void {
+    const path = target.split('?', 1)[0] ?? '';
+    const wrong = (allow: string): void =>
+      respond({ status: 405, body: { error: 'method not allowed' }, allow });
+    if (path === '/v1/report') {
+      if (method !== 'POST') return wrong('POST');
+      return this.report(this.decode(body), respond);
+    }
+    if (path === '/ready') {
+      if (method !== 'GET') return wrong('GET');
+      return respond(this.ready ? { status: 200, body: { ready: true } } : { status: 503, body: { ready: false } });
+    }
+    if (path === '/submissions') {
+      if (method !== 'POST') return wrong('POST');
+      return this.frontend.submit(this.decode(body), respond);
+    }
+    const job = /^\/submissions\/([^/]+)(\/abort)?$/.exec(path);
+    if (job !== null) {
+      const id = job[1] ?? '';
+      if (job[2] !== undefined) return method === 'POST' ? this.frontend.cancel(id, respond) : wrong('POST');
+      return method === 'GET' ? this.frontend.poll(id, respond) : wrong('GET');
+    }
+    respond({ status: 404, body: { error: 'no such path' } });
+  }
+
+  /**
+   * Ready once the node knows the machine types and the state service has served it. Later it is
+   * unready only while the state service serves others and not this node: when nobody is served,
+   * taking all nodes from the load balancer would only add to the outage.
+   */
+  private get ready(): boolean {
+    if (!this.served) {
+      this.served = this.types !== null && Number.isFinite(this.client.okAgeMs);
+      return this.served;
+    }
+    const alone = this.settings.leaderLeaseMs * 0.4;
+    return this.client.okAgeMs < alone || !this.client.down || !this.peers.stateServedElsewhere(alone);
+  }
+
+  private report(body: unknown, respond: (a: Answer) => void): void {
+    const report = readReport(body);
+    const { reign } = this;
+    if (reign === null) {
+      const leader = this.leadership.leader;
+      const other = leader !== null && leader.host !== this.settings.platform.host;
+      return respond({ status: 421, body: other ? { foreman: leader.host } : {} });
+    }
+    // Elected but not entitled yet, or not any more: the worker tries on.
+    if (!reign.ready || !this.leadership.acting || this.types === null) return respond({ status: 503, body: {} });
+    const answer = reign.workers.report(report);
+    if (this.reign !== reign) return respond({ status: 503, body: {} });
+    respond(answer.status === 200 ? answer : { status: 503, body: {} });
+  }
+}
--- /dev/null
+++ b/src/controller/core/env.ts
@@ -0,0 +1,42 @@
+/** What a controller needs of the world. The tests' simulated world implements the same. */
+
+export interface Timer {
+  cancel(): void;
+}
+
+/** `status` 0: no response, so the request may have been carried out or may yet be. */
+export interface Reply {
+  status: number;
+  body: unknown;
+}
+
+export interface Call {
+  /** `host:port` of the callee. */
+  to: string;
+  method: 'GET' | 'POST' | 'DELETE';
+  path: string;
+  body?: unknown;
+  timeoutMs: number;
+}
+
+export interface Env {
+  /** Steady clock in milliseconds. */
+  now(): number;
+  /** Time of day in milliseconds. */
+  wall(): number;
+  /** Uniform in [0, 1). */
+  random(): number;
+  /** Runs `fn` soon, after what is already waiting. */
+  soon(fn: () => void): void;
+  timer(ms: number, fn: () => void): Timer;
+  call(call: Call, done: (reply: Reply) => void): void;
+  /** Best effort; a frame to another controller may be lost. */
+  sendPeer(host: string, frame: Buffer): void;
+}
+
+export interface Logger {
+  info(fields: object, text: string): void;
+  debug(fields: object, text: string): void;
+  warn(fields: object, text: string): void;
+  error(fields: object, text: string): void;
+}
--- /dev/null
+++ b/src/controller/core/log.ts
@@ -0,0 +1,12 @@
+import pino from 'pino';
+import type { Logger } from './env.js';
+
+/** Structured lines on standard error, written at once. */
+export function makeLog(level: string, host: string): Logger {
+  return pino(
+    { level, base: { host }, timestamp: pino.stdTimeFunctions.isoTime },
+    pino.destination({ dest: 2, sync: true }),
+  );
+}
+
+export const LOG_LEVELS = ['error', 'info', 'debug'];
--- /dev/null
+++ b/src/controller/fleet/fleet.ts
@@ -0,0 +1,412 @@
+import type { Core } from '../core/core.js';
+import { Tokens } from '../core/tokens.js';
+import type { Job, JobTable } from '../jobs/table.js';
+import type { Lack, Placement } from '../placement/placement.js';
+import { allowed, needOf, Room, times } from '../placement/room.js';
+import type { Settings } from '../settings/settings.js';
+import {
+  readMachines,
+  readRented,
+  writeRelease,
+  writeRent,
+  type ListedMachine,
+  type MachineType,
+} from '../wire/cloud.js';
+import type { JobSpec } from '../wire/jobs.js';
+import type { Machine } from '../workers/machine.js';
+import type { Workers } from '../workers/workers.js';
+
+const CALL_MS = 5000;
+const MAX_RENT = 50;
+const MAX_RELEASE = 100;
+
+/** A type, zone and kind that can be rented. */
+interface Offer {
+  type: MachineType;
+  zone: string;
+  spot: boolean;
+}
+
+interface Coming extends Offer {
+  at: number;
+}
+
+interface Backoff {
+  until: number;
+  pauseMs: number;
+}
+
+interface ClassSeen {
+  spec: JobSpec;
+  at: number;
+}
+
+const offerKey = (o: Offer): string => `${o.type.name}/${o.zone}/${o.spot ? 'spot' : 'ordinary'}`;
+
+/** Which machines there are: rents what waiting work lacks, returns what is of no use. */
+export class Fleet {
+  private readonly tokens: Tokens;
+  /** Rented and not up yet. */
+  private readonly coming = new Map<string, Coming>();
+  private readonly backoff = new Map<string, Backoff>();
+  private readonly classes = new Map<string, ClassSeen>();
+  /** Names asked to be returned, until the cloud confirms. */
+  private readonly releasing = new Set<string>();
+  private counter = 0;
+  private listing = false;
+  private renting = 0;
+  private listedAt = -Infinity;
+  private listedOnce = false;
+
+  constructor(
+    private readonly core: Core,
+    private readonly settings: Settings,
+    private readonly types: () => MachineType[] | null,
+    private readonly table: JobTable,
+    private readonly workers: Workers,
+    private readonly placement: Placement,
+    private readonly acting: () => boolean,
+  ) {
+    const { rps } = settings.platform.cloudLimits;
+    // The other controllers need a call now and then for the catalogue.
+    this.tokens = new Tokens(() => core.now(), rps * 0.8, Math.max(1, rps));
+  }
+
+  /** Called about once a second. */
+  step(): void {
+    if (!this.acting()) return;
+    const now = this.core.now();
+    const every = Math.max(this.settings.platform.cloudLimits.listLagS * 1000, this.settings.reportMs * 2);
+    if (!this.listing && now - this.listedAt >= every) this.list();
+    for (const job of this.table.jobs.values()) this.classes.set(job.spec.class, { spec: job.spec, at: now });
+    const types = this.types();
+    if (types === null) return;
+    this.discard(now);
+    if (this.listedOnce && this.renting === 0) this.rentWhatLacks(now, types);
+  }
+
+  // ---- the cloud's list
+
+  private list(): void {
+    this.listing = true;
+    const found: ListedMachine[] = [];
+    const fail = (): void => {
+      this.listing = false;
+      this.listedAt = this.core.now() - 0.7 * this.settings.platform.cloudLimits.listLagS * 1000;
+    };
+    const page = (from: string): void => {
+      if (!this.tokens.take()) return fail();
+      const path = `/machines?limit=500${from === '' ? '' : `&from=${from}`}`;
+      this.core.env.call(
+        { to: this.settings.platform.cloud, method: 'GET', path, timeoutMs: CALL_MS },
+        (reply) => {
+          this.core.post('machine-list', () => {
+            if (reply.status === 429) this.tokens.rejected(500);
+            if (reply.status !== 200) return fail();
+            try {
+              const got = readMachines(reply.body);
+              found.push(...got.machines);
+              const last = found.at(-1);
+              if (got.more && last !== undefined) return page(last.id);
+            } catch (err) {
+              this.core.log.warn({ err }, 'broken machine list');
+              return fail();
+            }
+            this.listing = false;
+            this.listedAt = this.core.now();
+            this.listed(found);
+          });
+        },
+      );
+    };
+    page('');
+  }
+
+  private listed(found: ListedMachine[]): void {
+    if (!this.acting()) return;
+    this.listedOnce = true;
+    const now = this.core.now();
+    const ids = new Set<string>();
+    for (const f of found) {
+      ids.add(f.id);
+      if (this.releasing.has(f.id)) continue;
+      const known = this.workers.machines.get(f.id);
+      if (known !== undefined) {
+        known.listed = f.state;
+        known.listedAt = now;
+        if (known.addr === '') known.addr = f.addr;
+        if (known.typeName === '' || known.type === null)
+          this.workers.setType(known, f.type, f.zone, f.spot, f.addr);
+      } else if (f.state === 'failed') this.release([f.id], 'failed');
+      else if (!this.coming.has(f.id)) {
+        const type = this.types()?.find((t) => t.name === f.type);
+        if (type !== undefined)
+          this.coming.set(f.id, { type, zone: f.zone, spot: f.spot, at: now - f.ageS * 1000 });
+      }
+    }
+    // Once listed a machine stays listed until it is gone; but a list may be older than the last.
+    const lag = this.settings.platform.cloudLimits.listLagS * 1000 * 4 + this.settings.reportMs;
+    for (const m of this.workers.machines.values()) {
+      if (ids.has(m.id) || m.listedAt === -Infinity) continue;
+      if (now - m.listedAt > lag) m.listed = 'absent';
+    }
+  }
+
+  // ---- returning
+
+  private discard(now: number): void {
+    const names: string[] = [];
+    const boot = this.settings.get('fleet.boot.ratio') * 1000;
+    for (const [id, c] of this.coming) {
+      if (this.workers.machines.get(id)?.lastReportAt !== undefined) {
+        this.coming.delete(id);
+        continue;
+      }
+      if (now - c.at > c.type.bootS * boot) {
+        this.coming.delete(id);
+        names.push(id);
+        this.core.log.info({ machine: id }, 'machine never came up');
+      }
+    }
+    const silentMs = this.settings.workerGoneMs * 1.5;
+    const idleMs = this.settings.workerLeaseMs * this.settings.get('fleet.idle.ratio');
+    for (const m of [...this.workers.machines.values()]) {
+      if (this.releasing.has(m.id)) continue;
+      const silent = now - Math.max(m.lastReportAt, m.firstSeen) > silentMs;
+      if (m.listed === 'failed') names.push(m.id);
+      else if (silent && (m.listed === 'absent' || m.listedAt === -Infinity)) {
+        // Not there any more, and its lease has run out.
+        if (now - m.firstSeen > silentMs * 2) this.workers.gone(m);
+      } else if (silent) {
+        this.core.log.info({ machine: m.id }, 'silent machine is returned');
+        names.push(m.id);
+      } else if (!m.busy && now - m.idleSince > idleMs && this.spare(m, now)) {
+        m.leaving = true;
+        names.push(m.id);
+        this.core.log.info({ machine: m.id }, 'idle machine is returned');
+      }
+    }
+    if (names.length > 0) this.release(names, 'no use');
+  }
+
+  /** Enough others like it are idle: returning it won't have it rented again at once. */
+  private spare(m: Machine, now: number): boolean {
+    let idle = 0;
+    for (const o of this.workers.machines.values())
+      if (o !== m && o.typeName === m.typeName && o.spot === m.spot && !o.busy && !o.leaving && this.workers.alive(o)) idle++;
+    void now;
+    return idle >= 1;
+  }
+
+  private release(ids: string[], reason: string): void {
+    const batch = ids.slice(0, MAX_RELEASE);
+    for (const id of batch) {
+      this.releasing.add(id);
+      const m = this.workers.machines.get(id);
+      if (m !== undefined) m.leaving = true;
+    }
+    const send = (): void => {
+      if (!this.acting()) {
+        this.core.after(1000, 'release', send);
+        return;
+      }
+      if (!this.tokens.take()) {
+        this.core.after(500, 'release', send);
+        return;
+      }
+      this.core.env.call(
+        {
+          to: this.settings.platform.cloud,
+          method: 'POST',
+          path: '/machines/release',
+          body: writeRelease(batch),
+          timeoutMs: CALL_MS,
+        },
+        (reply) => {
+          this.core.post('released', () => {
+            if (reply.status === 429) this.tokens.rejected(500);
+            if (reply.status !== 200) {
+              this.core.after(1000, 'release', send);
+              return;
+            }
+            this.core.log.info({ machines: batch, reason }, 'machines returned');
+            for (const id of batch) {
+              const m = this.workers.machines.get(id);
+              if (m !== undefined) this.workers.gone(m);
+            }
+            // The list may show them for a while yet.
+            const lag = this.settings.platform.cloudLimits.listLagS * 4000 + 5000;
+            this.core.after(lag, 'forget-released', () => {
+              for (const id of batch) this.releasing.delete(id);
+            });
+          });
+        },
+      );
+    };
+    send();
+    if (ids.length > MAX_RELEASE) this.release(ids.slice(MAX_RELEASE), reason);
+  }
+
+  // ---- renting
+
+  private rentWhatLacks(now: number, types: MachineType[]): void {
+    const patience = this.settings.reportMs * this.settings.get('fleet.rent.wait.ratio');
+    const wants: { spec: JobSpec; tasks: number }[] = [];
+    for (const { job, tasks } of this.placement.lacking)
+      if (now - job.waitingSince >= patience) wants.push({ spec: job.spec, tasks });
+    for (const w of this.ahead(now)) wants.push(w);
+    // What is coming is there for the first who want it.
+    const rooms = [...this.coming.values()].map((c) => this.emptyRoom(c));
+    const orders = new Map<string, { offer: Offer; count: number }>();
+    for (const want of wants) {
+      let left = want.tasks;
+      const need = needOf(want.spec);
+      for (const room of rooms) {
+        if (left === 0) break;
+        if (!allowed(want.spec, room.machine)) continue;
+        const n = Math.min(left, room.fits(need, Infinity, 0, now));
+        room.use(need, n);
+        left -= n;
+      }
+      while (left > 0) {
+        const offer = this.choose(want.spec, left, types, now);
+        if (offer === null) break;
+        const key = offerKey(offer);
+        const order = orders.get(key) ?? { offer, count: 0 };
+        if (order.count >= MAX_RENT) break;
+        order.count++;
+        orders.set(key, order);
+        const room = this.emptyRoom(offer);
+        rooms.push(room);
+        const n = Math.min(left, room.fits(need, Infinity, 0, now));
+        if (n <= 0) break;
+        room.use(need, n);
+        left -= n;
+      }
+    }
+    for (const { offer, count } of orders.values()) this.rent(offer, count, now);
+  }
+
+  private emptyRoom(o: Offer): Room {
+    const m: Machine = Object.assign(Object.create(null) as Machine, {
+      id: '',
+      type: o.type,
+      typeName: o.type.name,
+      zone: o.zone,
+      spot: o.spot,
+      cpus: 0,
+      gpus: 0,
+      memoryGb: 0,
+      assignments: new Map(),
+    });
+    return new Room(m, Infinity);
+  }
+
+  /** Classes seen lately that would find no room for one more task: rent ahead of the next. */
+  private ahead(now: number): { spec: JobSpec; tasks: number }[] {
+    const wants: { spec: JobSpec; tasks: number }[] = [];
+    const recent = this.settings.workerLeaseMs * this.settings.get('fleet.idle.ratio');
+    const ratio = this.settings.get('fleet.headroom.ratio');
+    if (ratio <= 0) return wants;
+    const rooms = [...this.workers.machines.values()]
+      .filter((m) => m.type !== null && !m.leaving && m.noticeAt === null && this.workers.alive(m))
+      .map((m) => new Room(m, Infinity));
+    for (const { spec, at } of this.classes.values()) {
+      if (now - at > recent) continue;
+      let running = 0;
+      for (const m of this.workers.machines.values())
+        for (const a of m.assignments.values()) if (a.job?.spec.class === spec.class) running++;
+      const want = Math.max(1, Math.ceil(running * ratio));
+      const need = needOf(spec);
+      let free = 0;
+      for (const r of rooms) if (allowed(spec, r.machine)) free += Math.min(want, r.fits(need, Infinity, 0, now));
+      if (free < want) wants.push({ spec, tasks: want - free });
+    }
+    return wants;
+  }
+
+  private choose(spec: JobSpec, tasks: number, types: MachineType[], now: number): Offer | null {
+    let best: Offer | null = null;
+    let bestPrice = Infinity;
+    const need = needOf(spec);
+    for (const type of types)
+      for (const zone of type.zones)
+        for (const spot of spec.spot ? [true, false] : [false]) {
+          const offer = { type, zone, spot };
+          const back = this.backoff.get(offerKey(offer));
+          if (back !== undefined && back.until > now) continue;
+          const room = this.emptyRoom(offer);
+          if (!allowed(spec, room.machine)) continue;
+          const holds = Math.min(tasks, times(type.cpus, need.cpus), times(type.gpus, need.gpus), times(type.memoryGb, need.memoryGb));
+          if (holds < 1) continue;
+          // Work without GPUs on a GPU machine pays for what it cannot use, and blocks others.
+          const price = ((spot ? type.spotPrice : type.price) / holds) * (need.gpus === 0 && type.gpus > 0 ? 3 : 1);
+          if (price < bestPrice) {
+            best = offer;
+            bestPrice = price;
+          }
+        }
+    return best;
+  }
+
+  private rent(offer: Offer, count: number, now: number): void {
+    if (!this.tokens.take(1, 0.2)) return;
+    this.counter++;
+    // Unique over all time: no other leader has this term.
+    const name = `t${this.workers.term}-${this.counter}`;
+    this.renting++;
+    this.sendRent(name, offer, count, now, 3);
+  }
+
+  private sendRent(name: string, offer: Offer, count: number, at: number, tries: number): void {
+    const body = writeRent(name, offer.type.name, offer.zone, offer.spot, count);
+    this.core.env.call(
+      { to: this.settings.platform.cloud, method: 'POST', path: '/machines', body, timeoutMs: CALL_MS },
+      (reply) => {
+        this.core.post('rented', () => this.rented(name, offer, count, at, tries, reply.status, reply.body));
+      },
+    );
+  }
+
+  private rented(name: string, offer: Offer, count: number, at: number, tries: number, status: number, body: unknown): void {
+    const key = offerKey(offer);
+    const now = this.core.now();
+    let got = -1;
+    if (status === 200) {
+      try {
+        const ids = readRented(body);
+        got = ids.length;
+        for (const id of ids) if (!this.workers.machines.has(id)) this.coming.set(id, { ...offer, at });
+        this.core.log.info({ hire: name, offer: key, asked: count, machines: ids }, 'machines rented');
+      } catch (err) {
+        this.core.log.warn({ err }, 'broken answer to a rental');
+      }
+    } else if (status === 0 && tries > 0 && this.acting()) {
+      // The same name rents nothing twice.
+      this.sendRent(name, offer, count, at, tries - 1);
+      return;
+    } else if (status === 429) this.tokens.rejected(500);
+    this.renting--;
+    if (got >= count) {
+      this.backoff.delete(key);
+      return;
+    }
+    const first = this.settings.get('fleet.backoff.s') * 1000;
+    const before = this.backoff.get(key);
+    const pauseMs = before === undefined || got > 0 ? first : Math.min(before.pauseMs * 2, first * 8);
+    this.backoff.set(key, { until: now + pauseMs, pauseMs });
+  }
+
+  /** What is on its way, for the operators' view. */
+  get booting(): number {
+    return this.coming.size;
+  }
+
+  lacks(): readonly Lack[] {
+    return this.placement.lacking;
+  }
+
+  waitingFor(job: Job): boolean {
+    return this.placement.lacking.some((l) => l.job === job);
+  }
+}
--- /dev/null
+++ b/src/controller/http/parser.ts
@@ -0,0 +1,235 @@
+/**
+ * Incremental HTTP/1.1 message parser, for requests and for responses. It is fed bytes as they
+ * arrive, however split or merged, and hands out whole messages.
+ */
+
+export interface Message {
+  /** Requests. */
+  method: string;
+  path: string;
+  /** Responses. */
+  status: number;
+  headers: Map<string, string>;
+  body: Buffer;
+  keepAlive: boolean;
+}
+
+export interface Limits {
+  headBytes: number;
+  bodyBytes: number;
+}
+
+export class HttpError extends Error {
+  constructor(
+    readonly status: number,
+    text: string,
+  ) {
+    super(text);
+  }
+}
+
+const EMPTY = Buffer.alloc(0);
+const TOKEN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
+const DECIMAL = /^\d{1,15}$/;
+const HEX = /^[0-9a-fA-F]{1,8}$/;
+
+type Stage = 'head' | 'sized' | 'chunk-size' | 'chunk' | 'chunk-end' | 'trailer';
+
+export class Parser {
+  private data: Buffer = EMPTY;
+  private stage: Stage = 'head';
+  private message: Message | null = null;
+  private need = 0;
+  private chunks: Buffer[] = [];
+  private chunked = 0;
+  private scanned = 0;
+
+  constructor(
+    private readonly kind: 'request' | 'response',
+    private readonly limits: Limits,
+  ) {}
+
+  /** Nothing of a message has arrived yet. */
+  get idle(): boolean {
+    return this.stage === 'head' && this.data.length === 0;
+  }
+
+  push(bytes: Buffer): void {
+    this.data = this.data.length === 0 ? bytes : Buffer.concat([this.data, bytes]);
+  }
+
+  /** The next whole message, or null while more bytes are needed. Throws HttpError. */
+  next(): Message | null {
+    for (;;) {
+      switch (this.stage) {
+        case 'head':
+          if (!this.readHead()) return null;
+          break;
+        case 'sized':
+          if (this.data.length < this.need) return null;
+          return this.finish(this.cut(this.need));
+        case 'chunk-size': {
+          const line = this.line(128);
+          if (line === null) return null;
+          const size = line.split(';', 1)[0]?.trim() ?? '';
+          if (!HEX.test(size)) throw new HttpError(400, 'bad chunk size');
+          this.need = parseInt(size, 16);
+          this.chunked += this.need;
+          if (this.chunked > this.limits.bodyBytes) throw new HttpError(413, 'body too large');
+          this.stage = this.need === 0 ? 'trailer' : 'chunk';
+          break;
+        }
+        case 'chunk':
+          if (this.data.length < this.need) return null;
+          this.chunks.push(this.cut(this.need));
+          this.stage = 'chunk-end';
+          break;
+        case 'chunk-end': {
+          const line = this.line(2);
+          if (line === null) return null;
+          if (line !== '') throw new HttpError(400, 'bad chunk end');
+          this.stage = 'chunk-size';
+          break;
+        }
+        case 'trailer': {
+          const line = this.line(this.limits.headBytes);
+          if (line === null) return null;
+          if (line === '') return this.finish(Buffer.concat(this.chunks));
+          break;
+        }
+      }
+    }
+  }
+
+  private cut(size: number): Buffer {
+    const part = this.data.subarray(0, size);
+    this.data = this.data.length === size ? EMPTY : this.data.subarray(size);
+    this.scanned = 0;
+    return part;
+  }
+
+  private line(limit: number): string | null {
+    const end = this.data.indexOf('\r\n', Math.max(0, this.scanned - 1));
+    if (end < 0) {
+      this.scanned = this.data.length;
+      if (this.data.length > limit + 2) throw new HttpError(400, 'line too long');
+      return null;
+    }
+    if (end > limit) throw new HttpError(400, 'line too long');
+    return this.cut(end + 2).toString('latin1', 0, end);
+  }
+
+  private finish(body: Buffer): Message {
+    const message = this.message;
+    if (message === null) throw new HttpError(400, 'no head');
+    message.body = body;
+    this.message = null;
+    this.chunks = [];
+    this.chunked = 0;
+    this.stage = 'head';
+    return message;
+  }
+
+  private readHead(): boolean {
+    // Stray empty lines before a start line are allowed.
+    while (this.data.length >= 2 && this.data[0] === 13 && this.data[1] === 10) this.cut(2);
+    const end = this.data.indexOf('\r\n\r\n', Math.max(0, this.scanned - 3));
+    if (end < 0) {
+      this.scanned = this.data.length;
+      if (this.data.length > this.limits.headBytes) throw new HttpError(431, 'head too large');
+      return false;
+    }
+    if (end > this.limits.headBytes) throw new HttpError(431, 'head too large');
+    const lines = this.cut(end + 4)
+      .toString('latin1', 0, end)
+      .split('\r\n');
+    const message = this.startLine(lines[0] ?? '');
+    for (let i = 1; i < lines.length; i++) {
+      const line = lines[i] ?? '';
+      const colon = line.indexOf(':');
+      const name = line.slice(0, Math.max(colon, 0));
+      if (!TOKEN.test(name)) throw new HttpError(400, 'bad header');
+      const key = name.toLowerCase();
+      const value = line.slice(colon + 1).trim();
+      const before = message.headers.get(key);
+      if (before !== undefined && key === 'content-length' && before !== value)
+        throw new HttpError(400, 'two lengths');
+      message.headers.set(
+        key,
+        before === undefined || key === 'content-length' ? value : `${before}, ${value}`,
+      );
+    }
+    this.message = message;
+    this.frame(message);
+    return true;
+  }
+
+  private startLine(line: string): Message {
+    const base = { headers: new Map<string, string>(), body: EMPTY, keepAlive: true };
+    if (this.kind === 'request') {
+      const m = /^([A-Z]{1,16}) (\/[\x21-\x7e]*) HTTP\/1\.([01])$/.exec(line);
+      if (m === null) throw new HttpError(400, 'bad request line');
+      return { ...base, method: m[1] ?? '', path: m[2] ?? '', status: 0, keepAlive: m[3] === '1' };
+    }
+    const m = /^HTTP\/1\.([01]) (\d{3})(?: .*)?$/.exec(line);
+    if (m === null) throw new HttpError(400, 'bad status line');
+    return { ...base, method: '', path: '', status: Number(m[2]), keepAlive: m[1] === '1' };
+  }
+
+  private frame(message: Message): void {
+    const connection = message.headers.get('connection')?.toLowerCase() ?? '';
+    if (connection.split(/\s*,\s*/).includes('close')) message.keepAlive = false;
+    const coding = message.headers.get('transfer-encoding')?.toLowerCase();
+    const length = message.headers.get('content-length');
+    if (coding !== undefined) {
+      if (coding !== 'chunked') throw new HttpError(501, 'unknown transfer coding');
+      if (length !== undefined) throw new HttpError(400, 'length and chunks');
+      this.stage = 'chunk-size';
+      return;
+    }
+    if (length !== undefined && !DECIMAL.test(length)) throw new HttpError(400, 'bad length');
+    this.need = length === undefined ? 0 : Number(length);
+    if (this.need > this.limits.bodyBytes) throw new HttpError(413, 'body too large');
+    this.stage = 'sized';
+  }
+}
+
+const reasons: Record<number, string> = {
+  200: 'OK',
+  201: 'Created',
+  400: 'Bad Request',
+  404: 'Not Found',
+  405: 'Method Not Allowed',
+  413: 'Content Too Large',
+  421: 'Misdirected Request',
+  422: 'Unprocessable Content',
+  429: 'Too Many Requests',
+  431: 'Request Header Fields Too Large',
+  500: 'Internal Server Error',
+  501: 'Not Implemented',
+  503: 'Service Unavailable',
+  504: 'Gateway Timeout',
+};
+
+export interface Response {
+  status: number;
+  body: Buffer;
+  type?: string;
+  retryAfterS?: number;
+  allow?: string;
+}
+
+export function formatResponse(r: Response, close: boolean): Buffer {
+  let head = `HTTP/1.1 ${r.status} ${reasons[r.status] ?? 'Status'}\r\nContent-Length: ${r.body.length}\r\n`;
+  if (r.body.length > 0) head += `Content-Type: ${r.type ?? 'application/cbor'}\r\n`;
+  if (r.retryAfterS !== undefined) head += `Retry-After: ${Math.max(1, Math.ceil(r.retryAfterS))}\r\n`;
+  if (r.allow !== undefined) head += `Allow: ${r.allow}\r\n`;
+  if (close) head += 'Connection: close\r\n';
+  return Buffer.concat([Buffer.from(`${head}\r\n`, 'latin1'), r.body]);
+}
+
+export function formatRequest(method: string, host: string, path: string, body: Buffer | null): Buffer {
+  let head = `${method} ${path} HTTP/1.1\r\nHost: ${host}\r\n`;
+  if (body !== null) head += `Content-Type: application/cbor\r\nContent-Length: ${body.length}\r\n`;
+  return Buffer.concat([Buffer.from(`${head}\r\n`, 'latin1'), body ?? EMPTY]);
+}
--- /dev/null
+++ b/src/controller/jobs/admission.ts
@@ -0,0 +1,42 @@
+import { Settings } from '../settings/settings.js';
+import type { Team } from '../settings/platform.js';
+import type { MachineType } from '../wire/cloud.js';
+import type { JobSpec } from '../wire/jobs.js';
+
+/** Whether a task of the job fits a machine of this type, zone and kind when it is empty. */
+export function fitsType(spec: JobSpec, type: MachineType): boolean {
+  return (
+    (spec.types === null || spec.types.includes(type.name)) &&
+    spec.cpus <= type.cpus &&
+    spec.gpus <= type.gpus &&
+    spec.memoryGb <= type.memoryGb
+  );
+}
+
+export type Verdict = 'accept' | 'unknown-types' | { refuse: string };
+
+/** Whether the job can ever run. What only waits for room is accepted. */
+export function admit(
+  spec: JobSpec,
+  teams: readonly Team[],
+  types: readonly MachineType[] | null,
+): Verdict {
+  const team = teams.find((t) => t.name === spec.team);
+  if (team === undefined) return { refuse: 'unknown team' };
+  const at = spec.kind === 'gang' ? spec.tasks : 1;
+  const epsilon = 1e-9;
+  if (at * spec.cpus > Settings.cap(team.cpusMax) + epsilon) return { refuse: 'more CPUs than the team may use' };
+  if (at * spec.gpus > Settings.cap(team.gpusMax) + epsilon) return { refuse: 'more GPUs than the team may use' };
+  if (types === null) return 'unknown-types';
+  const fits = types.filter((t) => fitsType(spec, t));
+  const { zone } = spec;
+  const zones = new Set(fits.flatMap((t) => t.zones).filter((z) => zone === null || z === zone));
+  if (zones.size === 0) return { refuse: 'a task fits no allowed machine type' };
+  // A gang runs whole, so its tasks must find zones enough at one time.
+  if (spec.kind === 'gang' && spec.spread && spec.tasks > 1) {
+    const perZone = Math.ceil(spec.tasks / 2);
+    const usable = spec.oneZone ? 1 : zones.size;
+    if (perZone * usable < spec.tasks) return { refuse: 'too few zones to scatter a gang over' };
+  }
+  return 'accept';
+}
--- /dev/null
+++ b/src/controller/jobs/frontend.ts
@@ -0,0 +1,291 @@
+import type { Core } from '../core/core.js';
+import type { Settings } from '../settings/settings.js';
+import { Batcher } from '../store/batcher.js';
+import { reserve, type StateClient } from '../store/client.js';
+import { isMap, WireError } from '../wire/cbor.js';
+import type { MachineType } from '../wire/cloud.js';
+import {
+  isJobId,
+  readJob,
+  writeAnswer,
+  writeJob,
+  type FinalState,
+  type JobAnswer,
+  type JobSpec,
+} from '../wire/jobs.js';
+import type { Condition } from '../wire/state.js';
+import { admit } from './admission.js';
+
+export const liveKey = (id: string): string => `live/${id}`;
+export const finalKey = (id: string): string => `final/${id}`;
+
+export interface Answer {
+  allow?: string;
+  status: number;
+  body?: unknown;
+  retryAfterS?: number;
+}
+
+type Respond = (a: Answer) => void;
+
+/** What is current for a job at the state service. */
+type Standing = 'absent' | 'live' | FinalState | 'unsure';
+
+export interface FrontendHooks {
+  types(): MachineType[] | null;
+  /** Counts for display, if this node has them. */
+  progress(id: string): JobAnswer | null;
+  /** This node has just ended a job by cancelling it. */
+  cancelled(id: string): void;
+  /** A job was accepted here. */
+  accepted(spec: JobSpec, at: number, version: number): void;
+}
+
+const CALL_MS = 1500;
+
+export function finalRecord(state: FinalState, at: number): unknown {
+  return { state, at };
+}
+
+export function readFinal(value: unknown): FinalState | null {
+  if (!isMap(value)) return null;
+  const s = value['state'];
+  return s === 'done' || s === 'cancelled' ? s : null;
+}
+
+/** A map that forgets its oldest entries. */
+class Bounded<V> {
+  private readonly map = new Map<string, V>();
+  constructor(private readonly limit: number) {}
+  get(key: string): V | undefined {
+    return this.map.get(key);
+  }
+  set(key: string, value: V): void {
+    this.map.delete(key);
+    this.map.set(key, value);
+    if (this.map.size > this.limit) {
+      const oldest = this.map.keys().next();
+      if (oldest.done !== true) this.map.delete(oldest.value);
+    }
+  }
+  delete(key: string): void {
+    this.map.delete(key);
+  }
+}
+
+/**
+ * The users' side, the same on every node. A job's end is final and answered from memory; anything
+ * else, a 404 too, is an answer only after the state service has confirmed it, for another node may
+ * have told the user something newer.
+ */
+export class Frontend {
+  private readonly finals: Bounded<FinalState>;
+  /** Versions of live records that this node has seen. */
+  private readonly live: Bounded<number>;
+  private readonly writes: Batcher;
+  private readonly reads: Batcher;
+  private readonly asked = new Map<string, ((s: Standing) => void)[]>();
+
+  constructor(
+    private readonly core: Core,
+    private readonly settings: Settings,
+    private readonly client: StateClient,
+    private readonly hooks: FrontendHooks,
+  ) {
+    const cache = settings.get('jobs.final.cache');
+    this.finals = new Bounded(cache);
+    this.live = new Bounded(cache);
+    this.writes = new Batcher(core, settings, client, {
+      reserve: reserve.submissions,
+      timeoutMs: CALL_MS,
+      maxQueue: 256,
+    });
+    this.reads = new Batcher(core, settings, client, {
+      reserve: reserve.polls,
+      timeoutMs: CALL_MS,
+      maxQueue: 2048,
+    });
+  }
+
+  /** A job has ended, as another controller or this node's leader says. */
+  learnFinal(id: string, state: FinalState): void {
+    if (this.finals.get(id) !== undefined) return;
+    this.finals.set(id, state);
+    this.live.delete(id);
+  }
+
+  isFinal(id: string): FinalState | undefined {
+    return this.finals.get(id);
+  }
+
+  private retryLater(respond: Respond): void {
+    const s = Math.max(this.writes.waitMs, this.client.down ? 1000 : 0) / 1000;
+    respond({ status: 503, body: { error: 'not now' }, retryAfterS: Math.max(1, Math.ceil(s)) });
+  }
+
+  submit(body: unknown, respond: Respond): void {
+    let spec: JobSpec;
+    try {
+      spec = readJob(body);
+    } catch (err) {
+      if (!(err instanceof WireError)) throw err;
+      return respond({ status: 400, body: { error: err.message } });
+    }
+    const ended = this.finals.get(spec.id);
+    if (ended !== undefined) return this.reply(spec.id, ended, respond);
+    const verdict = admit(spec, this.settings.platform.teams, this.hooks.types());
+    if (verdict !== 'accept' || this.live.get(spec.id) !== undefined) {
+      // A job that is known already is recognised before it is judged: teams and machine types may
+      // have changed since it was accepted.
+      this.ask(spec.id, (standing) => {
+        if (standing !== 'absent') this.reply(spec.id, standing, respond);
+        else if (typeof verdict === 'object') respond({ status: 422, body: { error: verdict.refuse } });
+        else this.retryLater(respond);
+      });
+      return;
+    }
+    this.create(spec, respond);
+  }
+
+  private create(spec: JobSpec, respond: Respond): void {
+    if (this.client.down) return this.retryLater(respond);
+    const at = Math.round(this.core.env.wall());
+    const queued = this.writes.add({
+      conditions: [
+        { key: liveKey(spec.id), version: 0 },
+        { key: finalKey(spec.id), version: 0 },
+      ],
+      writes: [{ put: liveKey(spec.id), value: { job: writeJob(spec), at } }],
+      done: (r) => {
+        if (r.kind === 'ok') {
+          this.live.set(spec.id, r.revision);
+          this.hooks.accepted(spec, at, r.revision);
+          respond({ status: 201, body: writeAnswer({ id: spec.id, state: 'queued' }) });
+        } else if (r.kind === 'conflict') {
+          this.standing(spec.id, new Set(r.failed), (s) => this.reply(spec.id, s, respond));
+        } else this.retryLater(respond);
+      },
+    });
+    if (!queued) this.retryLater(respond);
+  }
+
+  poll(id: string, respond: Respond): void {
+    if (!isJobId(id)) return respond({ status: 404, body: { error: 'no such job' } });
+    this.ask(id, (s) => this.reply(id, s, respond));
+  }
+
+  private reply(id: string, standing: Standing, respond: Respond): void {
+    if (standing === 'unsure') return this.retryLater(respond);
+    if (standing === 'absent') return respond({ status: 404, body: { error: 'no such job' } });
+    if (standing !== 'live') return respond({ status: 200, body: writeAnswer({ id, state: standing }) });
+    const p = this.hooks.progress(id);
+    const open = p !== null && (p.state === 'queued' || p.state === 'running');
+    respond({ status: 200, body: writeAnswer(open ? p : { id, state: 'queued' }) });
+  }
+
+  /** Finds out what is current, many jobs in one transaction that only compares. */
+  private ask(id: string, done: (s: Standing) => void): void {
+    const ended = this.finals.get(id);
+    if (ended !== undefined) return done(ended);
+    if (this.client.down) return done('unsure');
+    const waiting = this.asked.get(id);
+    if (waiting !== undefined) {
+      waiting.push(done);
+      return;
+    }
+    const waiters = [done];
+    const settle = (s: Standing): void => {
+      if (this.asked.get(id) === waiters) this.asked.delete(id);
+      for (const w of waiters) w(s);
+    };
+    const known = this.live.get(id) !== undefined;
+    const conditions: Condition[] = [{ key: finalKey(id), version: 0 }];
+    if (!known) conditions.push({ key: liveKey(id), version: 0 });
+    const queued = this.reads.add({
+      conditions,
+      writes: [],
+      // Only a question that has not left may be shared: one on its way may find the state from
+      // before an answer that this user got elsewhere meanwhile.
+      sent: () => {
+        if (this.asked.get(id) === waiters) this.asked.delete(id);
+      },
+      done: (r) => {
+        if (r.kind === 'ok') settle(known ? 'live' : 'absent');
+        else if (r.kind === 'conflict') this.standing(id, new Set(r.failed), settle);
+        else settle('unsure');
+      },
+    });
+    if (queued) this.asked.set(id, waiters);
+    else done('unsure');
+  }
+
+  /** What failed conditions tell. A job's live and final records never exist together. */
+  private standing(id: string, failed: Set<string>, done: (s: Standing) => void): void {
+    if (!failed.has(finalKey(id)) && failed.has(liveKey(id))) {
+      if (this.live.get(id) === undefined) this.live.set(id, 0);
+      return done('live');
+    }
+    if (!failed.has(finalKey(id))) return done('unsure');
+    this.readEnd(id, (s) => done(s ?? 'unsure'));
+  }
+
+  private readEnd(id: string, done: (s: FinalState | null) => void): void {
+    if (!this.client.tokens.take(1, reserve.reads)) return done(null);
+    this.client.get(finalKey(id), CALL_MS, (got) => {
+      const state = got.kind === 'ok' && got.value !== null ? readFinal(got.value.value) : null;
+      if (state !== null) this.learnFinal(id, state);
+      done(state);
+    });
+  }
+
+  cancel(id: string, respond: Respond): void {
+    if (!isJobId(id)) return respond({ status: 404, body: { error: 'no such job' } });
+    this.tryCancel(id, 3, respond);
+  }
+
+  private tryCancel(id: string, tries: number, respond: Respond): void {
+    const ended = this.finals.get(id);
+    if (ended !== undefined) return this.reply(id, ended, respond);
+    if (this.client.down || tries === 0) return this.retryLater(respond);
+    const version = this.live.get(id);
+    if (version === undefined || version === 0) {
+      if (!this.client.tokens.take(1, reserve.submissions)) return this.retryLater(respond);
+      this.client.get(liveKey(id), CALL_MS, (got) => {
+        if (got.kind === 'failed') return this.retryLater(respond);
+        if (got.value === null) {
+          this.live.delete(id);
+          this.ask(id, (s) => {
+            // Accepted between the two questions: look again.
+            if (s === 'live') this.tryCancel(id, tries - 1, respond);
+            else this.reply(id, s, respond);
+          });
+          return;
+        }
+        this.live.set(id, got.value.version);
+        this.tryCancel(id, tries, respond);
+      });
+      return;
+    }
+    const queued = this.writes.add({
+      conditions: [
+        { key: liveKey(id), version },
+        { key: finalKey(id), version: 0 },
+      ],
+      writes: [
+        { delete: liveKey(id) },
+        { put: finalKey(id), value: finalRecord('cancelled', Math.round(this.core.env.wall())) },
+      ],
+      done: (r) => {
+        if (r.kind === 'ok') {
+          this.learnFinal(id, 'cancelled');
+          this.hooks.cancelled(id);
+          this.reply(id, 'cancelled', respond);
+        } else if (r.kind === 'conflict') {
+          this.live.delete(id);
+          this.tryCancel(id, tries - 1, respond);
+        } else this.retryLater(respond);
+      },
+    });
+    if (!queued) this.retryLater(respond);
+  }
+}
--- /dev/null
+++ b/src/controller/jobs/table.ts
@@ -0,0 +1,278 @@
+import type { Core } from '../core/core.js';
+import type { Settings } from '../settings/settings.js';
+import type { StateClient } from '../store/client.js';
+import type { Records } from '../store/records.js';
+import { isMap } from '../wire/cbor.js';
+import {
+  readJob,
+  type FinalState,
+  type JobAnswer,
+  type JobSpec,
+  type Priority,
+} from '../wire/jobs.js';
+import type { Cause } from '../wire/workers.js';
+import type { Assignment } from '../workers/assignment.js';
+import { finalKey, finalRecord, liveKey, readFinal } from './frontend.js';
+
+/** Tasks whose completion one progress record holds. */
+const CHUNK = 8192;
+
+export const levels: Record<Priority, number> = { production: 3, high: 2, normal: 1, low: 0 };
+
+export class Job {
+  readonly done: Uint8Array;
+  readonly recorded: Uint8Array;
+  doneCount = 0;
+  recordedCount = 0;
+  /** Tasks that are neither done nor assigned, lowest number last. */
+  pending: number[];
+  readonly assigned = new Map<number, Assignment>();
+  /** Cancelled, or its end is being written: nothing of it may be placed. */
+  closed: FinalState | null = null;
+  ending = false;
+  /** A gang lost a part: no new attempt before all of the old one is gone. */
+  regrouping = false;
+  exits: Record<string, number> = {};
+  preemptions = 0;
+  /** Nothing is placed before then, after errors. */
+  notBefore = 0;
+  errors = 0;
+  /** Machines on which tasks of the job failed. */
+  readonly failedOn = new Set<string>();
+  /** Since when the job has had something to place, for rank and for renting. */
+  waitingSince: number;
+  blocked = '';
+  /** Machines that the job's hold is on, for a gang that cannot start yet. */
+  hold: { machines: string[]; since: number; fillAt: number } | null = null;
+
+  constructor(
+    readonly spec: JobSpec,
+    /** When it was accepted, on this node's steady clock. */
+    readonly submittedAt: number,
+    readonly version: number,
+    now: number,
+  ) {
+    this.done = new Uint8Array(spec.tasks);
+    this.recorded = new Uint8Array(spec.tasks);
+    this.pending = Array.from({ length: spec.tasks }, (_, i) => spec.tasks - 1 - i);
+    this.waitingSince = now;
+  }
+
+  get level(): number {
+    return levels[this.spec.priority];
+  }
+
+  get complete(): boolean {
+    return this.doneCount === this.spec.tasks;
+  }
+
+  get running(): number {
+    let n = 0;
+    for (const a of this.assigned.values())
+      if (a.state === 'running' || a.state === 'saving') n++;
+    return n;
+  }
+
+  answer(): JobAnswer {
+    const running = this.running;
+    const a: JobAnswer = {
+      id: this.spec.id,
+      state: this.closed ?? (running > 0 ? 'running' : 'queued'),
+      done: this.doneCount,
+      running,
+      exits: this.exits,
+    };
+    if (this.blocked !== '') a.blocked = this.blocked;
+    return a;
+  }
+}
+
+export interface TableHooks {
+  /** The job has ended: its tasks must go from their machines. */
+  closed(job: Job): void;
+  /** Something became placeable. */
+  changed(): void;
+  /** Completion of this task is on record. */
+  recorded(job: Job, task: number): void;
+  ended(id: string, state: FinalState): void;
+}
+
+const progressKey = (id: string, chunk: number): string => `prog/${id}/${chunk}`;
+
+/** The leader's jobs: all that have not ended. */
+export class JobTable {
+  readonly jobs = new Map<string, Job>();
+  /** Ends that this leader has seen, while tasks of them may still be on machines. */
+  private readonly dirtyDone = new Map<Job, Set<number>>();
+
+  constructor(
+    private readonly core: Core,
+    private readonly settings: Settings,
+    private readonly client: StateClient,
+    private readonly records: Records,
+    private readonly hooks: TableHooks,
+  ) {}
+
+  /** A live record, read at takeover or seen in the watch. */
+  add(id: string, value: unknown, version: number): void {
+    if (this.jobs.has(id)) return;
+    let spec: JobSpec;
+    try {
+      if (!isMap(value)) throw new Error('not a map');
+      spec = readJob(value['job']);
+    } catch (err) {
+      this.core.log.error({ job: id, err }, 'unreadable job record');
+      return;
+    }
+    const now = this.core.now();
+    const wall = typeof value['at'] === 'number' ? value['at'] : this.core.env.wall();
+    const age = Math.max(0, this.core.env.wall() - wall);
+    this.jobs.set(id, new Job(spec, now - age, version, now));
+    this.hooks.changed();
+  }
+
+  /** A progress record, read at takeover. Returns false if its job has ended. */
+  addProgress(key: string, value: unknown): boolean {
+    const parts = key.split('/');
+    const job = this.jobs.get(parts[1] ?? '');
+    const chunk = Number(parts[2]);
+    if (job === undefined || !isMap(value) || typeof value['done'] !== 'string') return false;
+    const bits = Buffer.from(value['done'], 'base64');
+    for (let i = 0; i < CHUNK; i++) {
+      const task = chunk * CHUNK + i;
+      if (task >= job.spec.tasks) break;
+      if (((bits[i >> 3] ?? 0) & (1 << (i & 7))) === 0 || job.done[task] === 1) continue;
+      job.done[task] = 1;
+      job.recorded[task] = 1;
+      job.doneCount++;
+      job.recordedCount++;
+    }
+    return true;
+  }
+
+  /** After all has been read: what is left to place, and jobs that only lack their end. */
+  settle(): void {
+    for (const job of this.jobs.values()) {
+      job.pending = job.pending.filter((t) => job.done[t] !== 1 && !job.assigned.has(t));
+      if (job.complete) this.finish(job);
+    }
+  }
+
+  /** The live record is gone and this leader did not remove it: its user has cancelled it. */
+  removed(id: string): void {
+    const job = this.jobs.get(id);
+    if (job === undefined || job.ending) return;
+    this.close(job, 'cancelled');
+  }
+
+  private close(job: Job, state: FinalState): void {
+    if (job.closed !== null) return;
+    job.closed = state;
+    job.pending = [];
+    job.hold = null;
+    this.jobs.delete(job.spec.id);
+    this.dirtyDone.delete(job);
+    const chunks = Math.ceil(job.spec.tasks / CHUNK);
+    for (let c = 0; c < chunks; c++) {
+      const key = progressKey(job.spec.id, c);
+      if (this.records.has(key)) this.records.set(key, undefined, false);
+    }
+    this.core.log.info({ job: job.spec.id, state, exits: job.exits }, 'job ended');
+    this.hooks.ended(job.spec.id, state);
+    this.hooks.closed(job);
+  }
+
+  countExit(job: Job, cause: Cause | 'lost'): void {
+    job.exits[cause] = (job.exits[cause] ?? 0) + 1;
+  }
+
+  /** A report shows the task done. It may be cleared once that is on record. */
+  markDone(job: Job, task: number): void {
+    if (job.closed !== null || job.done[task] === 1) return;
+    job.done[task] = 1;
+    job.doneCount++;
+    const at = job.pending.indexOf(task);
+    if (at >= 0) job.pending.splice(at, 1);
+    if (job.complete) {
+      this.dirtyDone.delete(job);
+      this.finish(job);
+      return;
+    }
+    let set = this.dirtyDone.get(job);
+    if (set === undefined) this.dirtyDone.set(job, (set = new Set()));
+    set.add(task);
+  }
+
+  /** The task is on no machine and not done. */
+  putBack(job: Job, task: number): void {
+    if (job.closed !== null || job.done[task] === 1) return;
+    if (job.pending.length === 0) job.waitingSince = this.core.now();
+    job.pending.push(task);
+    this.hooks.changed();
+  }
+
+  /** Once a batch: completions of this batch, one write a job. */
+  flush(): void {
+    for (const [job, tasks] of this.dirtyDone) {
+      const chunks = new Set([...tasks].map((t) => Math.floor(t / CHUNK)));
+      for (const chunk of chunks) {
+        const mine = [...tasks].filter((t) => Math.floor(t / CHUNK) === chunk);
+        this.records.set(progressKey(job.spec.id, chunk), this.chunkValue(job, chunk), true, () => {
+          for (const t of mine) {
+            if (job.recorded[t] === 1) continue;
+            job.recorded[t] = 1;
+            job.recordedCount++;
+            this.hooks.recorded(job, t);
+          }
+        });
+      }
+    }
+    this.dirtyDone.clear();
+  }
+
+  private chunkValue(job: Job, chunk: number): unknown {
+    const from = chunk * CHUNK;
+    const size = Math.min(CHUNK, job.spec.tasks - from);
+    const bits = Buffer.alloc(Math.ceil(size / 8));
+    for (let i = 0; i < size; i++)
+      if (job.done[from + i] === 1) bits[i >> 3] = (bits[i >> 3] ?? 0) | (1 << (i & 7));
+    return { done: bits.toString('base64') };
+  }
+
+  /** Replaces the live record by the final one, in one step, unless a cancellation came first. */
+  private finish(job: Job): void {
+    if (job.ending || job.closed !== null) return;
+    job.ending = true;
+    const { id } = job.spec;
+    this.records.transact(
+      [
+        { key: liveKey(id), version: job.version },
+        { key: finalKey(id), version: 0 },
+      ],
+      [
+        { delete: liveKey(id) },
+        { put: finalKey(id), value: finalRecord('done', Math.round(this.core.env.wall())) },
+      ],
+      (r) => {
+        if (r === 'ok') this.close(job, 'done');
+        else this.findEnd(job);
+      },
+    );
+  }
+
+  private findEnd(job: Job): void {
+    this.client.tokens.force();
+    this.client.get(finalKey(job.spec.id), this.settings.leaderLeaseMs / 4, (got) => {
+      if (job.closed !== null) return;
+      const state = got.kind === 'ok' && got.value !== null ? readFinal(got.value.value) : null;
+      if (state !== null) this.close(job, state);
+      else {
+        this.core.after(200, 'find-end', () => {
+          if (job.closed !== null) return;
+          job.ending = false;
+          this.finish(job);
+        });
+      }
+    });
+  }
+}
--- /dev/null
+++ b/src/controller/leadership/leadership.ts
@@ -0,0 +1,226 @@
+import type { Core } from '../core/core.js';
+import type { Settings } from '../settings/settings.js';
+import type { StateClient } from '../store/client.js';
+import { isMap } from '../wire/cbor.js';
+
+export const LEADER_KEY = 'lead';
+
+export interface LeaderInfo {
+  host: string;
+  identity: string;
+  lease: number;
+  /** Version of the key: the leader's term. */
+  term: number;
+}
+
+export interface LeadershipEvents {
+  elected(term: number): void;
+  deposed(): void;
+}
+
+/**
+ * Who leads. The leader holds a key bound to a lease of the state service; the version that the key
+ * got when it was created is the leader's term, and the token that workers see. It grows with every
+ * change at the service, so a later leader's is always higher.
+ */
+export class Leadership {
+  private info: LeaderInfo | null = null;
+  private mine: { term: number; lease: number } | null = null;
+  /** This node may act as leader until then, on its own clock. */
+  private actUntil = -Infinity;
+  private trying = false;
+  private watching = false;
+  /** Guards against answers to questions of an earlier reign. */
+  private reign = 0;
+
+  constructor(
+    private readonly core: Core,
+    private readonly settings: Settings,
+    private readonly client: StateClient,
+    readonly identity: string,
+    private readonly events: LeadershipEvents,
+  ) {}
+
+  start(): void {
+    this.look();
+  }
+
+  get term(): number | null {
+    return this.mine?.term ?? null;
+  }
+
+  /** The lease still runs, counted from when its last successful renewal was sent. */
+  get acting(): boolean {
+    return this.mine !== null && this.core.now() < this.actUntil;
+  }
+
+  get leader(): LeaderInfo | null {
+    return this.info;
+  }
+
+  /** Somebody has shown a token above ours: there is a later leader. */
+  higherToken(token: number | bigint): void {
+    if (this.mine === null || token <= this.mine.term) return;
+    this.core.log.warn({ term: this.mine.term, seen: String(token) }, 'a later term was seen');
+    this.stepDown('higher token');
+  }
+
+  stepDown(reason: string): void {
+    const { mine } = this;
+    if (mine === null) return;
+    this.core.log.info({ term: mine.term, reason }, 'no longer leader');
+    this.mine = null;
+    this.actUntil = -Infinity;
+    this.info = null;
+    this.reign++;
+    this.client.setRole(false);
+    // The lease goes too: otherwise a late copy of the request that made the key could make it
+    // once more under a lease that nobody renews.
+    this.client.revoke(mine.lease, this.timeout, () => undefined);
+    this.events.deposed();
+    this.retry();
+  }
+
+  private get timeout(): number {
+    return this.settings.leaderLeaseMs / 4;
+  }
+
+  private retry(): void {
+    const ms = this.settings.leaderLeaseMs * (0.04 + 0.04 * this.core.env.random());
+    this.core.after(ms, 'look', () => this.look());
+  }
+
+  /** Finds out who leads, then waits for a change, then looks again. */
+  private look(): void {
+    if (this.watching || this.trying || this.mine !== null) return;
+    this.watching = true;
+    this.client.tokens.force();
+    this.client.get(LEADER_KEY, this.timeout, (got) => {
+      this.watching = false;
+      if (this.mine !== null) return;
+      if (got.kind === 'failed') return this.retry();
+      const item = got.value;
+      if (item === null) {
+        this.info = null;
+        this.acquire();
+        return;
+      }
+      const info = this.read(item.value, item.version);
+      if (info === null) return this.retry();
+      if (info.host === this.settings.platform.host && info.identity !== this.identity) {
+        // The key is of an earlier process of this very host, which has ended: one runs at a time.
+        this.core.log.info({ term: info.term }, 'ending the lease of the process before');
+        this.client.revoke(info.lease, this.timeout, () => this.look());
+        return;
+      }
+      this.info = info;
+      this.follow(item.version);
+    });
+  }
+
+  private read(value: unknown, version: number): LeaderInfo | null {
+    if (!isMap(value)) return null;
+    const { host, identity, lease } = value;
+    if (typeof host !== 'string' || typeof identity !== 'string' || typeof lease !== 'number')
+      return null;
+    return { host, identity, lease, term: version };
+  }
+
+  private follow(from: number): void {
+    this.watching = true;
+    this.client.follow(LEADER_KEY, from, this.settings.leaderLeaseMs, (got) => {
+      this.watching = false;
+      if (this.mine !== null) return;
+      if (got.kind !== 'ok') {
+        this.retry();
+        return;
+      }
+      const last = got.value.events.filter((e) => e.key === LEADER_KEY).at(-1);
+      if (last === undefined) this.follow(Math.max(from, got.value.revision));
+      else if (last.kind === 'put') {
+        this.info = this.read(last.value, last.version);
+        this.follow(got.value.revision);
+      } else {
+        this.info = null;
+        this.acquire();
+      }
+    });
+  }
+
+  private acquire(): void {
+    if (this.trying) return;
+    this.trying = true;
+    const sent = this.core.now();
+    this.client.grant(this.settings.leaderLeaseMs, this.timeout, (granted) => {
+      if (granted.kind === 'failed') {
+        this.trying = false;
+        return this.retry();
+      }
+      const lease = granted.value;
+      const value = { host: this.settings.platform.host, identity: this.identity, lease };
+      const give = (): void => {
+        this.trying = false;
+        this.client.revoke(lease, this.timeout, () => undefined);
+        this.retry();
+      };
+      this.client.tokens.force();
+      this.client.multi(
+        [{ key: LEADER_KEY, version: 0 }],
+        [{ put: LEADER_KEY, value, lease }],
+        this.timeout,
+        (r) => {
+          if (r.kind === 'ok') {
+            this.trying = false;
+            this.won(r.revision, lease, sent);
+          } else if (r.kind === 'unknown') {
+            // Perhaps it was made: only reading tells.
+            this.client.tokens.force();
+            this.client.get(LEADER_KEY, this.timeout, (got) => {
+              const info =
+                got.kind === 'ok' && got.value !== null
+                  ? this.read(got.value.value, got.value.version)
+                  : null;
+              if (info?.identity === this.identity && info.lease === lease) {
+                this.trying = false;
+                this.won(info.term, lease, sent);
+              } else give();
+            });
+          } else give();
+        },
+      );
+    });
+  }
+
+  private won(term: number, lease: number, sent: number): void {
+    this.mine = { term, lease };
+    this.actUntil = sent + this.settings.leaderActsMs;
+    this.info = { host: this.settings.platform.host, identity: this.identity, lease, term };
+    this.reign++;
+    this.client.setRole(true);
+    this.core.log.info({ term }, 'elected leader');
+    this.renewLater(this.reign, this.settings.renewMs);
+    this.events.elected(term);
+  }
+
+  private renewLater(reign: number, ms: number): void {
+    this.core.after(ms, 'renew', () => {
+      if (reign === this.reign) this.renew(reign);
+    });
+  }
+
+  private renew(reign: number): void {
+    const { mine } = this;
+    if (mine === null) return;
+    const sent = this.core.now();
+    const before = this.acting;
+    this.client.extend(mine.lease, this.timeout, (r) => {
+      if (reign !== this.reign) return;
+      if (r === 'ended') return this.stepDown('lease ended');
+      if (r === 'ok') {
+        this.actUntil = Math.max(this.actUntil, sent + this.settings.leaderActsMs);
+        if (!before) this.core.log.info({ term: mine.term }, 'lease renewed after a gap');
+        this.renewLater(reign, this.settings.renewMs);
+      } else this.renewLater(reign, this.settings.renewMs / 4);
+    });
+  }
+}
--- /dev/null
+++ b/src/controller/peers/peers.ts
@@ -0,0 +1,203 @@
+import avsc from 'avsc';
+import type { Core } from '../core/core.js';
+import type { FinalState, JobState } from '../wire/jobs.js';
+
+/**
+ * What controllers tell one another. None of it is needed for the rules: it only saves questions to
+ * the state service. Final states never change, so they may be passed on and kept.
+ */
+export interface PeerStatus {
+  host: string;
+  identity: string;
+  /** Milliseconds since the state service last served the sender; -1: never. */
+  stateOkAgeMs: number;
+  leaderHost: string;
+  term: number;
+}
+
+export interface JobProgress {
+  id: string;
+  state: JobState;
+  done: number;
+  running: number;
+  exits: Record<string, number>;
+  blocked: string;
+}
+
+export interface PeerMessage {
+  status: PeerStatus | null;
+  finals: { id: string; state: FinalState }[];
+  progress: JobProgress[];
+}
+
+const type = avsc.Type.forSchema({
+  type: 'record',
+  name: 'PeerMessage',
+  fields: [
+    {
+      name: 'status',
+      type: [
+        'null',
+        {
+          type: 'record',
+          name: 'Status',
+          fields: [
+            { name: 'host', type: 'string' },
+            { name: 'identity', type: 'string' },
+            { name: 'stateOkAgeMs', type: 'double' },
+            { name: 'leaderHost', type: 'string' },
+            { name: 'term', type: 'long' },
+          ],
+        },
+      ],
+    },
+    {
+      name: 'finals',
+      type: {
+        type: 'array',
+        items: {
+          type: 'record',
+          name: 'Final',
+          fields: [
+            { name: 'id', type: 'string' },
+            { name: 'state', type: { type: 'enum', name: 'FinalState', symbols: ['done', 'cancelled'] } },
+          ],
+        },
+      },
+    },
+    {
+      name: 'progress',
+      type: {
+        type: 'array',
+        items: {
+          type: 'record',
+          name: 'Progress',
+          fields: [
+            { name: 'id', type: 'string' },
+            {
+              name: 'state',
+              type: { type: 'enum', name: 'JobState', symbols: ['queued', 'running', 'done', 'cancelled'] },
+            },
+            { name: 'done', type: 'int' },
+            { name: 'running', type: 'int' },
+            { name: 'exits', type: { type: 'map', values: 'int' } },
+            { name: 'blocked', type: 'string' },
+          ],
+        },
+      },
+    },
+  ],
+});
+
+export function encodePeer(message: PeerMessage): Buffer {
+  return type.toBuffer(message);
+}
+
+/** Throws on bytes that are not one whole message. */
+export function decodePeer(bytes: Buffer): PeerMessage {
+  // `clone` turns avsc's generated record classes into plain objects.
+  const value: unknown = type.fromBuffer(bytes);
+  return value as PeerMessage;
+}
+
+export const MAX_FRAME = 256 * 1024;
+
+/** Frames on the wire: four bytes of length, then the message. */
+export function frame(bytes: Buffer): Buffer {
+  const out = Buffer.allocUnsafe(bytes.length + 4);
+  out.writeUInt32BE(bytes.length, 0);
+  bytes.copy(out, 4);
+  return out;
+}
+
+export class Unframer {
+  private data: Buffer = Buffer.alloc(0);
+
+  /** Throws when a frame is longer than any message may be. */
+  push(bytes: Buffer): Buffer[] {
+    this.data = this.data.length === 0 ? bytes : Buffer.concat([this.data, bytes]);
+    const frames: Buffer[] = [];
+    while (this.data.length >= 4) {
+      const size = this.data.readUInt32BE(0);
+      if (size > MAX_FRAME) throw new Error('frame too large');
+      if (this.data.length < size + 4) break;
+      frames.push(this.data.subarray(4, size + 4));
+      this.data = this.data.subarray(size + 4);
+    }
+    return frames;
+  }
+}
+
+interface Known {
+  status: PeerStatus;
+  at: number;
+}
+
+export interface PeerEvents {
+  final(id: string, state: FinalState): void;
+  progress(p: JobProgress): void;
+}
+
+const PER_MESSAGE = 200;
+
+export class Peers {
+  private readonly known = new Map<string, Known>();
+  private finals: PeerMessage['finals'] = [];
+
+  constructor(
+    private readonly core: Core,
+    private readonly hosts: string[],
+    private readonly own: () => PeerStatus,
+    private readonly events: PeerEvents,
+  ) {}
+
+  start(everyMs: number): void {
+    this.core.every(everyMs, 'peer-status', () => this.send([], this.own()));
+    this.core.onBatchEnd(() => {
+      if (this.finals.length > 0) this.send([], null);
+    });
+  }
+
+  /** Tells the others of a job's end, with this batch. */
+  announce(id: string, state: FinalState): void {
+    this.finals.push({ id, state });
+  }
+
+  send(progress: JobProgress[], status: PeerStatus | null): void {
+    let { finals } = this;
+    this.finals = [];
+    do {
+      const bytes = encodePeer({
+        status,
+        finals: finals.slice(0, PER_MESSAGE),
+        progress: progress.slice(0, PER_MESSAGE),
+      });
+      for (const host of this.hosts) this.core.env.sendPeer(host, bytes);
+      finals = finals.slice(PER_MESSAGE);
+      progress = progress.slice(PER_MESSAGE);
+      status = null;
+    } while (finals.length > 0 || progress.length > 0);
+  }
+
+  receive(bytes: Buffer): void {
+    let message: PeerMessage;
+    try {
+      message = decodePeer(bytes);
+    } catch (err) {
+      this.core.log.warn({ err }, 'broken message from a peer');
+      return;
+    }
+    if (message.status !== null)
+      this.known.set(message.status.host, { status: message.status, at: this.core.now() });
+    for (const f of message.finals) this.events.final(f.id, f.state);
+    for (const p of message.progress) this.events.progress(p);
+  }
+
+  /** Some peer was served by the state service within `ms`, by what it said lately. */
+  stateServedElsewhere(ms: number): boolean {
+    const now = this.core.now();
+    for (const { status, at } of this.known.values())
+      if (status.stateOkAgeMs >= 0 && status.stateOkAgeMs + (now - at) < ms) return true;
+    return false;
+  }
+}
--- /dev/null
+++ b/src/controller/placement/estimates.ts
@@ -0,0 +1,48 @@
+import type { JobSpec } from '../wire/jobs.js';
+import type { Assignment } from '../workers/assignment.js';
+import type { Machine } from '../workers/machine.js';
+
+/** Weight of the newest run in a class's correction. */
+const LEARN = 0.15;
+const BOUND = 4;
+
+/**
+ * How long things take. Owners err by half, and on some days all one way, so their estimates are
+ * corrected by what each class was seen to take.
+ */
+export class Estimates {
+  private readonly logRatio = new Map<string, number>();
+
+  observe(spec: JobSpec, tookMs: number): void {
+    if (spec.estimateS <= 0 || tookMs <= 0) return;
+    const seen = Math.log(Math.min(BOUND, Math.max(1 / BOUND, tookMs / (spec.estimateS * 1000))));
+    const old = this.logRatio.get(spec.class) ?? 0;
+    this.logRatio.set(spec.class, old + LEARN * (seen - old));
+  }
+
+  ratio(cls: string): number {
+    return Math.exp(this.logRatio.get(cls) ?? 0);
+  }
+
+  runMs(spec: JobSpec): number {
+    return spec.estimateS * 1000 * this.ratio(spec.class);
+  }
+
+  fetchMs(spec: JobSpec, m: Machine): number {
+    if (m.images.has(spec.image)) return 0;
+    const rate = m.type?.fetchGbPerS ?? 0;
+    return rate > 0 ? (spec.imageGb / rate) * 1000 : 0;
+  }
+
+  /** Until the task has left its machine by itself. */
+  remainingMs(a: Assignment, now: number): number {
+    if (a.stop !== null || a.job === null) return Math.max(500, a.saveS * 1000 * Math.sign(a.stop?.graceS ?? 0));
+    const { spec } = a.job;
+    if (a.runningAt === null && a.state !== 'running')
+      return Math.max(0, this.fetchMs(spec, a.machine) - (now - a.since)) + this.runMs(spec);
+    const elapsed = now - (a.runningAt ?? a.since);
+    const left = this.runMs(spec) - elapsed;
+    // Overdue work tends to go on for a share of what it has taken so far.
+    return left > 0 ? left : Math.max(1000, 0.25 * elapsed);
+  }
+}
--- /dev/null
+++ b/src/controller/run.ts
@@ -0,0 +1,80 @@
+import net from 'node:net';
+import { randomBytes } from 'node:crypto';
+import { Controller } from './controller.js';
+import { makeLog, LOG_LEVELS } from './core/log.js';
+import { NodeEnv } from './core/node-env.js';
+import { uniform } from './core/random.js';
+import { HttpServer } from './http/server.js';
+import { Unframer } from './peers/peers.js';
+import type { Settings } from './settings/settings.js';
+import { encodeBody } from './wire/cbor.js';
+
+const BODY_BYTES = 64 * 1024;
+const NONE = Buffer.alloc(0);
+
+function split(addr: string): { host: string; port: number } {
+  const colon = addr.lastIndexOf(':');
+  return { host: addr.slice(0, colon), port: Number(addr.slice(colon + 1)) };
+}
+
+/** Starts a controller on this machine; it runs until the process is killed. */
+export function run(settings: Settings): void {
+  const { platform } = settings;
+  const wanted = process.env['LOG_LEVEL'] ?? 'info';
+  const log = makeLog(LOG_LEVELS.includes(wanted) ? wanted : 'info', platform.host);
+  const seed = randomBytes(8);
+  const identity = `${platform.host}-${seed.toString('hex')}`;
+  const env = new NodeEnv({
+    random: uniform(seed.readInt32LE(0)),
+    peers: platform.peers,
+    peerRetryMs: settings.reportMs / 3,
+  });
+  const controller = new Controller(env, log, settings, identity);
+
+  const fail = (err: Error): void => {
+    log.error({ err }, 'cannot listen');
+    process.exit(1);
+  };
+  // The error handlers below keep one connection's trouble from ending the process.
+  process.on('uncaughtException', (err) => log.error({ err }, 'uncaught'));
+  process.on('unhandledRejection', (err) => log.error({ err }, 'unhandled'));
+
+  const api = new HttpServer(
+    {
+      ...split(platform.api),
+      limits: { headBytes: 16 * 1024, bodyBytes: BODY_BYTES },
+      maxSockets: Math.floor(platform.quota.sockets * settings.get('http.sockets.ratio')),
+      readMs: 10_000,
+      idleMs: 120_000,
+    },
+    (request, respond) => {
+      controller.request(request.method, request.path, request.body, (a) => {
+        respond({
+          status: a.status,
+          body: a.body === undefined ? NONE : encodeBody(a.body),
+          ...(a.retryAfterS === undefined ? {} : { retryAfterS: a.retryAfterS }),
+          ...(a.allow === undefined ? {} : { allow: a.allow }),
+        });
+      });
+    },
+  );
+  api.listen(() => log.info({ addr: platform.api, identity }, 'listening'), fail);
+
+  const internal = net.createServer((socket) => {
+    const unframer = new Unframer();
+    socket.on('data', (bytes) => {
+      try {
+        for (const f of unframer.push(bytes)) controller.peerFrame(f);
+      } catch {
+        socket.destroy();
+      }
+    });
+    socket.on('error', () => socket.destroy());
+  });
+  internal.maxConnections = Math.max(8, Math.floor(platform.quota.sockets * 0.02));
+  internal.on('error', fail);
+  const at = split(platform.internal);
+  internal.listen(at.port, at.host);
+
+  controller.start();
+}
--- /dev/null
+++ b/src/controller/settings/platform.ts
@@ -0,0 +1,127 @@
+import { parse } from 'smol-toml';
+
+/** The settings that the platform hands over, checked. Unknown fields are ignored. */
+export interface Platform {
+  host: string;
+  zone: string;
+  api: string;
+  internal: string;
+  peers: { host: string; addr: string }[];
+  cloud: string;
+  state: string;
+  clockBoundMs: number;
+  teams: Team[];
+  workers: { reportS: number; leaseS: number; gangWaitS: number; gangPeerS: number; cancelS: number };
+  stateLimits: { rps: number; writeRps: number; valueKb: number; txnOps: number };
+  cloudLimits: { rps: number; listLagS: number };
+  quota: { cores: number; ramMb: number; sockets: number };
+}
+
+export interface Team {
+  name: string;
+  /** Guaranteed amounts. */
+  cpus: number;
+  gpus: number;
+  /** Caps; 0 means none. */
+  cpusMax: number;
+  gpusMax: number;
+}
+
+export class SettingsError extends Error {}
+
+type Table = Record<string, unknown>;
+
+function table(parent: Table, name: string, path: string): Table {
+  const v = parent[name];
+  if (typeof v !== 'object' || v === null || Array.isArray(v))
+    throw new SettingsError(`${path}${name}: expected a table`);
+  return v as Table;
+}
+
+function tables(parent: Table, name: string, path: string): Table[] {
+  const v = parent[name] ?? [];
+  if (!Array.isArray(v)) throw new SettingsError(`${path}${name}: expected a list of tables`);
+  return v.map((x: unknown, i) => table({ [i]: x }, String(i), `${path}${name}.`));
+}
+
+function str(parent: Table, name: string, path: string): string {
+  const v = parent[name];
+  if (typeof v !== 'string' || v === '')
+    throw new SettingsError(`${path}${name}: expected a non-empty text`);
+  return v;
+}
+
+function addr(parent: Table, name: string, path: string): string {
+  const v = str(parent, name, path);
+  const m = /^\d{1,3}(?:\.\d{1,3}){3}:(\d{1,5})$/.exec(v);
+  if (m === null || Number(m[1]) > 65535)
+    throw new SettingsError(`${path}${name}: expected an address such as 10.0.0.1:8080`);
+  return v;
+}
+
+function num(parent: Table, name: string, path: string, min: number, fallback?: number): number {
+  const v = parent[name] ?? fallback;
+  const n = typeof v === 'bigint' ? Number(v) : v;
+  if (typeof n !== 'number' || !Number.isFinite(n) || n < min)
+    throw new SettingsError(`${path}${name}: expected a number of at least ${min}`);
+  return n;
+}
+
+export function readPlatform(source: string): Platform {
+  let root: Table;
+  try {
+    root = parse(source) as Table;
+  } catch (err) {
+    const first = (err instanceof Error ? err.message : String(err)).split('\n', 1)[0] ?? '';
+    throw new SettingsError(`not TOML: ${first}`);
+  }
+  const services = table(root, 'services', '');
+  const params = table(root, 'params', '');
+  const workers = table(params, 'workers', 'params.');
+  const state = table(params, 'state', 'params.');
+  const cloud = table(params, 'cloud', 'params.');
+  const quota = table(params, 'quota', 'params.');
+  const w = 'params.workers.';
+  return {
+    host: str(root, 'host_name', ''),
+    zone: str(root, 'site', ''),
+    api: addr(root, 'api_addr', ''),
+    internal: addr(root, 'internal_addr', ''),
+    peers: tables(root, 'peers', '').map((p, i) => ({
+      host: str(p, 'host_name', `peers.${i}.`),
+      addr: addr(p, 'addr', `peers.${i}.`),
+    })),
+    cloud: addr(services, 'cloud', 'services.'),
+    state: addr(services, 'state', 'services.'),
+    clockBoundMs: num(params, 'time_bound_ms', 'params.', 0, 1000),
+    teams: tables(params, 'teams', 'params.').map((t, i) => ({
+      name: str(t, 'name', `params.teams.${i}.`),
+      cpus: num(t, 'cpus', `params.teams.${i}.`, 0, 0),
+      gpus: num(t, 'gpus', `params.teams.${i}.`, 0, 0),
+      cpusMax: num(t, 'cpus_max', `params.teams.${i}.`, 0, 0),
+      gpusMax: num(t, 'gpus_max', `params.teams.${i}.`, 0, 0),
+    })),
+    workers: {
+      reportS: num(workers, 'report_s', w, 0.1),
+      leaseS: num(workers, 'lease_s', w, 1),
+      gangWaitS: num(workers, 'gang_wait_s', w, 1),
+      gangPeerS: num(workers, 'gang_peer_s', w, 0.1),
+      cancelS: num(workers, 'cancel_s', w, 1),
+    },
+    stateLimits: {
+      rps: num(state, 'rps', 'params.state.', 1),
+      writeRps: num(state, 'write_rps', 'params.state.', 1),
+      valueKb: num(state, 'value_kb', 'params.state.', 1),
+      txnOps: num(state, 'txn_ops', 'params.state.', 2),
+    },
+    cloudLimits: {
+      rps: num(cloud, 'rps', 'params.cloud.', 0.1),
+      listLagS: num(cloud, 'list_lag_s', 'params.cloud.', 0, 0),
+    },
+    quota: {
+      cores: num(quota, 'cores', 'params.quota.', 0.01, 1),
+      ramMb: num(quota, 'ram_mb', 'params.quota.', 32, 256),
+      sockets: num(quota, 'fd_limit', 'params.quota.', 16, 1024),
+    },
+  };
+}
--- /dev/null
+++ b/src/controller/settings/properties.ts
@@ -0,0 +1,187 @@
+import { parse } from 'dot-properties';
+import { SettingsError } from './platform.js';
+
+interface Key {
+  value: number;
+  min: number;
+  max: number;
+  text: string;
+}
+
+/**
+ * What operators may tune. Nearly all are ratios to figures of the platform's settings, so that one
+ * file serves deployments of very different sizes. `deploy/bitternvale.properties` documents each.
+ */
+const keys = {
+  'leadership.lease.ratio': {
+    value: 0.22,
+    min: 0.05,
+    max: 0.8,
+    text: "The leader's lease at the state service, as a ratio to the workers' lease.",
+  },
+  'leadership.renew.ratio': {
+    value: 0.25,
+    min: 0.05,
+    max: 0.5,
+    text: "How often the leader renews, as a ratio to its lease.",
+  },
+  'leadership.margin.ratio': {
+    value: 0.05,
+    min: 0.002,
+    max: 0.5,
+    text: "Share of its lease that the leader leaves unused, against clock drift and late timers.",
+  },
+  'workers.silent.ratio': {
+    value: 0.45,
+    min: 0.2,
+    max: 1,
+    text: "A machine silent for this ratio of its lease gets no new tasks.",
+  },
+  'workers.lease.margin.ratio': {
+    value: 0.02,
+    min: 0.002,
+    max: 0.5,
+    text: "Share added to a worker's lease before its tasks are taken to be gone.",
+  },
+  'placement.interval.ratio': {
+    value: 0.05,
+    min: 0.005,
+    max: 1,
+    text: 'Least time between two placement passes, as a ratio to the report interval.',
+  },
+  'placement.aging.ratio': {
+    value: 20,
+    min: 0.5,
+    max: 10000,
+    text: "Wait that lifts a job by one priority class, as a ratio to the workers' lease.",
+  },
+  'placement.preempted.bonus.ratio': {
+    value: 0.25,
+    min: 0,
+    max: 10,
+    text: 'Rise of a job by each preemption, as a ratio to a priority class.',
+  },
+  'placement.victim.age.s': {
+    value: 30,
+    min: 0,
+    max: 86400,
+    text: 'A task younger than this is never stopped to make room (seconds).',
+  },
+  'placement.cannot.fill.s': {
+    value: 120,
+    min: 1,
+    max: 86400,
+    text: "After this wait a gang's answer says that it cannot fill yet (seconds).",
+  },
+  'placement.hold.record.s': {
+    value: 1,
+    min: 0.1,
+    max: 60,
+    text: 'Hold records are written at most this often (seconds).',
+  },
+  'placement.backfill.ratio': {
+    value: 0.9,
+    min: 0,
+    max: 10,
+    text: "Backfill may take at most this ratio of a hold's expected time to fill.",
+  },
+  'fleet.rent.wait.ratio': {
+    value: 0.5,
+    min: 0,
+    max: 100,
+    text: 'Work waits this ratio of the report interval for room before machines are rented for it.',
+  },
+  'fleet.headroom.ratio': {
+    value: 0.25,
+    min: 0,
+    max: 10,
+    text: 'Machines kept beyond what runs, as a ratio to what runs and waits.',
+  },
+  'fleet.idle.ratio': {
+    value: 20,
+    min: 1,
+    max: 10000,
+    text: "A machine idle for this ratio of the workers' lease is returned.",
+  },
+  'fleet.boot.ratio': {
+    value: 4,
+    min: 1.5,
+    max: 100,
+    text: 'A machine that is not up after this ratio of its nominal boot time is returned.',
+  },
+  'fleet.backoff.s': {
+    value: 8,
+    min: 0.5,
+    max: 3600,
+    text: 'First pause after the cloud had no capacity for a type, zone and kind; it doubles (seconds).',
+  },
+  'fleet.strikes': {
+    value: 3,
+    min: 1,
+    max: 100,
+    text: 'Failures of different jobs after which a machine is quarantined.',
+  },
+  'jobs.final.cache': {
+    value: 50000,
+    min: 100,
+    max: 10000000,
+    text: 'Final states kept in memory by each controller; the rest are read when asked for.',
+  },
+  'http.sockets.ratio': {
+    value: 0.8,
+    min: 0.1,
+    max: 0.95,
+    text: 'Sockets for users and workers, as a ratio to the platform limit.',
+  },
+  'state.follower.ratio': {
+    value: 0.2,
+    min: 0.01,
+    max: 0.5,
+    text: "Share of the state service's limits that each controller but the leader may use.",
+  },
+  'state.headroom.ratio': {
+    value: 0.92,
+    min: 0.1,
+    max: 1,
+    text: "Share of the state service's limits that all controllers together may use.",
+  },
+} satisfies Record<string, Key>;
+
+export type PropertyName = keyof typeof keys;
+export type Properties = Readonly<Record<PropertyName, number>>;
+
+export const propertyKeys: Readonly<Record<PropertyName, Key>> = keys;
+
+function names(): PropertyName[] {
+  return Object.keys(keys) as PropertyName[];
+}
+
+export function defaultProperties(): Properties {
+  return Object.fromEntries(names().map((n) => [n, keys[n].value])) as Properties;
+}
+
+export function readProperties(source: string): Properties {
+  const given = parse(source) as Record<string, unknown>;
+  const result = { ...defaultProperties() } as Record<string, number>;
+  for (const [name, raw] of Object.entries(given)) {
+    if (!Object.hasOwn(keys, name)) throw new SettingsError(`${name}: unknown key`);
+    const key = keys[name as PropertyName];
+    const text = typeof raw === 'string' ? raw.trim() : '';
+    const value = Number(text);
+    if (text === '' || !Number.isFinite(value) || value < key.min || value > key.max)
+      throw new SettingsError(`${name}: expected a number from ${key.min} to ${key.max}, got "${text}"`);
+    result[name] = value;
+  }
+  return result as Properties;
+}
+
+/** The shipped file: every key with its default and what it does. */
+export function formatProperties(): string {
+  const head = '# Settings of bitternvale that operators may tune. Values shown are the defaults.\n';
+  return (
+    head +
+    names()
+      .map((n) => `\n# ${keys[n].text} (${keys[n].min} to ${keys[n].max})\n${n} = ${keys[n].value}\n`)
+      .join('')
+  );
+}
--- /dev/null
+++ b/src/controller/store/client.ts
@@ -0,0 +1,204 @@
+import type { Core } from '../core/core.js';
+import type { Reply } from '../core/env.js';
+import { Tokens } from '../core/tokens.js';
+import type { Settings } from '../settings/settings.js';
+import {
+  readEvents,
+  readFailed,
+  readItem,
+  readLease,
+  readRange,
+  readRevision,
+  writeTransaction,
+  type Condition,
+  type Event,
+  type Item,
+  type Write,
+} from '../wire/state.js';
+
+/**
+ * Who goes without first when tokens run short: the share of the burst that a call leaves behind.
+ * The lease pays in any case.
+ */
+export const reserve = { records: 0.02, submissions: 0.12, reads: 0.2, polls: 0.3, watches: 0.25 };
+
+export type TxnResult =
+  | { kind: 'ok'; revision: number }
+  | { kind: 'conflict'; failed: string[] }
+  /** Surely not carried out: no tokens, 429 or 503. */
+  | { kind: 'refused' }
+  /** The lease named in a put has ended. Not carried out. */
+  | { kind: 'no-lease' }
+  /** No response: carried out, or not, or later. */
+  | { kind: 'unknown' };
+
+export type Read<T> = { kind: 'ok'; value: T } | { kind: 'failed' };
+
+/** Calls to the state service, paid for with tokens, their answers read. */
+export class StateClient {
+  readonly tokens: Tokens;
+  readonly writeTokens: Tokens;
+  private okAt = -Infinity;
+  private failedAt = -Infinity;
+  private failing = 0;
+
+  constructor(
+    private readonly core: Core,
+    private readonly settings: Settings,
+  ) {
+    const now = (): number => core.now();
+    this.tokens = new Tokens(now, 1, 1);
+    this.writeTokens = new Tokens(now, 1, 1);
+    this.setRole(false);
+  }
+
+  /** The leader's share of the limits is what the others leave. */
+  setRole(leader: boolean): void {
+    const { stateLimits, peers } = this.settings.platform;
+    const each = this.settings.get('state.follower.ratio');
+    const others = Math.min(0.8, each * peers.length);
+    const share = (leader ? 1 - others : each) * this.settings.get('state.headroom.ratio');
+    const rps = stateLimits.rps * share;
+    const writes = stateLimits.writeRps * share;
+    this.tokens.setRate(rps, rps);
+    // A transaction takes all its writes at once, so the burst must hold a useful one.
+    this.writeTokens.setRate(writes, Math.max(writes, 4));
+  }
+
+  /** Milliseconds since the service last carried something out for this node. */
+  get okAgeMs(): number {
+    return this.core.now() - this.okAt;
+  }
+
+  /** The last calls failed: what is asked now would most likely fail too. */
+  get down(): boolean {
+    return this.failing >= 2 && this.failedAt > this.okAt;
+  }
+
+  private call(
+    method: 'GET' | 'POST' | 'DELETE',
+    path: string,
+    body: unknown,
+    timeoutMs: number,
+    name: string,
+    done: (r: Reply) => void,
+  ): void {
+    this.core.env.call(
+      { to: this.settings.platform.state, method, path, body, timeoutMs },
+      (reply) => {
+        this.core.post(name, () => {
+          if (reply.status === 0 || reply.status === 503) {
+            this.failing++;
+            this.failedAt = this.core.now();
+          } else if (reply.status === 429) {
+            this.tokens.rejected(100);
+            this.writeTokens.rejected(100);
+          } else {
+            this.failing = 0;
+            this.okAt = this.core.now();
+          }
+          done(reply);
+        });
+      },
+    );
+  }
+
+  private parse<T>(reply: Reply, read: (body: unknown) => T): Read<T> {
+    if (reply.status !== 200) return { kind: 'failed' };
+    try {
+      return { kind: 'ok', value: read(reply.body) };
+    } catch (err) {
+      this.core.log.warn({ err }, 'broken answer from the state service');
+      return { kind: 'failed' };
+    }
+  }
+
+  multi(
+    conditions: Condition[],
+    writes: Write[],
+    timeoutMs: number,
+    done: (r: TxnResult) => void,
+  ): void {
+    this.call('POST', '/multi', writeTransaction(conditions, writes), timeoutMs, 'txn', (r) => {
+      done(this.txnResult(r));
+    });
+  }
+
+  private txnResult(r: Reply): TxnResult {
+    try {
+      if (r.status === 200) return { kind: 'ok', revision: readRevision(r.body) };
+      if (r.status === 409) return { kind: 'conflict', failed: readFailed(r.body) };
+    } catch (err) {
+      this.core.log.warn({ err }, 'broken answer from the state service');
+      return { kind: 'unknown' };
+    }
+    if (r.status === 400) return { kind: 'no-lease' };
+    return { kind: r.status === 429 || r.status === 503 ? 'refused' : 'unknown' };
+  }
+
+  /** null: the key does not exist. */
+  get(key: string, timeoutMs: number, done: (r: Read<Item | null>) => void): void {
+    this.call('GET', `/keys/${key}`, undefined, timeoutMs, 'get', (r) => {
+      if (r.status === 404) done({ kind: 'ok', value: null });
+      else done(this.parse(r, readItem));
+    });
+  }
+
+  /** All keys of a prefix, page by page; the revision is that of the first page. */
+  range(
+    prefix: string,
+    timeoutMs: number,
+    done: (r: Read<{ items: Item[]; revision: number }>) => void,
+  ): void {
+    const all: Item[] = [];
+    let revision = -1;
+    const page = (from: string | null): void => {
+      const after = from === null ? '' : `&from=${from}`;
+      this.tokens.force();
+      this.call('GET', `/keys?starts=${prefix}${after}&limit=1000`, undefined, timeoutMs, 'range', (r) => {
+        const got = this.parse(r, readRange);
+        if (got.kind === 'failed') return done(got);
+        for (const item of got.value.items) all.push(item);
+        if (revision < 0) revision = got.value.revision;
+        const last = got.value.items.at(-1);
+        if (got.value.more && last !== undefined) page(last.key);
+        else done({ kind: 'ok', value: { items: all, revision } });
+      });
+    };
+    page(null);
+  }
+
+  grant(ttlMs: number, timeoutMs: number, done: (r: Read<number>) => void): void {
+    this.tokens.force();
+    this.call('POST', '/holds', { life_ms: ttlMs }, timeoutMs, 'grant', (r) => {
+      done(this.parse(r, readLease));
+    });
+  }
+
+  extend(lease: number, timeoutMs: number, done: (r: 'ok' | 'ended' | 'failed') => void): void {
+    this.tokens.force();
+    this.call('POST', `/holds/${lease}/extend`, {}, timeoutMs, 'extend', (r) => {
+      done(r.status === 200 ? 'ok' : r.status === 404 ? 'ended' : 'failed');
+    });
+  }
+
+  revoke(lease: number, timeoutMs: number, done: () => void): void {
+    this.tokens.force();
+    this.call('DELETE', `/holds/${lease}`, undefined, timeoutMs, 'revoke', done);
+  }
+
+  /** One round of a watch. `too-old`: the keys must be read again. */
+  follow(
+    prefix: string,
+    from: number,
+    holdMs: number,
+    done: (r: Read<{ events: Event[]; revision: number }> | { kind: 'too-old' }) => void,
+  ): void {
+    this.tokens.force();
+    const path = `/follow?starts=${prefix}&from=${from}&hold_ms=${Math.round(holdMs)}`;
+    this.call('GET', path, undefined, holdMs + 2000, 'follow', (r) => {
+      if (r.status === 410) done({ kind: 'too-old' });
+      else done(this.parse(r, readEvents));
+    });
+  }
+}
--- /dev/null
+++ b/src/controller/wire/jobs.ts
@@ -0,0 +1,156 @@
+import {
+  amount,
+  amountOrNull,
+  flagOrFalse,
+  isMap,
+  smallInt,
+  text,
+  textOrNull,
+  textsOrNull,
+  WireError,
+  type Fields,
+} from './cbor.js';
+
+export type Kind = 'array' | 'gang';
+export type Priority = 'production' | 'high' | 'normal' | 'low';
+export type JobState = 'queued' | 'running' | 'done' | 'cancelled';
+export type FinalState = 'done' | 'cancelled';
+
+/** What a user asks for, in the field's terms. */
+export interface JobSpec {
+  id: string;
+  class: string;
+  team: string;
+  kind: Kind;
+  priority: Priority;
+  tasks: number;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+  image: string;
+  imageGb: number;
+  types: string[] | null;
+  zone: string | null;
+  oneZone: boolean;
+  spread: boolean;
+  spot: boolean;
+  estimateS: number;
+  checkpointS: number;
+  saveS: number;
+  deadlineS: number | null;
+}
+
+export const MAX_TASKS = 100_000;
+const ID = /^req-[0-9A-Za-z._-]{1,64}$/;
+const NAME_MAX = 200;
+
+const kinds: Record<string, Kind> = { batch: 'array', gang: 'gang' };
+const priorities: Record<string, Priority> = {
+  critical: 'production',
+  high: 'high',
+  normal: 'normal',
+  best_effort: 'low',
+};
+const kindNames: Record<Kind, string> = { array: 'batch', gang: 'gang' };
+const priorityNames: Record<Priority, string> = {
+  production: 'critical',
+  high: 'high',
+  normal: 'normal',
+  low: 'best_effort',
+};
+const stateNames: Record<JobState, string> = {
+  queued: 'pending',
+  running: 'running',
+  done: 'done',
+  cancelled: 'aborted',
+};
+
+export function isJobId(id: string): boolean {
+  return ID.test(id);
+}
+
+function oneOf<T>(table: Record<string, T>, map: Fields, name: string): T {
+  const word = text(map, name);
+  const found = Object.hasOwn(table, word) ? table[word] : undefined;
+  if (found === undefined) throw new WireError(`${name}: unknown value`);
+  return found;
+}
+
+function name(map: Fields, field: string): string {
+  const v = text(map, field);
+  if (v.length === 0 || v.length > NAME_MAX) throw new WireError(`${field}: length out of range`);
+  return v;
+}
+
+export function readJob(body: unknown): JobSpec {
+  if (!isMap(body)) throw new WireError('body: expected a map');
+  const id = text(body, 'id');
+  if (!isJobId(id)) throw new WireError('id: not a job id');
+  return {
+    id,
+    class: name(body, 'shift'),
+    team: name(body, 'crew'),
+    kind: oneOf(kinds, body, 'shape'),
+    priority: oneOf(priorities, body, 'urgency'),
+    tasks: smallInt(body, 'duties', 1, MAX_TASKS),
+    cpus: amount(body, 'cores'),
+    gpus: amount(body, 'cards'),
+    memoryGb: amount(body, 'mem_gb'),
+    image: name(body, 'recipe'),
+    imageGb: amount(body, 'pull_gb'),
+    types: textsOrNull(body, 'models'),
+    zone: textOrNull(body, 'hall'),
+    oneZone: flagOrFalse(body, 'same_place'),
+    spread: flagOrFalse(body, 'scatter'),
+    spot: flagOrFalse(body, 'loaners'),
+    estimateS: amount(body, 'expect_s'),
+    checkpointS: amountOrNull(body, 'bookmark_s') ?? 0,
+    saveS: amountOrNull(body, 'stow_s') ?? 0,
+    deadlineS: amountOrNull(body, 'due_s'),
+  };
+}
+
+export function writeJob(s: JobSpec): Fields {
+  return {
+    id: s.id,
+    shift: s.class,
+    crew: s.team,
+    shape: kindNames[s.kind],
+    urgency: priorityNames[s.priority],
+    duties: s.tasks,
+    cores: s.cpus,
+    cards: s.gpus,
+    mem_gb: s.memoryGb,
+    recipe: s.image,
+    pull_gb: s.imageGb,
+    models: s.types,
+    hall: s.zone,
+    same_place: s.oneZone,
+    scatter: s.spread,
+    loaners: s.spot,
+    expect_s: s.estimateS,
+    bookmark_s: s.checkpointS,
+    stow_s: s.saveS,
+    due_s: s.deadlineS,
+  };
+}
+
+export interface JobAnswer {
+  id: string;
+  state: JobState;
+  done?: number;
+  running?: number;
+  /** Exits so far by cause. */
+  exits?: Record<string, number>;
+  /** Why a gang has not been able to fill its hold. */
+  blocked?: string;
+}
+
+export function writeAnswer(a: JobAnswer): Fields {
+  const out: Fields = { id: a.id, status: stateNames[a.state] };
+  if (a.done !== undefined) out['done'] = a.done;
+  if (a.running !== undefined) out['running'] = a.running;
+  if (a.exits !== undefined && Object.keys(a.exits).length > 0) out['exits'] = a.exits;
+  if (a.blocked !== undefined) out['blocked'] = a.blocked;
+  return out;
+}
--- /dev/null
+++ b/src/controller/wire/workers.ts
@@ -0,0 +1,134 @@
+import {
+  amountOrNull,
+  flagOrFalse,
+  int,
+  isMap,
+  list,
+  smallInt,
+  text,
+  WireError,
+  type Fields,
+  type Int,
+} from './cbor.js';
+import { MAX_TASKS } from './jobs.js';
+
+export type TaskState = 'fetching' | 'waiting' | 'running' | 'saving' | 'exited';
+export type Cause =
+  | 'done'
+  | 'stopped'
+  | 'peers'
+  | 'alone'
+  | 'error'
+  | 'no_room'
+  | 'busy'
+  | 'unknown'
+  /** A cause of a later version of the protocol; treated like an unexplained exit. */
+  | 'other';
+
+export interface TaskReport {
+  job: string;
+  task: number;
+  attempt: Int;
+  state: TaskState;
+  cause: Cause | null;
+  saved: boolean;
+}
+
+export interface Report {
+  machine: string;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  session: number;
+  seq: Int;
+  token: Int;
+  noticeS: number | null;
+  tasks: TaskReport[];
+}
+
+export type Order =
+  | { op: 'start'; job: string; task: number; attempt: Int }
+  | { op: 'stop'; job: string; task: number; attempt: Int; graceS: number }
+  | { op: 'forget'; job: string; task: number; attempt: Int };
+
+const states: Record<string, TaskState> = {
+  pulling: 'fetching',
+  waiting: 'waiting',
+  running: 'running',
+  flushing: 'saving',
+  exited: 'exited',
+};
+const causes: Record<string, Cause> = {
+  done: 'done',
+  stopped: 'stopped',
+  peers: 'peers',
+  alone: 'alone',
+  error: 'error',
+  no_room: 'no_room',
+  in_use: 'busy',
+  unknown: 'unknown',
+};
+const verbs = { start: 'run', stop: 'stop', forget: 'clear' } as const;
+
+export function taskName(job: string, task: number): string {
+  return `${job}/${task}`;
+}
+
+export function splitTask(name: string): { job: string; task: number } {
+  const slash = name.lastIndexOf('/');
+  const digits = name.slice(slash + 1);
+  if (slash <= 0 || !/^\d{1,6}$/.test(digits)) throw new WireError('duty: not a task');
+  const task = Number(digits);
+  if (task >= MAX_TASKS) throw new WireError('duty: not a task');
+  return { job: name.slice(0, slash), task };
+}
+
+export function readReport(body: unknown): Report {
+  if (!isMap(body)) throw new WireError('report: expected a map');
+  return {
+    machine: text(body, 'kiln'),
+    addr: text(body, 'address'),
+    type: text(body, 'model'),
+    zone: text(body, 'hall'),
+    spot: flagOrFalse(body, 'loaners'),
+    session: smallInt(body, 'tenure', 0, Number.MAX_SAFE_INTEGER),
+    seq: int(body, 'tally'),
+    token: int(body, 'baton'),
+    noticeS: amountOrNull(body, 'recall_s'),
+    tasks: list(body, 'duties').map(readTask),
+  };
+}
+
+function readTask(item: unknown): TaskReport {
+  if (!isMap(item)) throw new WireError('duties: expected maps');
+  const stateWord = text(item, 'status');
+  const state = Object.hasOwn(states, stateWord) ? states[stateWord] : undefined;
+  if (state === undefined) throw new WireError('status: unknown task state');
+  let cause: Cause | null = null;
+  if (state === 'exited') {
+    const word = text(item, 'cause');
+    cause = (Object.hasOwn(causes, word) ? causes[word] : undefined) ?? 'other';
+  }
+  return {
+    ...splitTask(text(item, 'duty')),
+    attempt: int(item, 'try'),
+    state,
+    cause,
+    saved: flagOrFalse(item, 'saved'),
+  };
+}
+
+function writeOrder(o: Order): Fields {
+  const out: Fields = { verb: verbs[o.op], duty: taskName(o.job, o.task), try: o.attempt };
+  if (o.op === 'stop') out['leeway_s'] = o.graceS;
+  return out;
+}
+
+export function writeOrders(token: number, orders: Order[]): Fields {
+  return { baton: token, orders: orders.map(writeOrder) };
+}
+
+export function writeDirect(token: number, session: number, orders: Order[]): Fields {
+  return { baton: token, tenure: session, orders: orders.map(writeOrder) };
+}
--- /dev/null
+++ b/src/controller/workers/workers.ts
@@ -0,0 +1,473 @@
+import type { Core } from '../core/core.js';
+import type { Job, JobTable } from '../jobs/table.js';
+import type { Settings } from '../settings/settings.js';
+import type { Records } from '../store/records.js';
+import { isMap } from '../wire/cbor.js';
+import type { MachineType } from '../wire/cloud.js';
+import {
+  taskName,
+  writeDirect,
+  writeOrders,
+  type Cause,
+  type Order,
+  type Report,
+  type TaskReport,
+} from '../wire/workers.js';
+import type { Assignment, Need } from './assignment.js';
+import { Machine } from './machine.js';
+
+export const machineKey = (id: string): string => `machine/${id}`;
+
+export interface WorkersHooks {
+  type(name: string): MachineType | undefined;
+  higherToken(token: number | bigint): void;
+  /** Room, tasks or machines changed: placement should look again. */
+  changed(): void;
+  /** A task ran to its end: what it took against what was expected. */
+  ran(a: Assignment, tookMs: number): void;
+}
+
+/** Why an assignment ended. `lost`: the machine or its session is gone, or the start never arrived. */
+type Outcome = Cause | 'lost' | 'unsent';
+
+/** A report that came too late or from a session that is over gets no 200: it must not renew. */
+export type ReportAnswer = { status: 200; body: unknown } | { status: 503 };
+
+/** The leader's view of the machines and of every task that may be on one. */
+export class Workers {
+  readonly machines = new Map<string, Machine>();
+  private readonly dirty = new Set<Machine>();
+  private readonly direct = new Set<Machine>();
+
+  constructor(
+    private readonly core: Core,
+    private readonly settings: Settings,
+    readonly term: number,
+    private readonly records: Records,
+    private readonly table: JobTable,
+    private readonly hooks: WorkersHooks,
+  ) {}
+
+  machine(id: string): Machine {
+    let m = this.machines.get(id);
+    if (m === undefined) {
+      m = new Machine(id, this.core.now());
+      this.machines.set(id, m);
+    }
+    return m;
+  }
+
+  setType(m: Machine, type: string, zone: string, spot: boolean, addr: string): void {
+    m.typeName = type;
+    m.type = this.hooks.type(type) ?? null;
+    m.zone = zone;
+    m.spot = spot;
+    if (addr !== '') m.addr = addr;
+  }
+
+  // ---- records
+
+  private value(m: Machine): unknown {
+    const jobs: Record<string, unknown[]> = {};
+    for (const a of m.assignments.values()) {
+      const entry = (jobs[a.jobId] ??= [
+        a.team,
+        a.need.cpus,
+        a.need.gpus,
+        a.need.memoryGb,
+        a.saveS,
+        {} as Record<string, number[]>,
+      ]);
+      const attempts = entry[5] as Record<string, number[]>;
+      (attempts[String(a.attempt)] ??= []).push(a.task);
+    }
+    return {
+      type: m.typeName,
+      zone: m.zone,
+      spot: m.spot,
+      addr: m.addr,
+      session: m.session,
+      images: Object.fromEntries(m.images),
+      jobs,
+    };
+  }
+
+  /** How many tasks a machine may have at once for its record to fit a value. */
+  get slots(): number {
+    return Math.floor((this.settings.platform.stateLimits.valueKb * 1024 * 0.75) / 40);
+  }
+
+  /** A record of the leaders before, read at takeover. */
+  load(id: string, value: unknown): void {
+    if (!isMap(value)) return;
+    const m = this.machine(id);
+    const { type, zone, spot, addr, session, images, jobs } = value;
+    m.session = typeof session === 'number' ? session : 0;
+    this.setType(
+      m,
+      typeof type === 'string' ? type : '',
+      typeof zone === 'string' ? zone : '',
+      spot === true,
+      typeof addr === 'string' ? addr : '',
+    );
+    if (isMap(images))
+      for (const [name, gb] of Object.entries(images))
+        if (typeof gb === 'number') m.images.set(name, gb);
+    if (!isMap(jobs)) return;
+    for (const [jobId, entry] of Object.entries(jobs)) {
+      if (!Array.isArray(entry)) continue;
+      const [team, cpus, gpus, memoryGb, saveS, attempts] = entry as unknown[];
+      if (!isMap(attempts)) continue;
+      const need: Need = { cpus: Number(cpus), gpus: Number(gpus), memoryGb: Number(memoryGb) };
+      for (const [attempt, tasks] of Object.entries(attempts)) {
+        if (!Array.isArray(tasks)) continue;
+        for (const task of tasks as number[]) {
+          const job = this.table.jobs.get(jobId) ?? null;
+          const a: Assignment = {
+            jobId,
+            job,
+            team: String(team),
+            task,
+            attempt: Number(attempt),
+            machine: m,
+            session: m.session,
+            need,
+            saveS: Number(saveS),
+            since: this.core.now(),
+            phase: 'sent',
+            state: null,
+            sentSeq: null,
+            runningAt: null,
+            stop: null,
+          };
+          m.assignments.set(taskName(jobId, task), a);
+          m.take(a);
+          if (job === null) this.stop(a, 0, 'job ended');
+          else this.attach(job, a);
+        }
+      }
+    }
+  }
+
+  /**
+   * Leaders before may have left a task's record on a machine that it had gone from, beside that of
+   * where it went. Both count until reports tell; the job knows the later attempt.
+   */
+  private attach(job: Job, a: Assignment): void {
+    const other = job.assigned.get(a.task);
+    if (other === undefined || other.attempt < a.attempt) job.assigned.set(a.task, a);
+  }
+
+  private touch(m: Machine): void {
+    this.dirty.add(m);
+  }
+
+  // ---- giving and taking tasks
+
+  assign(job: Job, task: number, attempt: number, m: Machine): void {
+    const { spec } = job;
+    const a: Assignment = {
+      jobId: spec.id,
+      job,
+      team: spec.team,
+      task,
+      attempt,
+      machine: m,
+      session: m.session,
+      need: { cpus: spec.cpus, gpus: spec.gpus, memoryGb: spec.memoryGb },
+      saveS: spec.saveS,
+      since: this.core.now(),
+      phase: 'planned',
+      state: null,
+      sentSeq: null,
+      runningAt: null,
+      stop: null,
+    };
+    m.assignments.set(taskName(spec.id, task), a);
+    job.assigned.set(task, a);
+    m.take(a);
+    this.touch(m);
+    this.core.log.debug({ job: spec.id, task, attempt, machine: m.id }, 'task assigned');
+  }
+
+  stop(a: Assignment, graceS: number, reason: string): void {
+    if (a.phase === 'ended') return;
+    if (a.phase === 'planned' || a.phase === 'recorded') {
+      // Not sent by anyone: it is nowhere.
+      this.end(a, 'unsent');
+      return;
+    }
+    if (a.stop !== null && a.stop.graceS <= graceS) return;
+    a.stop = { graceS, at: this.core.now(), reason, direct: false };
+    this.direct.add(a.machine);
+    this.core.log.debug({ job: a.jobId, task: a.task, machine: a.machine.id, graceS, reason }, 'stop');
+  }
+
+  /** Stops a job as a whole; a gang's parts have to be told within `gang_peer_s` of each other. */
+  stopJob(job: Job, graceS: number, reason: string): void {
+    if (job.spec.kind === 'gang' && job.assigned.size > 0) job.regrouping = true;
+    for (const a of [...job.assigned.values()]) this.stop(a, graceS, reason);
+    this.regroup(job);
+  }
+
+  /** The job has ended. Completed gangs end by themselves, all at the same time. */
+  jobClosed(job: Job): void {
+    for (const m of this.machines.values())
+      for (const a of [...m.assignments.values()]) {
+        if (a.job !== job) continue;
+        if (a.phase === 'ended') this.remove(a);
+        else if (job.closed === 'cancelled') this.stop(a, 0, 'cancelled');
+      }
+  }
+
+  /** Completion is on record: the task may be cleared, and its assignment forgotten. */
+  doneRecorded(job: Job, task: number): void {
+    const a = job.assigned.get(task);
+    if (a?.phase === 'ended') this.remove(a);
+  }
+
+  private remove(a: Assignment): void {
+    const name = taskName(a.jobId, a.task);
+    if (a.machine.assignments.get(name) === a) a.machine.assignments.delete(name);
+    if (a.job?.assigned.get(a.task) === a) a.job.assigned.delete(a.task);
+    if (!a.machine.busy) a.machine.idleSince = this.core.now();
+    this.touch(a.machine);
+  }
+
+  /** The assignment is over: the task is surely not on the machine any more. */
+  private end(a: Assignment, outcome: Outcome): void {
+    if (a.phase === 'ended') return;
+    const { job, machine: m } = a;
+    a.phase = 'ended';
+    m.give(a);
+    this.hooks.changed();
+    if (outcome === 'done' && job !== null && job.closed === null) {
+      if (a.runningAt !== null) this.hooks.ran(a, this.core.now() - a.runningAt);
+      m.strikes.clear();
+      // Tasks of a gang complete together.
+      if (job.spec.kind === 'gang')
+        for (let t = 0; t < job.spec.tasks; t++) this.table.markDone(job, t);
+      else this.table.markDone(job, a.task);
+      if (job.recorded[a.task] === 1) this.remove(a);
+      return;
+    }
+    this.remove(a);
+    if (job === null || job.closed !== null) return;
+    if (outcome !== 'unsent') this.table.countExit(job, outcome);
+    this.core.log.info({ job: a.jobId, task: a.task, machine: m.id, outcome }, 'task off its machine');
+    this.judge(a, job, outcome);
+    if (job.spec.kind === 'gang') {
+      if (!job.regrouping && !job.complete) this.stopJob(job, 0, 'gang lost a part');
+      else this.regroup(job);
+    } else if (job.assigned.get(a.task) === undefined) this.table.putBack(job, a.task);
+  }
+
+  /** A gang starts anew once nothing of its old attempt is left anywhere. */
+  private regroup(job: Job): void {
+    if (!job.regrouping || job.assigned.size > 0 || job.closed !== null || job.complete) return;
+    job.regrouping = false;
+    for (let t = job.spec.tasks - 1; t >= 0; t--) this.table.putBack(job, t);
+  }
+
+  /** What a failure says of the machine, and what of the job. */
+  private judge(a: Assignment, job: Job, outcome: Outcome): void {
+    const now = this.core.now();
+    const { machine: m } = a;
+    const pause = this.settings.reportMs;
+    if (outcome === 'error') {
+      job.errors++;
+      job.failedOn.add(m.id);
+      job.notBefore = now + Math.min(pause * 2 ** Math.min(job.errors, 5), this.settings.workerLeaseMs * 4);
+      // A job that has failed on several machines is itself at fault: it strikes no more of them.
+      if (job.failedOn.size <= this.settings.get('fleet.strikes')) m.strikes.add(job.spec.id);
+      if (m.strikes.size >= this.settings.get('fleet.strikes')) {
+        m.quarantines++;
+        m.strikes.clear();
+        m.noPlacingBefore = now + this.settings.workerLeaseMs * 2 ** Math.min(m.quarantines, 6);
+        this.core.log.warn({ machine: m.id }, 'machine quarantined');
+      }
+    } else if (outcome === 'no_room') m.noPlacingBefore = Math.max(m.noPlacingBefore, now + pause);
+    else if (outcome === 'busy' || outcome === 'unknown' || outcome === 'other')
+      job.notBefore = Math.max(job.notBefore, now + pause);
+  }
+
+  // ---- reports
+
+  report(r: Report): ReportAnswer {
+    this.hooks.higherToken(r.token);
+    const now = this.core.now();
+    const m = this.machine(r.machine);
+    if (r.session < m.session || r.session < m.minSession) return { status: 503 };
+    if (r.session === m.session && r.seq <= m.seq) return { status: 503 };
+    if (m.typeName !== r.type || m.addr !== r.addr || m.zone !== r.zone || m.spot !== r.spot || m.type === null)
+      this.setType(m, r.type, r.zone, r.spot, r.addr);
+    if (r.session > m.session) {
+      // The worker's lease had ended: everything of the sessions before is gone from the machine.
+      for (const a of [...m.assignments.values()]) if (a.session < r.session) this.end(a, 'lost');
+      m.session = r.session;
+      m.synced = false;
+      this.touch(m);
+    }
+    m.seq = r.seq;
+    const first = m.lastReportAt === -Infinity;
+    m.lastReportAt = now;
+    m.leaseFrom = now;
+    m.noticeAt = r.noticeS === null ? null : now + r.noticeS * 1000;
+    // A report sent before the worker knew our term may be as old as any report: what it lacks
+    // proves nothing, for the leader before may have started it since.
+    const current = r.token === this.term;
+    if (current && !m.synced) {
+      m.synced = true;
+      this.hooks.changed();
+    }
+    if (first) this.hooks.changed();
+
+    const orders: Order[] = [];
+    const present = new Set<Assignment>();
+    for (const t of r.tasks) this.taskReport(m, t, present, orders);
+    if (current)
+      for (const a of [...m.assignments.values()]) {
+        if (present.has(a) || a.phase === 'ended' || a.session !== r.session) continue;
+        // The worker has one report in flight at a time, so a later report without the task
+        // means that the answer with its start was dropped, or that the task is gone.
+        if (a.phase === 'seen') this.end(a, 'lost');
+        else if (a.phase === 'sent' && (a.sentSeq === null || r.seq > a.sentSeq)) {
+          // A start of this term that never arrived may go out again. One of the leader before may
+          // have arrived, ended and been cleared: its attempt is over.
+          if (a.sentSeq === null || a.stop !== null) this.end(a, 'lost');
+          else a.phase = 'recorded';
+        }
+      }
+    for (const a of [...m.assignments.values()]) this.order(a, r, orders);
+    if (m.noticeAt !== null) this.hooks.changed();
+    return { status: 200, body: writeOrders(this.term, orders) };
+  }
+
+  private taskReport(m: Machine, t: TaskReport, present: Set<Assignment>, orders: Order[]): void {
+    const a = m.assignments.get(taskName(t.job, t.task));
+    const mine = a !== undefined && a.attempt === t.attempt && a.session === m.session;
+    if (mine) {
+      present.add(a);
+      if (a.phase !== 'ended') this.follow(a, t);
+    } else if (t.state !== 'exited') {
+      // Nothing on record and yet there: it should not be; it must not stay either.
+      this.core.log.warn({ job: t.job, task: t.task, machine: m.id }, 'unexpected task');
+      orders.push({ op: 'stop', job: t.job, task: t.task, attempt: t.attempt, graceS: 0 });
+      return;
+    }
+    if (t.state !== 'exited') return;
+    const job = this.table.jobs.get(t.job);
+    if (t.cause === 'done' && job !== undefined && t.task < job.spec.tasks) {
+      if (job.done[t.task] !== 1 && job.spec.kind !== 'gang') this.table.markDone(job, t.task);
+      // Until it is on record, this report is the only trace of the completion.
+      if (job.recorded[t.task] !== 1) return;
+    }
+    orders.push({ op: 'forget', job: t.job, task: t.task, attempt: t.attempt });
+  }
+
+  private follow(a: Assignment, t: TaskReport): void {
+    const now = this.core.now();
+    a.phase = 'seen';
+    if (t.state === 'exited') {
+      this.end(a, t.cause ?? 'other');
+      return;
+    }
+    if (t.state === a.state) return;
+    if ((t.state === 'running' || t.state === 'waiting') && a.job !== null) {
+      a.machine.sawImage(a.job.spec.image, a.job.spec.imageGb);
+      this.touch(a.machine);
+    }
+    // The run is timed only from a start that was seen, not from one of the leader before.
+    if (t.state === 'running' && a.runningAt === null && a.sentSeq !== null) a.runningAt = now;
+    a.state = t.state;
+    this.hooks.changed();
+  }
+
+  private order(a: Assignment, r: Report, orders: Order[]): void {
+    const id = { job: a.jobId, task: a.task, attempt: a.attempt };
+    if (a.session !== r.session) return;
+    if (a.phase === 'recorded') {
+      orders.push({ op: 'start', ...id });
+      a.phase = 'sent';
+      a.sentSeq = r.seq;
+      return;
+    }
+    if (a.phase !== 'seen' && a.phase !== 'sent') return;
+    if (a.stop === null) return;
+    if (a.state !== 'saving') orders.push({ op: 'stop', ...id, graceS: a.stop.graceS });
+    else {
+      // Saving should long be over: end it.
+      const allowed = (a.saveS * 2 + this.settings.platform.workers.gangPeerS) * 1000 + this.settings.reportMs;
+      if (a.stop.graceS === 0 || this.core.now() - a.stop.at > allowed)
+        orders.push({ op: 'stop', ...id, graceS: 0 });
+    }
+  }
+
+  // ---- time
+
+  /** Ends what must be gone by now: sessions whose lease has surely run out. */
+  sweep(): void {
+    const now = this.core.now();
+    for (const m of this.machines.values()) {
+      if (now - m.leaseFrom <= this.settings.workerGoneMs || m.minSession > m.session) continue;
+      m.minSession = m.session + 1;
+      m.synced = false;
+      if (m.assignments.size > 0)
+        this.core.log.info({ machine: m.id, session: m.session }, 'lease of a silent machine ran out');
+      for (const a of [...m.assignments.values()]) this.end(a, 'lost');
+      this.hooks.changed();
+    }
+  }
+
+  /** The cloud has confirmed that the machine and all on it is gone. */
+  gone(m: Machine): void {
+    for (const a of [...m.assignments.values()]) this.end(a, 'lost');
+    this.machines.delete(m.id);
+    this.dirty.delete(m);
+    this.direct.delete(m);
+    if (this.records.has(machineKey(m.id))) this.records.set(machineKey(m.id), undefined, false);
+    this.hooks.changed();
+  }
+
+  /** Reports lately, and its session is not over. */
+  alive(m: Machine): boolean {
+    const silent = this.settings.workerLeaseMs * this.settings.get('workers.silent.ratio');
+    return this.core.now() - m.lastReportAt < silent && m.session >= m.minSession;
+  }
+
+  // ---- after each batch
+
+  flush(): void {
+    for (const m of this.dirty) {
+      const planned = [...m.assignments.values()].filter((a) => a.phase === 'planned');
+      if (m.assignments.size === 0 && !this.records.has(machineKey(m.id))) continue;
+      this.records.set(machineKey(m.id), this.value(m), planned.length > 0, () => {
+        for (const a of planned) if (a.phase === 'planned') a.phase = 'recorded';
+      });
+    }
+    this.dirty.clear();
+    for (const m of this.direct) this.sendDirect(m);
+    this.direct.clear();
+  }
+
+  /** Stops go out at once as well; the answers to reports repeat them until they show. */
+  private sendDirect(m: Machine): void {
+    const orders: Order[] = [];
+    for (const a of m.assignments.values()) {
+      if (a.stop === null || a.stop.direct || a.phase === 'ended' || a.session !== m.session) continue;
+      a.stop.direct = true;
+      orders.push({ op: 'stop', job: a.jobId, task: a.task, attempt: a.attempt, graceS: a.stop.graceS });
+    }
+    if (orders.length === 0 || m.addr === '') return;
+    const body = writeDirect(this.term, m.session, orders);
+    this.core.env.call(
+      { to: m.addr, method: 'POST', path: '/do', body, timeoutMs: this.settings.reportMs },
+      (reply) => {
+        if (reply.status !== 409 || !isMap(reply.body)) return;
+        const token = reply.body['baton'];
+        if (typeof token === 'number' || typeof token === 'bigint')
+          this.core.post('direct-refused', () => this.hooks.higherToken(token));
+      },
+    );
+  }
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,76 @@
+import { readFileSync } from 'node:fs';
+import { Command } from 'commander';
+import { run } from './controller/run.js';
+import { readPlatform, SettingsError } from './controller/settings/platform.js';
+import { defaultProperties, formatProperties, readProperties } from './controller/settings/properties.js';
+import { Settings } from './controller/settings/settings.js';
+
+const VERSION = '0.1.0';
+
+function fail(text: string): never {
+  process.stderr.write(`bitternvale: ${text}\n`);
+  process.exit(1);
+}
+
+function load<T>(file: string, read: (source: string) => T): T {
+  let source: string;
+  try {
+    source = readFileSync(file, 'utf8');
+  } catch (err) {
+    fail(`${file}: ${(err as NodeJS.ErrnoException).code ?? 'cannot be read'}`);
+  }
+  try {
+    return read(source);
+  } catch (err) {
+    if (err instanceof SettingsError) fail(`${file}: ${err.message}`);
+    throw err;
+  }
+}
+
+interface Files {
+  config: string;
+  properties?: string;
+}
+
+function settings(files: Files): Settings {
+  const platform = load(files.config, readPlatform);
+  const properties =
+    files.properties === undefined ? defaultProperties() : load(files.properties, readProperties);
+  return new Settings(platform, properties);
+}
+
+const program = new Command('bitternvale')
+  .description('A cluster scheduler. Without a subcommand: runs one controller.')
+  .version(VERSION)
+  .option('--properties <file>', "operators' settings (Java-style properties)")
+  .option('--config <file>', 'settings of the platform (TOML)')
+  .action((files: Partial<Files>) => {
+    if (files.config === undefined) fail('--config FILE is needed; see --help');
+    run(settings(files as Files));
+  });
+
+program
+  .command('check-config')
+  .description('checks both settings files and prints what follows from them')
+  .action((_: unknown, command: Command) => {
+    const files: Partial<Files> = command.optsWithGlobals();
+    if (files.config === undefined) fail('check-config needs --config FILE');
+    const s = settings(files as Files);
+    process.stdout.write(
+      [
+        `host ${s.platform.host}, ${s.platform.peers.length} peers, ${s.platform.teams.length} teams`,
+        `leader lease ${s.leaderLeaseMs} ms, renewed every ${s.renewMs} ms, used for ${Math.round(s.leaderActsMs)} ms`,
+        `a silent worker's tasks are gone after ${Math.round(s.workerGoneMs)} ms`,
+        '',
+      ].join('\n'),
+    );
+  });
+
+program
+  .command('print-properties')
+  .description("prints the operators' settings with their defaults")
+  .action(() => {
+    process.stdout.write(formatProperties());
+  });
+
+program.parse();
