--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -127,7 +127,8 @@
   private loadCatalogue(): void {
     this.client.tokens.force();
     this.client.get(CATALOGUE_KEY, 1500, (got) => {
-      if (got.kind === 'ok' && got.value !== null && this.types === null) this.takeTypes(got.value.value);
+      if (got.kind === 'ok' && got.value !== null && this.types === null)
+        this.takeTypes(got.value.value);
       if (this.types === null) this.askCatalogue();
     });
   }
@@ -139,7 +140,10 @@
         this.core.post('catalogue', () => {
           const before = JSON.stringify(this.types);
           if (reply.status === 200) this.takeTypes(reply.body);
-          if (this.types === null) this.core.after(500 + 500 * this.core.env.random(), 'catalogue', () => this.loadCatalogue());
+          if (this.types === null)
+            this.core.after(500 + 500 * this.core.env.random(), 'catalogue', () =>
+              this.loadCatalogue(),
+            );
           else if (this.reign?.ready === true && JSON.stringify(this.types) !== before)
             this.reign.records.set(CATALOGUE_KEY, writeCatalogue(this.types), false);
         });
@@ -189,7 +193,15 @@
     const placement = new Placement(core, settings, table, workers, records, this.estimates, {
       exhausted: () => this.leadership.stepDown('attempts used up'),
     });
-    const fleet = new Fleet(core, settings, () => this.types, table, workers, placement, () => this.leadership.acting);
+    const fleet = new Fleet(
+      core,
+      settings,
+      () => this.types,
+      table,
+      workers,
+      placement,
+      () => this.leadership.acting,
+    );
     const reign = new Reign(term, records, table, workers, placement, fleet);
     this.reign = reign;
     this.load(reign);
@@ -279,7 +291,9 @@
         else reign.table.removed(id);
       }
       // Changes that come together are taken together.
-      this.core.after(this.settings.reportMs / 60, 'follow-jobs', () => this.followJobs(reign, got.value.revision));
+      this.core.after(this.settings.reportMs / 60, 'follow-jobs', () =>
+        this.followJobs(reign, got.value.revision),
+      );
     });
   }
 
@@ -311,7 +325,10 @@
     if (reign === null || !reign.ready || reign.closed) return;
     if (!this.leadership.acting) return;
     if (reign.passDue && this.types !== null) {
-      const wait = reign.passAt + this.settings.reportMs * this.settings.get('placement.interval.ratio') - this.core.now();
+      const wait =
+        reign.passAt +
+        this.settings.reportMs * this.settings.get('placement.interval.ratio') -
+        this.core.now();
       if (wait <= 0) {
         reign.passDue = false;
         reign.passAt = this.core.now();
@@ -402,7 +419,11 @@
     }
     if (path === '/ready') {
       if (method !== 'GET') return wrong('GET');
-      return respond(this.ready ? { status: 200, body: { ready: true } } : { status: 503, body: { ready: false } });
+      return respond(
+        this.ready
+          ? { status: 200, body: { ready: true } }
+          : { status: 503, body: { ready: false } },
+      );
     }
     if (path === '/submissions') {
       if (method !== 'POST') return wrong('POST');
@@ -411,7 +432,8 @@
     const job = /^\/submissions\/([^/]+)(\/abort)?$/.exec(path);
     if (job !== null) {
       const id = job[1] ?? '';
-      if (job[2] !== undefined) return method === 'POST' ? this.frontend.cancel(id, respond) : wrong('POST');
+      if (job[2] !== undefined)
+        return method === 'POST' ? this.frontend.cancel(id, respond) : wrong('POST');
       return method === 'GET' ? this.frontend.poll(id, respond) : wrong('GET');
     }
     respond({ status: 404, body: { error: 'no such path' } });
@@ -428,7 +450,9 @@
       return this.served;
     }
     const alone = this.settings.leaderLeaseMs * 0.4;
-    return this.client.okAgeMs < alone || !this.client.down || !this.peers.stateServedElsewhere(alone);
+    return (
+      this.client.okAgeMs < alone || !this.client.down || !this.peers.stateServedElsewhere(alone)
+    );
   }
 
   private report(body: unknown, respond: (a: Answer) => void): void {
@@ -440,7 +464,8 @@
       return respond({ status: 421, body: other ? { foreman: leader.host } : {} });
     }
     // Elected but not entitled yet, or not any more: the worker tries on.
-    if (!reign.ready || !this.leadership.acting || this.types === null) return respond({ status: 503, body: {} });
+    if (!reign.ready || !this.leadership.acting || this.types === null)
+      return respond({ status: 503, body: {} });
     const answer = reign.workers.report(report);
     if (this.reign !== reign) return respond({ status: 503, body: {} });
     respond(answer.status === 200 ? answer : { status: 503, body: {} });
--- a/src/controller/core/node-env.ts
+++ b/src/controller/core/node-env.ts
@@ -20,7 +20,8 @@
   constructor(options: NodeEnvOptions) {
     this.random = options.random;
     this.client = new HttpClient({ perHost: 12, idleMs: 30_000, maxBodyBytes: 16 * 1024 * 1024 });
-    for (const p of options.peers) this.links.set(p.host, new PeerLink(p.addr, options.peerRetryMs));
+    for (const p of options.peers)
+      this.links.set(p.host, new PeerLink(p.addr, options.peerRetryMs));
   }
 
   now(): number {
--- a/src/controller/fleet/fleet.ts
+++ b/src/controller/fleet/fleet.ts
@@ -76,9 +76,13 @@
   step(): void {
     if (!this.acting()) return;
     const now = this.core.now();
-    const every = Math.max(this.settings.platform.cloudLimits.listLagS * 1000, this.settings.reportMs * 2);
+    const every = Math.max(
+      this.settings.platform.cloudLimits.listLagS * 1000,
+      this.settings.reportMs * 2,
+    );
     if (!this.listing && now - this.listedAt >= every) this.list();
-    for (const job of this.table.jobs.values()) this.classes.set(job.spec.class, { spec: job.spec, at: now });
+    for (const job of this.table.jobs.values())
+      this.classes.set(job.spec.class, { spec: job.spec, at: now });
     const types = this.types();
     if (types === null) return;
     this.discard(now);
@@ -180,7 +184,7 @@
       } else if (silent) {
         this.core.log.info({ machine: m.id }, 'silent machine is returned');
         names.push(m.id);
-      } else if (!m.busy && now - m.idleSince > idleMs && this.spare(m, now)) {
+      } else if (!m.busy && now - m.idleSince > idleMs && this.spare(m)) {
         m.leaving = true;
         names.push(m.id);
         this.core.log.info({ machine: m.id }, 'idle machine is returned');
@@ -190,11 +194,18 @@
   }
 
   /** Enough others like it are idle: returning it won't have it rented again at once. */
-  private spare(m: Machine, now: number): boolean {
+  private spare(m: Machine): boolean {
     let idle = 0;
     for (const o of this.workers.machines.values())
-      if (o !== m && o.typeName === m.typeName && o.spot === m.spot && !o.busy && !o.leaving && this.workers.alive(o)) idle++;
-    void now;
+      if (
+        o !== m &&
+        o.typeName === m.typeName &&
+        o.spot === m.spot &&
+        !o.busy &&
+        !o.leaving &&
+        this.workers.alive(o)
+      )
+        idle++;
     return idle >= 1;
   }
 
@@ -319,7 +330,8 @@
       const want = Math.max(1, Math.ceil(running * ratio));
       const need = needOf(spec);
       let free = 0;
-      for (const r of rooms) if (allowed(spec, r.machine)) free += Math.min(want, r.fits(need, Infinity, 0, now));
+      for (const r of rooms)
+        if (allowed(spec, r.machine)) free += Math.min(want, r.fits(need, Infinity, 0, now));
       if (free < want) wants.push({ spec, tasks: want - free });
     }
     return wants;
@@ -337,10 +349,17 @@
           if (back !== undefined && back.until > now) continue;
           const room = this.emptyRoom(offer);
           if (!allowed(spec, room.machine)) continue;
-          const holds = Math.min(tasks, times(type.cpus, need.cpus), times(type.gpus, need.gpus), times(type.memoryGb, need.memoryGb));
+          const holds = Math.min(
+            tasks,
+            times(type.cpus, need.cpus),
+            times(type.gpus, need.gpus),
+            times(type.memoryGb, need.memoryGb),
+          );
           if (holds < 1) continue;
           // Work without GPUs on a GPU machine pays for what it cannot use, and blocks others.
-          const price = ((spot ? type.spotPrice : type.price) / holds) * (need.gpus === 0 && type.gpus > 0 ? 3 : 1);
+          const price =
+            ((spot ? type.spotPrice : type.price) / holds) *
+            (need.gpus === 0 && type.gpus > 0 ? 3 : 1);
           if (price < bestPrice) {
             best = offer;
             bestPrice = price;
@@ -361,14 +380,30 @@
   private sendRent(name: string, offer: Offer, count: number, at: number, tries: number): void {
     const body = writeRent(name, offer.type.name, offer.zone, offer.spot, count);
     this.core.env.call(
-      { to: this.settings.platform.cloud, method: 'POST', path: '/machines', body, timeoutMs: CALL_MS },
+      {
+        to: this.settings.platform.cloud,
+        method: 'POST',
+        path: '/machines',
+        body,
+        timeoutMs: CALL_MS,
+      },
       (reply) => {
-        this.core.post('rented', () => this.rented(name, offer, count, at, tries, reply.status, reply.body));
+        this.core.post('rented', () =>
+          this.rented(name, offer, count, at, tries, reply.status, reply.body),
+        );
       },
     );
   }
 
-  private rented(name: string, offer: Offer, count: number, at: number, tries: number, status: number, body: unknown): void {
+  private rented(
+    name: string,
+    offer: Offer,
+    count: number,
+    at: number,
+    tries: number,
+    status: number,
+    body: unknown,
+  ): void {
     const key = offerKey(offer);
     const now = this.core.now();
     let got = -1;
@@ -376,8 +411,12 @@
       try {
         const ids = readRented(body);
         got = ids.length;
-        for (const id of ids) if (!this.workers.machines.has(id)) this.coming.set(id, { ...offer, at });
-        this.core.log.info({ hire: name, offer: key, asked: count, machines: ids }, 'machines rented');
+        for (const id of ids)
+          if (!this.workers.machines.has(id)) this.coming.set(id, { ...offer, at });
+        this.core.log.info(
+          { hire: name, offer: key, asked: count, machines: ids },
+          'machines rented',
+        );
       } catch (err) {
         this.core.log.warn({ err }, 'broken answer to a rental');
       }
@@ -393,7 +432,8 @@
     }
     const first = this.settings.get('fleet.backoff.s') * 1000;
     const before = this.backoff.get(key);
-    const pauseMs = before === undefined || got > 0 ? first : Math.min(before.pauseMs * 2, first * 8);
+    const pauseMs =
+      before === undefined || got > 0 ? first : Math.min(before.pauseMs * 2, first * 8);
     this.backoff.set(key, { until: now + pauseMs, pauseMs });
   }
 
--- a/src/controller/http/parser.ts
+++ b/src/controller/http/parser.ts
@@ -222,13 +222,19 @@
 export function formatResponse(r: Response, close: boolean): Buffer {
   let head = `HTTP/1.1 ${r.status} ${reasons[r.status] ?? 'Status'}\r\nContent-Length: ${r.body.length}\r\n`;
   if (r.body.length > 0) head += `Content-Type: ${r.type ?? 'application/cbor'}\r\n`;
-  if (r.retryAfterS !== undefined) head += `Retry-After: ${Math.max(1, Math.ceil(r.retryAfterS))}\r\n`;
+  if (r.retryAfterS !== undefined)
+    head += `Retry-After: ${Math.max(1, Math.ceil(r.retryAfterS))}\r\n`;
   if (r.allow !== undefined) head += `Allow: ${r.allow}\r\n`;
   if (close) head += 'Connection: close\r\n';
   return Buffer.concat([Buffer.from(`${head}\r\n`, 'latin1'), r.body]);
 }
 
-export function formatRequest(method: string, host: string, path: string, body: Buffer | null): Buffer {
+export function formatRequest(
+  method: string,
+  host: string,
+  path: string,
+  body: Buffer | null,
+): Buffer {
   let head = `${method} ${path} HTTP/1.1\r\nHost: ${host}\r\n`;
   if (body !== null) head += `Content-Type: application/cbor\r\nContent-Length: ${body.length}\r\n`;
   return Buffer.concat([Buffer.from(`${head}\r\n`, 'latin1'), body ?? EMPTY]);
--- a/src/controller/http/server.ts
+++ b/src/controller/http/server.ts
@@ -1,5 +1,12 @@
 import net from 'node:net';
-import { formatResponse, HttpError, Parser, type Limits, type Message, type Response } from './parser.js';
+import {
+  formatResponse,
+  HttpError,
+  Parser,
+  type Limits,
+  type Message,
+  type Response,
+} from './parser.js';
 
 export interface ServerOptions {
   host: string;
--- a/src/controller/jobs/admission.ts
+++ b/src/controller/jobs/admission.ts
@@ -25,8 +25,10 @@
   if (team === undefined) return { refuse: 'unknown team' };
   const at = spec.kind === 'gang' ? spec.tasks : 1;
   const epsilon = 1e-9;
-  if (at * spec.cpus > Settings.cap(team.cpusMax) + epsilon) return { refuse: 'more CPUs than the team may use' };
-  if (at * spec.gpus > Settings.cap(team.gpusMax) + epsilon) return { refuse: 'more GPUs than the team may use' };
+  if (at * spec.cpus > Settings.cap(team.cpusMax) + epsilon)
+    return { refuse: 'more CPUs than the team may use' };
+  if (at * spec.gpus > Settings.cap(team.gpusMax) + epsilon)
+    return { refuse: 'more GPUs than the team may use' };
   if (types === null) return 'unknown-types';
   const fits = types.filter((t) => fitsType(spec, t));
   const { zone } = spec;
--- a/src/controller/jobs/frontend.ts
+++ b/src/controller/jobs/frontend.ts
@@ -139,7 +139,8 @@
       // have changed since it was accepted.
       this.ask(spec.id, (standing) => {
         if (standing !== 'absent') this.reply(spec.id, standing, respond);
-        else if (typeof verdict === 'object') respond({ status: 422, body: { error: verdict.refuse } });
+        else if (typeof verdict === 'object')
+          respond({ status: 422, body: { error: verdict.refuse } });
         else this.retryLater(respond);
       });
       return;
@@ -177,7 +178,8 @@
   private reply(id: string, standing: Standing, respond: Respond): void {
     if (standing === 'unsure') return this.retryLater(respond);
     if (standing === 'absent') return respond({ status: 404, body: { error: 'no such job' } });
-    if (standing !== 'live') return respond({ status: 200, body: writeAnswer({ id, state: standing }) });
+    if (standing !== 'live')
+      return respond({ status: 200, body: writeAnswer({ id, state: standing }) });
     const p = this.hooks.progress(id);
     const open = p !== null && (p.state === 'queued' || p.state === 'running');
     respond({ status: 200, body: writeAnswer(open ? p : { id, state: 'queued' }) });
--- a/src/controller/jobs/table.ts
+++ b/src/controller/jobs/table.ts
@@ -68,8 +68,7 @@
 
   get running(): number {
     let n = 0;
-    for (const a of this.assigned.values())
-      if (a.state === 'running' || a.state === 'saving') n++;
+    for (const a of this.assigned.values()) if (a.state === 'running' || a.state === 'saving') n++;
     return n;
   }
 
@@ -128,6 +127,10 @@
     const wall = typeof value['at'] === 'number' ? value['at'] : this.core.env.wall();
     const age = Math.max(0, this.core.env.wall() - wall);
     this.jobs.set(id, new Job(spec, now - age, version, now));
+    this.core.log.debug(
+      { job: id, class: spec.class, team: spec.team, tasks: spec.tasks },
+      'job known',
+    );
     this.hooks.changed();
   }
 
--- a/src/controller/peers/peers.ts
+++ b/src/controller/peers/peers.ts
@@ -60,7 +60,10 @@
           name: 'Final',
           fields: [
             { name: 'id', type: 'string' },
-            { name: 'state', type: { type: 'enum', name: 'FinalState', symbols: ['done', 'cancelled'] } },
+            {
+              name: 'state',
+              type: { type: 'enum', name: 'FinalState', symbols: ['done', 'cancelled'] },
+            },
           ],
         },
       },
@@ -76,7 +79,11 @@
             { name: 'id', type: 'string' },
             {
               name: 'state',
-              type: { type: 'enum', name: 'JobState', symbols: ['queued', 'running', 'done', 'cancelled'] },
+              type: {
+                type: 'enum',
+                name: 'JobState',
+                symbols: ['queued', 'running', 'done', 'cancelled'],
+              },
             },
             { name: 'done', type: 'int' },
             { name: 'running', type: 'int' },
--- a/src/controller/placement/estimates.ts
+++ b/src/controller/placement/estimates.ts
@@ -36,7 +36,8 @@
 
   /** Until the task has left its machine by itself. */
   remainingMs(a: Assignment, now: number): number {
-    if (a.stop !== null || a.job === null) return Math.max(500, a.saveS * 1000 * Math.sign(a.stop?.graceS ?? 0));
+    if (a.stop !== null || a.job === null)
+      return Math.max(500, a.saveS * 1000 * Math.sign(a.stop?.graceS ?? 0));
     const { spec } = a.job;
     if (a.runningAt === null && a.state !== 'running')
       return Math.max(0, this.fetchMs(spec, a.machine) - (now - a.since)) + this.runMs(spec);
--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -102,7 +102,8 @@
   private rooms(now: number): Room[] {
     const { slots } = this.workers;
     const rooms: Room[] = [];
-    for (const m of this.workers.machines.values()) if (this.usable(m, now)) rooms.push(new Room(m, slots));
+    for (const m of this.workers.machines.values())
+      if (this.usable(m, now)) rooms.push(new Room(m, slots));
     return rooms;
   }
 
@@ -117,7 +118,8 @@
     if (spec.spot && !m.spot) score += 15;
     if (job.failedOn.has(m.id)) score += 60;
     score += 20 * (m.slowness - 1);
-    const left = spec.gpus > 0 ? (room.gpus - spec.gpus) / t.gpus : (room.cpus - spec.cpus) / t.cpus;
+    const left =
+      spec.gpus > 0 ? (room.gpus - spec.gpus) / t.gpus : (room.cpus - spec.cpus) / t.cpus;
     return score + 10 * left;
   }
 
@@ -130,7 +132,12 @@
 
   private endsAt(pass: Pass, job: Job, room: Room): number {
     const { spec } = job;
-    return pass.now + this.settings.reportMs / 2 + this.estimates.fetchMs(spec, room.machine) + this.estimates.runMs(spec);
+    return (
+      pass.now +
+      this.settings.reportMs / 2 +
+      this.estimates.fetchMs(spec, room.machine) +
+      this.estimates.runMs(spec)
+    );
   }
 
   private fits(pass: Pass, job: Job, room: Room): number {
@@ -251,7 +258,10 @@
     let bestAt = Infinity;
     for (const zone of this.zoneChoices(job, all)) {
       const targets = this.targets(pass, job, all, zone);
-      const at = Math.max(...targets.map((t) => t.fillAt), targets.length < job.spec.tasks ? Infinity : 0);
+      const at = Math.max(
+        ...targets.map((t) => t.fillAt),
+        targets.length < job.spec.tasks ? Infinity : 0,
+      );
       if (best.length < targets.length || (best.length === targets.length && at < bestAt)) {
         best = targets;
         bestAt = at;
@@ -261,10 +271,11 @@
     for (const t of best) t.room.claim(needOf(job.spec), fillAt);
     const machines = best.map((t) => t.room.machine.id);
     const since = job.hold?.since ?? pass.now;
-    const changed = job.hold === null || job.hold.machines.join() !== machines.join();
+    const changed = job.hold?.machines.join() !== machines.join();
     job.hold = { machines, since, fillAt };
     if (changed) this.records.set(holdKey(job.spec.id), { machines, fill: 1 }, false);
-    const waited = pass.now - job.waitingSince > this.settings.get('placement.cannot.fill.s') * 1000;
+    const waited =
+      pass.now - job.waitingSince > this.settings.get('placement.cannot.fill.s') * 1000;
     job.blocked = waited
       ? `cannot fill yet: holds ${best.length} of ${job.spec.tasks} places on ${new Set(machines).size} machines`
       : '';
@@ -275,7 +286,6 @@
 
   /** One machine for each task, with the time at which it should have room. */
   private targets(pass: Pass, job: Job, all: { room: Room }[], zone: string | null): Target[] {
-    const need = needOf(job.spec);
     const zones = new Map<string, number>();
     const targets: Target[] = [];
     const taken = new Map<Room, number>();
@@ -290,7 +300,8 @@
         const t = this.fill(pass, job, room, taken.get(room) ?? 0, used);
         if (t === null) continue;
         // Holds last: a machine already held is left only for one clearly better.
-        const kept = job.hold?.machines.includes(room.machine.id) === true ? this.settings.reportMs : 0;
+        const kept =
+          job.hold?.machines.includes(room.machine.id) === true ? this.settings.reportMs : 0;
         const cost = t.fillAt + this.estimates.fetchMs(job.spec, room.machine) - kept;
         if (cost < bestCost) {
           best = t;
@@ -304,12 +315,17 @@
       const z = best.room.machine.zone;
       zones.set(z, (zones.get(z) ?? 0) + 1);
     }
-    void need;
     return targets;
   }
 
   /** When a machine should have room for one more of the gang's tasks, by itself or by stopping work. */
-  private fill(pass: Pass, job: Job, room: Room, taken: number, used: Set<Assignment>): Target | null {
+  private fill(
+    pass: Pass,
+    job: Job,
+    room: Room,
+    taken: number,
+    used: Set<Assignment>,
+  ): Target | null {
     const need = needOf(job.spec);
     let cpus = room.cpus - need.cpus * taken;
     let gpus = room.gpus - need.gpus * taken;
@@ -320,7 +336,9 @@
       memoryGb -= c.memoryGb;
     }
     const enough = (): boolean =>
-      times(cpus, need.cpus) >= 1 && times(gpus, need.gpus) >= 1 && times(memoryGb, need.memoryGb) >= 1;
+      times(cpus, need.cpus) >= 1 &&
+      times(gpus, need.gpus) >= 1 &&
+      times(memoryGb, need.memoryGb) >= 1;
     const free = (a: Assignment): void => {
       cpus += a.need.cpus;
       gpus += a.need.gpus;
@@ -352,8 +370,12 @@
       fillAt = Math.max(fillAt, pass.now + this.estimates.remainingMs(a, pass.now));
     }
     if (enough()) return { room, fillAt, victims: [] };
-    const choice = there.filter((a) => a.stop === null && !used.has(a) && this.mayStop(pass, job, a));
-    choice.sort((x, y) => Number(pass.teams.borrows(y)) - Number(pass.teams.borrows(x)) || y.since - x.since);
+    const choice = there.filter(
+      (a) => a.stop === null && !used.has(a) && this.mayStop(pass, job, a),
+    );
+    choice.sort(
+      (x, y) => Number(pass.teams.borrows(y)) - Number(pass.teams.borrows(x)) || y.since - x.since,
+    );
     for (const a of choice) {
       if (enough()) break;
       victims.push(a);
@@ -377,7 +399,12 @@
     if (a.job === null || a.job.regrouping || a.job.closed !== null) return false;
     if (pass.now - a.since < this.settings.get('placement.victim.age.s') * 1000) return false;
     if (a.job.level < job.level) return true;
-    return pass.guaranteed.has(job) && a.team !== job.spec.team && !pass.guaranteed.has(a.job) && pass.teams.borrows(a);
+    return (
+      pass.guaranteed.has(job) &&
+      a.team !== job.spec.team &&
+      !pass.guaranteed.has(a.job) &&
+      pass.teams.borrows(a)
+    );
   }
 
   private preempt(a: Assignment, by: Job): void {
@@ -385,7 +412,10 @@
     const victim = a.job;
     if (victim === null) return;
     victim.preemptions++;
-    this.core.log.info({ job: a.jobId, task: a.task, machine: a.machine.id, by: by.spec.id }, 'preempted');
+    this.core.log.info(
+      { job: a.jobId, task: a.task, machine: a.machine.id, by: by.spec.id },
+      'preempted',
+    );
     if (victim.spec.kind === 'gang') this.workers.stopJob(victim, a.saveS, 'preempted');
     else this.workers.stop(a, a.saveS, 'preempted');
   }
--- a/src/controller/placement/room.ts
+++ b/src/controller/placement/room.ts
@@ -40,7 +40,15 @@
       gpus -= c.gpus;
       memoryGb -= c.memoryGb;
     }
-    return Math.max(0, Math.min(this.slots, times(cpus, need.cpus), times(gpus, need.gpus), times(memoryGb, need.memoryGb)));
+    return Math.max(
+      0,
+      Math.min(
+        this.slots,
+        times(cpus, need.cpus),
+        times(gpus, need.gpus),
+        times(memoryGb, need.memoryGb),
+      ),
+    );
   }
 
   use(need: Need, count: number): void {
--- a/src/controller/placement/teams.ts
+++ b/src/controller/placement/teams.ts
@@ -53,7 +53,12 @@
   }
 
   state(): { name: string; cpus: number; gpus: number; team: Team }[] {
-    return [...this.uses.values()].map((u) => ({ name: u.team.name, cpus: u.cpus, gpus: u.gpus, team: u.team }));
+    return [...this.uses.values()].map((u) => ({
+      name: u.team.name,
+      cpus: u.cpus,
+      gpus: u.gpus,
+      team: u.team,
+    }));
   }
 }
 
--- a/src/controller/settings/platform.ts
+++ b/src/controller/settings/platform.ts
@@ -11,7 +11,13 @@
   state: string;
   clockBoundMs: number;
   teams: Team[];
-  workers: { reportS: number; leaseS: number; gangWaitS: number; gangPeerS: number; cancelS: number };
+  workers: {
+    reportS: number;
+    leaseS: number;
+    gangWaitS: number;
+    gangPeerS: number;
+    cancelS: number;
+  };
   stateLimits: { rps: number; writeRps: number; valueKb: number; txnOps: number };
   cloudLimits: { rps: number; listLagS: number };
   quota: { cores: number; ramMb: number; sockets: number };
@@ -70,7 +76,7 @@
 export function readPlatform(source: string): Platform {
   let root: Table;
   try {
-    root = parse(source) as Table;
+    root = parse(source);
   } catch (err) {
     const first = (err instanceof Error ? err.message : String(err)).split('\n', 1)[0] ?? '';
     throw new SettingsError(`not TOML: ${first}`);
--- a/src/controller/settings/properties.ts
+++ b/src/controller/settings/properties.ts
@@ -23,19 +23,19 @@
     value: 0.25,
     min: 0.05,
     max: 0.5,
-    text: "How often the leader renews, as a ratio to its lease.",
+    text: 'How often the leader renews, as a ratio to its lease.',
   },
   'leadership.margin.ratio': {
     value: 0.05,
     min: 0.002,
     max: 0.5,
-    text: "Share of its lease that the leader leaves unused, against clock drift and late timers.",
+    text: 'Share of its lease that the leader leaves unused, against clock drift and late timers.',
   },
   'workers.silent.ratio': {
     value: 0.45,
     min: 0.2,
     max: 1,
-    text: "A machine silent for this ratio of its lease gets no new tasks.",
+    text: 'A machine silent for this ratio of its lease gets no new tasks.',
   },
   'workers.lease.margin.ratio': {
     value: 0.02,
@@ -169,7 +169,9 @@
     const text = typeof raw === 'string' ? raw.trim() : '';
     const value = Number(text);
     if (text === '' || !Number.isFinite(value) || value < key.min || value > key.max)
-      throw new SettingsError(`${name}: expected a number from ${key.min} to ${key.max}, got "${text}"`);
+      throw new SettingsError(
+        `${name}: expected a number from ${key.min} to ${key.max}, got "${text}"`,
+      );
     result[name] = value;
   }
   return result as Properties;
@@ -177,11 +179,14 @@
 
 /** The shipped file: every key with its default and what it does. */
 export function formatProperties(): string {
-  const head = '# Settings of bitternvale that operators may tune. Values shown are the defaults.\n';
+  const head =
+    '# Settings of bitternvale that operators may tune. Values shown are the defaults.\n';
   return (
     head +
     names()
-      .map((n) => `\n# ${keys[n].text} (${keys[n].min} to ${keys[n].max})\n${n} = ${keys[n].value}\n`)
+      .map(
+        (n) => `\n# ${keys[n].text} (${keys[n].min} to ${keys[n].max})\n${n} = ${keys[n].value}\n`,
+      )
       .join('')
   );
 }
--- a/src/controller/store/batcher.ts
+++ b/src/controller/store/batcher.ts
@@ -47,14 +47,18 @@
   /** How long until tokens for one more entry are there. */
   get waitMs(): number {
     const { reserve } = this.options;
-    return Math.max(this.client.tokens.waitMs(1, reserve), this.client.writeTokens.waitMs(1, reserve));
+    return Math.max(
+      this.client.tokens.waitMs(1, reserve),
+      this.client.writeTokens.waitMs(1, reserve),
+    );
   }
 
   private flush(): void {
     if (this.inFlight || this.queue.length === 0) return;
     const { reserve } = this.options;
     const { txnOps } = this.settings.platform.stateLimits;
-    if (this.client.tokens.waitMs(1, reserve) > 0) return this.later(this.client.tokens.waitMs(1, reserve));
+    if (this.client.tokens.waitMs(1, reserve) > 0)
+      return this.later(this.client.tokens.waitMs(1, reserve));
 
     const batch: Entry[] = [];
     const conditions: Condition[] = [];
@@ -73,7 +77,8 @@
         !next.conditions.some((c) => keys.has(c.key));
       if (batch.length > 0 && (!fits || this.single)) break;
       if (next.writes.length > 0 && !this.client.writeTokens.take(next.writes.length, reserve)) {
-        if (batch.length === 0) return this.later(this.client.writeTokens.waitMs(next.writes.length, reserve));
+        if (batch.length === 0)
+          return this.later(this.client.writeTokens.waitMs(next.writes.length, reserve));
         break;
       }
       this.queue.shift();
--- a/src/controller/store/client.ts
+++ b/src/controller/store/client.ts
@@ -155,15 +155,22 @@
     const page = (from: string | null): void => {
       const after = from === null ? '' : `&from=${from}`;
       this.tokens.force();
-      this.call('GET', `/keys?starts=${prefix}${after}&limit=1000`, undefined, timeoutMs, 'range', (r) => {
-        const got = this.parse(r, readRange);
-        if (got.kind === 'failed') return done(got);
-        for (const item of got.value.items) all.push(item);
-        if (revision < 0) revision = got.value.revision;
-        const last = got.value.items.at(-1);
-        if (got.value.more && last !== undefined) page(last.key);
-        else done({ kind: 'ok', value: { items: all, revision } });
-      });
+      this.call(
+        'GET',
+        `/keys?starts=${prefix}${after}&limit=1000`,
+        undefined,
+        timeoutMs,
+        'range',
+        (r) => {
+          const got = this.parse(r, readRange);
+          if (got.kind === 'failed') return done(got);
+          for (const item of got.value.items) all.push(item);
+          if (revision < 0) revision = got.value.revision;
+          const last = got.value.items.at(-1);
+          if (got.value.more && last !== undefined) page(last.key);
+          else done({ kind: 'ok', value: { items: all, revision } });
+        },
+      );
     };
     page(null);
   }
--- a/src/controller/store/records.ts
+++ b/src/controller/store/records.ts
@@ -217,7 +217,8 @@
         if (failed !== null && e.conditions.some((c) => failed.has(c.key))) e.done('conflict');
         else this.extras.unshift(e);
       }
-      if (result.kind !== 'conflict') this.pauseUntil = this.core.now() + (result.kind === 'refused' ? 100 : 20);
+      if (result.kind !== 'conflict')
+        this.pauseUntil = this.core.now() + (result.kind === 'refused' ? 100 : 20);
     });
   }
 
--- a/src/controller/wire/cloud.ts
+++ b/src/controller/wire/cloud.ts
@@ -1,4 +1,13 @@
-import { amount, amountOrNull, flagOrFalse, isMap, list, text, WireError, type Fields } from './cbor.js';
+import {
+  amount,
+  amountOrNull,
+  flagOrFalse,
+  isMap,
+  list,
+  text,
+  WireError,
+  type Fields,
+} from './cbor.js';
 
 export interface MachineType {
   name: string;
@@ -91,7 +100,13 @@
   });
 }
 
-export function writeRent(name: string, type: string, zone: string, spot: boolean, count: number): Fields {
+export function writeRent(
+  name: string,
+  type: string,
+  zone: string,
+  spot: boolean,
+  count: number,
+): Fields {
   return { hire: name, model: type, hall: zone, loaners: spot, how_many: count };
 }
 
--- a/src/controller/workers/assignment.ts
+++ b/src/controller/workers/assignment.ts
@@ -27,7 +27,10 @@
   /** `planned`: not on record yet. `recorded`: may be sent. `sent`: out. `seen`: in a report. */
   phase: 'planned' | 'recorded' | 'sent' | 'seen' | 'ended';
   state: TaskState | null;
-  /** Sequence number of the report that the start was the answer to. */
+  /**
+   * Only messages of the worker later than this one can show that the task is missing: the report
+   * that the start was the answer to, or the answer to a start sent directly.
+   */
   sentSeq: number | bigint | null;
   runningAt: number | null;
   stop: { graceS: number; at: number; reason: string; direct: boolean } | null;
--- a/src/controller/workers/machine.ts
+++ b/src/controller/workers/machine.ts
@@ -19,6 +19,12 @@
   /** When the cloud takes the machine, by its notice. */
   noticeAt: number | null = null;
   readonly assignments = new Map<string, Assignment>();
+  /**
+   * Attempts started by a direct command that has not been answered. A copy of it may still be on
+   * its way, and once `clear` has run it would start the task anew: until the answer or the next
+   * session, these attempts are never cleared, and their absence proves nothing.
+   */
+  readonly unresolved = new Set<string>();
   cpus = 0;
   gpus = 0;
   memoryGb = 0;
--- a/src/controller/workers/workers.ts
+++ b/src/controller/workers/workers.ts
@@ -1,4 +1,5 @@
 import type { Core } from '../core/core.js';
+import type { Reply } from '../core/env.js';
 import type { Job, JobTable } from '../jobs/table.js';
 import type { Settings } from '../settings/settings.js';
 import type { Records } from '../store/records.js';
@@ -7,6 +8,7 @@
 import {
   taskName,
   writeDirect,
+  readReport,
   writeOrders,
   type Cause,
   type Order,
@@ -76,7 +78,7 @@
         a.need.gpus,
         a.need.memoryGb,
         a.saveS,
-        {} as Record<string, number[]>,
+        {},
       ]);
       const attempts = entry[5] as Record<string, number[]>;
       (attempts[String(a.attempt)] ??= []).push(a.task);
@@ -200,7 +202,10 @@
     if (a.stop !== null && a.stop.graceS <= graceS) return;
     a.stop = { graceS, at: this.core.now(), reason, direct: false };
     this.direct.add(a.machine);
-    this.core.log.debug({ job: a.jobId, task: a.task, machine: a.machine.id, graceS, reason }, 'stop');
+    this.core.log.debug(
+      { job: a.jobId, task: a.task, machine: a.machine.id, graceS, reason },
+      'stop',
+    );
   }
 
   /** Stops a job as a whole; a gang's parts have to be told within `gang_peer_s` of each other. */
@@ -254,7 +259,10 @@
     this.remove(a);
     if (job === null || job.closed !== null) return;
     if (outcome !== 'unsent') this.table.countExit(job, outcome);
-    this.core.log.info({ job: a.jobId, task: a.task, machine: m.id, outcome }, 'task off its machine');
+    this.core.log.info(
+      { job: a.jobId, task: a.task, machine: m.id, outcome },
+      'task off its machine',
+    );
     this.judge(a, job, outcome);
     if (job.spec.kind === 'gang') {
       if (!job.regrouping && !job.complete) this.stopJob(job, 0, 'gang lost a part');
@@ -277,7 +285,8 @@
     if (outcome === 'error') {
       job.errors++;
       job.failedOn.add(m.id);
-      job.notBefore = now + Math.min(pause * 2 ** Math.min(job.errors, 5), this.settings.workerLeaseMs * 4);
+      job.notBefore =
+        now + Math.min(pause * 2 ** Math.min(job.errors, 5), this.settings.workerLeaseMs * 4);
       // A job that has failed on several machines is itself at fault: it strikes no more of them.
       if (job.failedOn.size <= this.settings.get('fleet.strikes')) m.strikes.add(job.spec.id);
       if (m.strikes.size >= this.settings.get('fleet.strikes')) {
@@ -299,13 +308,20 @@
     const m = this.machine(r.machine);
     if (r.session < m.session || r.session < m.minSession) return { status: 503 };
     if (r.session === m.session && r.seq <= m.seq) return { status: 503 };
-    if (m.typeName !== r.type || m.addr !== r.addr || m.zone !== r.zone || m.spot !== r.spot || m.type === null)
+    if (
+      m.typeName !== r.type ||
+      m.addr !== r.addr ||
+      m.zone !== r.zone ||
+      m.spot !== r.spot ||
+      m.type === null
+    )
       this.setType(m, r.type, r.zone, r.spot, r.addr);
     if (r.session > m.session) {
       // The worker's lease had ended: everything of the sessions before is gone from the machine.
       for (const a of [...m.assignments.values()]) if (a.session < r.session) this.end(a, 'lost');
       m.session = r.session;
       m.synced = false;
+      m.unresolved.clear();
       this.touch(m);
     }
     m.seq = r.seq;
@@ -328,21 +344,33 @@
     if (current)
       for (const a of [...m.assignments.values()]) {
         if (present.has(a) || a.phase === 'ended' || a.session !== r.session) continue;
-        // The worker has one report in flight at a time, so a later report without the task
-        // means that the answer with its start was dropped, or that the task is gone.
-        if (a.phase === 'seen') this.end(a, 'lost');
-        else if (a.phase === 'sent' && (a.sentSeq === null || r.seq > a.sentSeq)) {
-          // A start of this term that never arrived may go out again. One of the leader before may
-          // have arrived, ended and been cleared: its attempt is over.
-          if (a.sentSeq === null || a.stop !== null) this.end(a, 'lost');
-          else a.phase = 'recorded';
-        }
+        this.missing(a, r, orders);
       }
     for (const a of [...m.assignments.values()]) this.order(a, r, orders);
     if (m.noticeAt !== null) this.hooks.changed();
     return { status: 200, body: writeOrders(this.term, orders) };
   }
 
+  /** A report that was sent under our term lacks a task that should be there. */
+  private missing(a: Assignment, r: Report, orders: Order[]): void {
+    if (a.phase !== 'seen' && a.phase !== 'sent') return;
+    const id = { job: a.jobId, task: a.task, attempt: a.attempt };
+    if (a.machine.unresolved.has(attemptName(a))) {
+      // The direct start may have been lost or may come late. Whatever it does, the worker must get
+      // to know the attempt: then a late copy has no effect.
+      orders.push({ op: 'start', ...id });
+      if (a.stop !== null) orders.push({ op: 'stop', ...id, graceS: 0 });
+      return;
+    }
+    // The worker has one report in flight at a time, so a later report without the task means that
+    // the answer with its start was dropped, or that the task is gone.
+    if (a.sentSeq !== null && r.seq <= a.sentSeq) return;
+    // A start of this term that never arrived may go out again. One of the leader before may have
+    // arrived, ended and been cleared: its attempt is over.
+    if (a.phase === 'seen' || a.sentSeq === null || a.stop !== null) this.end(a, 'lost');
+    else a.phase = 'recorded';
+  }
+
   private taskReport(m: Machine, t: TaskReport, present: Set<Assignment>, orders: Order[]): void {
     const a = m.assignments.get(taskName(t.job, t.task));
     const mine = a !== undefined && a.attempt === t.attempt && a.session === m.session;
@@ -362,6 +390,7 @@
       // Until it is on record, this report is the only trace of the completion.
       if (job.recorded[t.task] !== 1) return;
     }
+    if (m.unresolved.has(`${taskName(t.job, t.task)}@${t.attempt}`)) return;
     orders.push({ op: 'forget', job: t.job, task: t.task, attempt: t.attempt });
   }
 
@@ -380,6 +409,10 @@
     // The run is timed only from a start that was seen, not from one of the leader before.
     if (t.state === 'running' && a.runningAt === null && a.sentSeq !== null) a.runningAt = now;
     a.state = t.state;
+    this.core.log.debug(
+      { job: a.jobId, task: a.task, machine: a.machine.id, state: t.state, afterMs: now - a.since },
+      'task state',
+    );
     this.hooks.changed();
   }
 
@@ -397,7 +430,8 @@
     if (a.state !== 'saving') orders.push({ op: 'stop', ...id, graceS: a.stop.graceS });
     else {
       // Saving should long be over: end it.
-      const allowed = (a.saveS * 2 + this.settings.platform.workers.gangPeerS) * 1000 + this.settings.reportMs;
+      const allowed =
+        (a.saveS * 2 + this.settings.platform.workers.gangPeerS) * 1000 + this.settings.reportMs;
       if (a.stop.graceS === 0 || this.core.now() - a.stop.at > allowed)
         orders.push({ op: 'stop', ...id, graceS: 0 });
     }
@@ -413,7 +447,10 @@
       m.minSession = m.session + 1;
       m.synced = false;
       if (m.assignments.size > 0)
-        this.core.log.info({ machine: m.id, session: m.session }, 'lease of a silent machine ran out');
+        this.core.log.info(
+          { machine: m.id, session: m.session },
+          'lease of a silent machine ran out',
+        );
       for (const a of [...m.assignments.values()]) this.end(a, 'lost');
       this.hooks.changed();
     }
@@ -443,6 +480,7 @@
       if (m.assignments.size === 0 && !this.records.has(machineKey(m.id))) continue;
       this.records.set(machineKey(m.id), this.value(m), planned.length > 0, () => {
         for (const a of planned) if (a.phase === 'planned') a.phase = 'recorded';
+        this.direct.add(m);
       });
     }
     this.dirty.clear();
@@ -450,24 +488,71 @@
     this.direct.clear();
   }
 
-  /** Stops go out at once as well; the answers to reports repeat them until they show. */
+  /**
+   * Starts and stops go out at once as well; the answers to reports repeat them until they show.
+   * Starts only to a worker that is known to have our term in this session: there the command can
+   * be carried out at most until the next term or session, and its answer says that it was.
+   */
   private sendDirect(m: Machine): void {
+    if (m.addr === '') return;
     const orders: Order[] = [];
+    const starts: Assignment[] = [];
+    const startable = m.synced && m.noticeAt === null && this.alive(m);
     for (const a of m.assignments.values()) {
-      if (a.stop === null || a.stop.direct || a.phase === 'ended' || a.session !== m.session) continue;
-      a.stop.direct = true;
-      orders.push({ op: 'stop', job: a.jobId, task: a.task, attempt: a.attempt, graceS: a.stop.graceS });
+      if (a.session !== m.session) continue;
+      const id = { job: a.jobId, task: a.task, attempt: a.attempt };
+      if (a.phase === 'recorded' && a.stop === null && startable) {
+        orders.push({ op: 'start', ...id });
+        starts.push(a);
+      } else if (a.stop !== null && !a.stop.direct && a.phase !== 'ended') {
+        a.stop.direct = true;
+        orders.push({ op: 'stop', ...id, graceS: a.stop.graceS });
+      }
+    }
+    if (orders.length === 0) return;
+    for (const a of starts) {
+      a.phase = 'sent';
+      a.sentSeq = m.seq;
+      m.unresolved.add(attemptName(a));
     }
-    if (orders.length === 0 || m.addr === '') return;
-    const body = writeDirect(this.term, m.session, orders);
+    const { session } = m;
     this.core.env.call(
-      { to: m.addr, method: 'POST', path: '/do', body, timeoutMs: this.settings.reportMs },
-      (reply) => {
-        if (reply.status !== 409 || !isMap(reply.body)) return;
-        const token = reply.body['baton'];
-        if (typeof token === 'number' || typeof token === 'bigint')
-          this.core.post('direct-refused', () => this.hooks.higherToken(token));
+      {
+        to: m.addr,
+        method: 'POST',
+        path: '/do',
+        body: writeDirect(this.term, session, orders),
+        // After this time the session has ended, and with it what the command could do.
+        timeoutMs: starts.length > 0 ? this.settings.workerGoneMs : this.settings.reportMs,
       },
+      (reply) => this.core.post('direct', () => this.directDone(m, session, starts, reply)),
     );
   }
+
+  private directDone(m: Machine, session: number, starts: Assignment[], reply: Reply): void {
+    if (reply.status !== 200 && reply.status !== 409) return;
+    let r: Report;
+    try {
+      r = readReport(reply.body);
+    } catch (err) {
+      this.core.log.warn({ machine: m.id, err }, 'broken answer of a worker');
+      return;
+    }
+    if (reply.status === 409) this.hooks.higherToken(r.token);
+    if (m.session !== session) return;
+    for (const a of starts) {
+      m.unresolved.delete(attemptName(a));
+      if (a.phase !== 'sent') continue;
+      if (reply.status === 409) {
+        a.phase = 'recorded';
+        continue;
+      }
+      // Reports sent before the command was carried out cannot show the task.
+      a.sentSeq = r.seq;
+    }
+  }
+}
+
+function attemptName(a: Assignment): string {
+  return `${taskName(a.jobId, a.task)}@${a.attempt}`;
 }
--- a/src/main.ts
+++ b/src/main.ts
@@ -2,7 +2,11 @@
 import { Command } from 'commander';
 import { run } from './controller/run.js';
 import { readPlatform, SettingsError } from './controller/settings/platform.js';
-import { defaultProperties, formatProperties, readProperties } from './controller/settings/properties.js';
+import {
+  defaultProperties,
+  formatProperties,
+  readProperties,
+} from './controller/settings/properties.js';
 import { Settings } from './controller/settings/settings.js';
 
 const VERSION = '0.1.0';
