--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -6,6 +6,7 @@
 import { Leadership, LEADER_KEY } from './leadership/leadership.js';
 import { Peers, type JobProgress } from './peers/peers.js';
 import { Estimates } from './placement/estimates.js';
+import { Reserve } from './placement/reserve.js';
 import { holdKey, Placement } from './placement/placement.js';
 import type { Settings } from './settings/settings.js';
 import { StateClient } from './store/client.js';
@@ -44,6 +45,7 @@
   private readonly peers: Peers;
   private readonly frontend: Frontend;
   private readonly estimates = new Estimates();
+  private readonly reserve: Reserve;
   private readonly progress = new Map<string, JobProgress>();
   private types: MachineType[] | null = null;
   private typesAt = -Infinity;
@@ -58,6 +60,16 @@
   ) {
     this.core = new Core(env, log);
     const { core } = this;
+    this.reserve = new Reserve(
+      {
+        memoryMs: settings.workerLeaseMs * settings.get('placement.reserve.memory.ratio'),
+        share: settings.get('placement.reserve.share'),
+        spare: settings.get('placement.reserve.spare'),
+      },
+      this.estimates,
+      env.now(),
+      (cls) => settings.startWithinMs(cls),
+    );
     this.client = new StateClient(core, settings);
     this.leadership = new Leadership(core, settings, this.client, identity, {
       elected: (term) => this.elected(term),
@@ -175,6 +187,7 @@
         if (records.has(holdKey(job.spec.id))) records.set(holdKey(job.spec.id), undefined, false);
         this.progress.delete(job.spec.id);
       },
+      added: (job) => this.reserve.arrived(job, core.now()),
       changed: () => this.placeSoon(),
       recorded: (job, task) => workers.doneRecorded(job, task),
       ended: (id, state) => {
@@ -187,12 +200,23 @@
       higherToken: (token) => this.leadership.higherToken(token),
       changed: () => this.placeSoon(),
       ran: (a, tookMs) => {
-        if (a.job !== null) this.estimates.observe(a.job.spec, tookMs);
+        if (a.job === null) return;
+        this.estimates.observe(a.job.spec, tookMs);
+        this.reserve.ended(a.job.spec, core.now() - a.since);
       },
     });
-    const placement = new Placement(core, settings, table, workers, records, this.estimates, {
-      exhausted: () => this.leadership.stepDown('attempts used up'),
-    });
+    const placement = new Placement(
+      core,
+      settings,
+      table,
+      workers,
+      records,
+      this.estimates,
+      this.reserve,
+      {
+        exhausted: () => this.leadership.stepDown('attempts used up'),
+      },
+    );
     const fleet = new Fleet(
       core,
       settings,
--- a/src/controller/fleet/fleet.ts
+++ b/src/controller/fleet/fleet.ts
@@ -275,7 +275,7 @@
       for (const room of rooms) {
         if (left === 0) break;
         if (!allowed(want.spec, room.machine)) continue;
-        const n = Math.min(left, room.fits(need, Infinity, 0, now));
+        const n = Math.min(left, room.fitsEmpty(need));
         room.use(need, n);
         left -= n;
       }
@@ -289,7 +289,7 @@
         orders.set(key, order);
         const room = this.emptyRoom(offer);
         rooms.push(room);
-        const n = Math.min(left, room.fits(need, Infinity, 0, now));
+        const n = Math.min(left, room.fitsEmpty(need));
         if (n <= 0) break;
         room.use(need, n);
         left -= n;
@@ -331,7 +331,7 @@
       const need = needOf(spec);
       let free = 0;
       for (const r of rooms)
-        if (allowed(spec, r.machine)) free += Math.min(want, r.fits(need, Infinity, 0, now));
+        if (allowed(spec, r.machine)) free += Math.min(want, r.fitsEmpty(need));
       if (free < want) wants.push({ spec, tasks: want - free });
     }
     return wants;
--- a/src/controller/jobs/table.ts
+++ b/src/controller/jobs/table.ts
@@ -89,6 +89,8 @@
 export interface TableHooks {
   /** The job has ended: its tasks must go from their machines. */
   closed(job: Job): void;
+  /** A job became known to this leader. */
+  added(job: Job): void;
   /** Something became placeable. */
   changed(): void;
   /** Completion of this task is on record. */
@@ -126,7 +128,9 @@
     const now = this.core.now();
     const wall = typeof value['at'] === 'number' ? value['at'] : this.core.env.wall();
     const age = Math.max(0, this.core.env.wall() - wall);
-    this.jobs.set(id, new Job(spec, now - age, version, now));
+    const job = new Job(spec, now - age, version, now);
+    this.jobs.set(id, job);
+    this.hooks.added(job);
     this.core.log.debug(
       { job: id, class: spec.class, team: spec.team, tasks: spec.tasks },
       'job known',
--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -7,6 +7,7 @@
 import type { Workers } from '../workers/workers.js';
 import type { Estimates } from './estimates.js';
 import { compareRank, type RankSettings } from './rank.js';
+import type { Reserve } from './reserve.js';
 import { allowed, needOf, Room, times } from './room.js';
 import { Teams, withinGuarantee } from './teams.js';
 
@@ -47,6 +48,8 @@
 export class Placement {
   lacking: Lack[] = [];
   private attempts = 0;
+  /** Classes of which something found no room in the last pass. */
+  private lackingClasses = new Set<string>();
   private readonly rank: RankSettings;
 
   constructor(
@@ -56,6 +59,7 @@
     private readonly workers: Workers,
     private readonly records: Records,
     readonly estimates: Estimates,
+    private readonly reserve: Reserve,
     private readonly hooks: PlacementHooks,
   ) {
     this.rank = {
@@ -78,10 +82,12 @@
     );
     waiting.sort((a, b) => compareRank(a, b, this.rank));
     this.lacking = [];
+    this.reserve.plan(pass.rooms, this.lackingClasses, now);
     for (const job of waiting) {
       if (job.spec.kind === 'gang') this.gang(pass, job);
       else this.array(pass, job);
     }
+    this.lackingClasses = new Set(this.lacking.map((l) => l.job.spec.class));
   }
 
   private *assignments(): Iterable<Assignment> {
@@ -142,7 +148,7 @@
 
   private fits(pass: Pass, job: Job, room: Room): number {
     const backfill = this.settings.get('placement.backfill.ratio');
-    return room.fits(needOf(job.spec), this.endsAt(pass, job, room), backfill, pass.now);
+    return room.fits(job.spec, job.level, this.endsAt(pass, job, room), backfill, pass.now);
   }
 
   /** Tasks of the job by zone, wherever any may still be. */
@@ -331,6 +337,7 @@
     let gpus = room.gpus - need.gpus * taken;
     let memoryGb = room.memoryGb - need.memoryGb * taken;
     for (const c of room.claims) {
+      if (c.ahead !== null) continue;
       cpus -= c.cpus;
       gpus -= c.gpus;
       memoryGb -= c.memoryGb;
--- /dev/null
+++ b/src/controller/placement/reserve.ts
@@ -0,0 +1,150 @@
+import type { Job } from '../jobs/table.js';
+import type { JobSpec } from '../wire/jobs.js';
+import type { Estimates } from './estimates.js';
+import { allowed, needOf, times, type Room } from './room.js';
+
+/** What has been seen of a class of jobs. */
+interface ClassStats {
+  spec: JobSpec;
+  level: number;
+  /** Decaying count of tasks submitted, and when it was last brought up to date. */
+  weight: number;
+  at: number;
+  /** Largest gang seen lately; 1 for arrays. */
+  together: number;
+  images: Map<string, number>;
+  /** Mean time from assignment to end; 0 until one has ended. */
+  occupancyMs: number;
+}
+
+export interface ReserveSettings {
+  /** Time over which arrivals are remembered. */
+  memoryMs: number;
+  /** Largest share of the places a class could use that may be kept for it. */
+  share: number;
+  /** Places kept beyond the expected number, in standard deviations. */
+  spare: number;
+}
+
+/** A class whose tasks are this much larger on a machine than another's is kept room against it. */
+const LARGER = 1.5;
+
+/**
+ * Segregation by shape (m03 §6, §9): classes of large tasks, and those that need GPUs, keep room
+ * that small work would otherwise eat piece by piece. How much is kept follows from how often the
+ * class comes and how long it stays; it is a hold in advance, for the gang that comes next.
+ */
+export class Reserve {
+  private readonly classes = new Map<string, ClassStats>();
+  private readonly startedAt: number;
+
+  constructor(
+    private readonly settings: ReserveSettings,
+    private readonly estimates: Estimates,
+    now: number,
+    /** Wait within which a class should start, by the platform's objectives. */
+    private readonly waitMs: (cls: string) => number | null,
+  ) {
+    this.startedAt = now;
+  }
+
+  arrived(job: Job, now: number): void {
+    const { spec } = job;
+    const c = this.classes.get(spec.class);
+    const images = c?.images ?? new Map<string, number>();
+    for (const [i, n] of images) images.set(i, n * 0.95);
+    images.set(spec.image, (images.get(spec.image) ?? 0) + 1);
+    this.classes.set(spec.class, {
+      spec,
+      level: job.level,
+      weight: (c === undefined ? 0 : this.decayed(c, now)) + spec.tasks,
+      at: now,
+      together: spec.kind === 'gang' ? Math.max(spec.tasks, (c?.together ?? 1) * 0.98) : 1,
+      images,
+      occupancyMs: c?.occupancyMs ?? 0,
+    });
+  }
+
+  ended(spec: JobSpec, occupancyMs: number): void {
+    const c = this.classes.get(spec.class);
+    if (c === undefined) return;
+    c.occupancyMs = c.occupancyMs === 0 ? occupancyMs : 0.85 * c.occupancyMs + 0.15 * occupancyMs;
+  }
+
+  private decayed(c: ClassStats, now: number): number {
+    return c.weight * Math.exp((c.at - now) / this.settings.memoryMs);
+  }
+
+  /** Tasks of the class expected at one time. */
+  private expected(c: ClassStats, now: number): number {
+    const { memoryMs } = this.settings;
+    const seenMs =
+      memoryMs * (1 - Math.exp(-Math.max(now - this.startedAt, memoryMs / 4) / memoryMs));
+    const stay = c.occupancyMs > 0 ? c.occupancyMs : this.estimates.runMs(c.spec);
+    return (this.decayed(c, now) / seenMs) * stay;
+  }
+
+  /** Adds the claims of all classes to the rooms. */
+  plan(rooms: Room[], waiting: Set<string>, now: number): void {
+    const classes = [...this.classes.values()]
+      .filter((c) => c.spec.kind === 'gang' || c.spec.gpus > 0)
+      .map((c) => ({ c, rooms: rooms.filter((r) => allowed(c.spec, r.machine)) }))
+      .filter((x) => x.rooms.length > 0)
+      // Who has the least choice chooses first.
+      .sort((a, b) => a.rooms.length - b.rooms.length || b.c.level - a.c.level);
+    for (const { c, rooms: mine } of classes) this.planClass(c, mine, waiting, now);
+  }
+
+  private planClass(c: ClassStats, rooms: Room[], waiting: Set<string>, now: number): void {
+    const need = needOf(c.spec);
+    const expected = this.expected(c, now);
+    let total = 0;
+    let running = 0;
+    const choices = rooms.map((room) => {
+      const t = room.machine.type;
+      const all =
+        t === null
+          ? 0
+          : Math.min(
+              times(t.cpus, need.cpus),
+              times(t.gpus, need.gpus),
+              times(t.memoryGb, need.memoryGb),
+            );
+      let own = 0;
+      for (const a of room.machine.assignments.values())
+        if (a.phase !== 'ended' && a.job?.spec.class === c.spec.class) own++;
+      total += all;
+      running += own;
+      return { room, places: Math.max(0, all - own), score: this.score(c, room) };
+    });
+    const wanted = expected + this.settings.spare * Math.sqrt(expected) + Math.ceil(c.together);
+    let left = Math.ceil(Math.min(wanted, total * this.settings.share) - running);
+    if (left <= 0) return;
+    choices.sort((a, b) => b.score - a.score || (a.room.machine.id < b.room.machine.id ? -1 : 1));
+    const wait = this.waitMs(c.spec.class);
+    for (const { room, places } of choices) {
+      if (left <= 0) break;
+      const taken = room.reserved(c.spec);
+      const n = Math.min(left, places - taken);
+      if (n <= 0) continue;
+      left -= n;
+      const fetch = this.estimates.fetchMs(c.spec, room.machine);
+      const patience = waiting.has(c.spec.class) || wait === null ? 0 : Math.max(0, wait - fetch);
+      room.keep(c.spec, c.level, n, now + patience, LARGER);
+    }
+  }
+
+  /** Machines that suit the class best: its images there, free, and of little use to others. */
+  private score(c: ClassStats, room: Room): number {
+    let known = 0;
+    let all = 0;
+    for (const [image, n] of c.images) {
+      all += n;
+      if (room.machine.images.has(image)) known += n;
+    }
+    const warm = all > 0 ? known / all : 0;
+    const free = room.fitsEmpty(needOf(c.spec)) > 0 ? 1 : 0;
+    const spot = c.spec.spot && room.machine.spot ? 0.7 : 0;
+    return warm + free + spot + room.share(c.spec) * 0.5;
+  }
+}
--- a/src/controller/placement/room.ts
+++ b/src/controller/placement/room.ts
@@ -7,6 +7,8 @@
 /** Room of one machine that a hold has claimed, and when the hold is expected to be full. */
 export interface Claim extends Need {
   fillAt: number;
+  /** A hold in advance, for a class: it binds only work that is smaller and ranks no higher. */
+  ahead: { spec: JobSpec; level: number; larger: number } | null;
 }
 
 /** A machine as one placement pass sees it, higher ranks first. */
@@ -32,14 +34,24 @@
    * Tasks that fit now beside what higher ranks hold. A hold's room counts as free for a task that
    * should be gone before the hold fills.
    */
-  fits(need: Need, endsAt: number, backfill: number, now: number): number {
+  fits(spec: JobSpec, level: number, endsAt: number, backfill: number, now: number): number {
     let { cpus, gpus, memoryGb } = this;
     for (const c of this.claims) {
       if (endsAt - now <= backfill * (c.fillAt - now)) continue;
+      if (c.ahead !== null && !this.binds(c.ahead, spec, level)) continue;
       cpus -= c.cpus;
       gpus -= c.gpus;
       memoryGb -= c.memoryGb;
     }
+    return this.count(spec, cpus, gpus, memoryGb);
+  }
+
+  /** Tasks that fit now if nothing were held. */
+  fitsEmpty(need: Need): number {
+    return this.count(need, this.cpus, this.gpus, this.memoryGb);
+  }
+
+  private count(need: Need, cpus: number, gpus: number, memoryGb: number): number {
     return Math.max(
       0,
       Math.min(
@@ -51,6 +63,47 @@
     );
   }
 
+  private binds(ahead: NonNullable<Claim['ahead']>, spec: JobSpec, level: number): boolean {
+    if (ahead.spec.class === spec.class || level > ahead.level) return false;
+    if (ahead.spec.kind !== 'gang' && spec.gpus > 0) return false;
+    return this.share(ahead.spec) >= ahead.larger * this.share(spec);
+  }
+
+  /** Share of the machine that a task takes, by the kind of room that it takes most of. */
+  share(spec: JobSpec): number {
+    const t = this.machine.type;
+    if (t === null) return 1;
+    return Math.max(
+      spec.cpus / t.cpus,
+      t.gpus > 0 ? spec.gpus / t.gpus : 0,
+      spec.memoryGb / t.memoryGb,
+    );
+  }
+
+  /** Places of this machine that holds in advance have taken from the class. */
+  reserved(spec: JobSpec): number {
+    let cpus = 0;
+    let gpus = 0;
+    let memoryGb = 0;
+    for (const c of this.claims) {
+      cpus += c.cpus;
+      gpus += c.gpus;
+      memoryGb += c.memoryGb;
+    }
+    const up = (a: number, b: number): number => (b > 0 ? Math.ceil(a / b - EPS) : 0);
+    return Math.max(up(cpus, spec.cpus), up(gpus, spec.gpus), up(memoryGb, spec.memoryGb));
+  }
+
+  keep(spec: JobSpec, level: number, count: number, fillAt: number, larger: number): void {
+    this.claims.push({
+      cpus: spec.cpus * count,
+      gpus: spec.gpus * count,
+      memoryGb: spec.memoryGb * count,
+      fillAt,
+      ahead: { spec, level, larger },
+    });
+  }
+
   use(need: Need, count: number): void {
     this.cpus -= need.cpus * count;
     this.gpus -= need.gpus * count;
@@ -59,7 +112,13 @@
   }
 
   claim(need: Need, fillAt: number): void {
-    this.claims.push({ cpus: need.cpus, gpus: need.gpus, memoryGb: need.memoryGb, fillAt });
+    this.claims.push({
+      cpus: need.cpus,
+      gpus: need.gpus,
+      memoryGb: need.memoryGb,
+      fillAt,
+      ahead: null,
+    });
   }
 }
 
--- a/src/controller/settings/platform.ts
+++ b/src/controller/settings/platform.ts
@@ -11,6 +11,7 @@
   state: string;
   clockBoundMs: number;
   teams: Team[];
+  objectives: Objective[];
   workers: {
     reportS: number;
     leaseS: number;
@@ -23,6 +24,13 @@
   quota: { cores: number; ramMb: number; sockets: number };
 }
 
+/** What is expected for a class; kinds that this version doesn't know are kept and not used. */
+export interface Objective {
+  kind: string;
+  class: string | null;
+  withinS: number | null;
+}
+
 export interface Team {
   name: string;
   /** Guaranteed amounts. */
@@ -107,6 +115,11 @@
       cpusMax: num(t, 'cpus_max', `params.teams.${i}.`, 0, 0),
       gpusMax: num(t, 'gpus_max', `params.teams.${i}.`, 0, 0),
     })),
+    objectives: tables(params, 'objectives', 'params.').map((o, i) => ({
+      kind: str(o, 'kind', `params.objectives.${i}.`),
+      class: typeof o['class'] === 'string' ? o['class'] : null,
+      withinS: typeof o['within_s'] === 'number' ? o['within_s'] : null,
+    })),
     workers: {
       reportS: num(workers, 'report_s', w, 0.1),
       leaseS: num(workers, 'lease_s', w, 1),
--- a/src/controller/settings/properties.ts
+++ b/src/controller/settings/properties.ts
@@ -85,6 +85,24 @@
     max: 10,
     text: "Backfill may take at most this ratio of a hold's expected time to fill.",
   },
+  'placement.reserve.memory.ratio': {
+    value: 12,
+    min: 1,
+    max: 10000,
+    text: "Arrivals of a class are remembered over this ratio of the workers' lease.",
+  },
+  'placement.reserve.share': {
+    value: 0.75,
+    min: 0,
+    max: 1,
+    text: 'Largest share of the places of a class that is kept free of smaller work for it.',
+  },
+  'placement.reserve.spare': {
+    value: 1,
+    min: 0,
+    max: 10,
+    text: 'Places kept for a class beyond the expected number, in standard deviations.',
+  },
   'fleet.rent.wait.ratio': {
     value: 0.5,
     min: 0,
--- a/src/controller/settings/settings.ts
+++ b/src/controller/settings/settings.ts
@@ -35,6 +35,12 @@
     return this.workerLeaseMs * (1 + 2 * DRIFT + this.get('workers.lease.margin.ratio'));
   }
 
+  /** Wait within which tasks of a class should start; null: nothing is said of it. */
+  startWithinMs(cls: string): number | null {
+    const o = this.platform.objectives.find((x) => x.kind === 'wait' && x.class === cls);
+    return o?.withinS == null ? null : o.withinS * 1000;
+  }
+
   /** Cap of a team, where 0 in the settings means none. */
   static cap(value: number): number {
     return value > 0 ? value : Infinity;
--- a/src/controller/workers/workers.ts
+++ b/src/controller/workers/workers.ts
@@ -246,7 +246,7 @@
     a.phase = 'ended';
     m.give(a);
     this.hooks.changed();
-    if (outcome === 'done' && job !== null && job.closed === null) {
+    if (outcome === 'done' && job?.closed === null) {
       if (a.runningAt !== null) this.hooks.ran(a, this.core.now() - a.runningAt);
       m.strikes.clear();
       // Tasks of a gang complete together.
@@ -373,8 +373,7 @@
 
   private taskReport(m: Machine, t: TaskReport, present: Set<Assignment>, orders: Order[]): void {
     const a = m.assignments.get(taskName(t.job, t.task));
-    const mine = a !== undefined && a.attempt === t.attempt && a.session === m.session;
-    if (mine) {
+    if (a?.attempt === t.attempt && a.session === m.session) {
       present.add(a);
       if (a.phase !== 'ended') this.follow(a, t);
     } else if (t.state !== 'exited') {
