--- a/src/controller/workers/workers.ts
+++ b/src/controller/workers/workers.ts
@@ -257,7 +257,7 @@
       return;
     }
     this.remove(a);
-    if (job === null || job.closed !== null) return;
+    if (job?.closed !== null) return;
     if (outcome !== 'unsent') this.table.countExit(job, outcome);
     this.core.log.info(
       { job: a.jobId, task: a.task, machine: m.id, outcome },
