A gang's part that waited alone starts again instead of tearing the gang down

Also: gangs no longer wait behind the room kept for other gangs, and a gang waits for a machine that has its image when that ends sooner than a fetch. Ruled out: room (whole machines were free).

--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -25,6 +25,11 @@
   victims: Assignment[];
 }
 
+interface Pick {
+  room: Room;
+  count: number;
+}
+
 interface Pass {
   now: number;
   rooms: Room[];
@@ -123,6 +128,7 @@
     if (spec.gpus === 0 && t.gpus > 0) score += 30;
     if (spec.spot && !m.spot) score += 15;
     if (job.failedOn.has(m.id)) score += 60;
+    if (spec.kind === 'gang' && room.intrudes(spec)) score += 25;
     score += 20 * (m.slowness - 1);
     const left =
       spec.gpus > 0 ? (room.gpus - spec.gpus) / t.gpus : (room.cpus - spec.cpus) / t.cpus;
@@ -210,9 +216,8 @@
       return;
     }
     const all = this.candidates(pass, job);
-    for (const zone of this.zoneChoices(job, all)) {
-      const picked = this.pick(pass, job, all, zone);
-      if (picked === null) continue;
+    const picked = this.pickAny(pass, job, all);
+    if (picked !== null && !this.worthWaiting(pass, job, all, picked)) {
       const attempt = this.nextAttempt();
       for (const { room, count } of picked) this.put(pass, job, room, count, attempt);
       job.blocked = '';
@@ -229,15 +234,33 @@
     return [...new Set(all.map((c) => c.room.machine.zone))];
   }
 
-  private pick(
-    pass: Pass,
-    job: Job,
-    all: { room: Room }[],
-    zone: string | null,
-  ): { room: Room; count: number }[] | null {
+  private pickAny(pass: Pass, job: Job, all: { room: Room }[]): Pick[] | null {
+    for (const zone of this.zoneChoices(job, all)) {
+      const picked = this.pick(pass, job, all, zone);
+      if (picked !== null) return picked;
+    }
+    return null;
+  }
+
+  /**
+   * Room is there, but without the image: machines that have it may be free before a fetch would
+   * end. Fetches take their nominal time give or take a third.
+   */
+  private worthWaiting(pass: Pass, job: Job, all: { room: Room }[], picked: Pick[]): boolean {
+    const fetch = Math.max(...picked.map((p) => this.estimates.fetchMs(job.spec, p.room.machine)));
+    if (fetch <= this.settings.reportMs * 2) return false;
+    const { targets, fillAt } = this.bestTargets(pass, job, all);
+    if (targets.length < job.spec.tasks) return false;
+    const ready = Math.max(
+      ...targets.map((t) => fillAt + this.estimates.fetchMs(job.spec, t.room.machine)),
+    );
+    return ready - pass.now < fetch * 0.7;
+  }
+
+  private pick(pass: Pass, job: Job, all: { room: Room }[], zone: string | null): Pick[] | null {
     let left = job.spec.tasks;
     const zones = new Map<string, number>();
-    const picked: { room: Room; count: number }[] = [];
+    const picked: Pick[] = [];
     for (const { room } of all) {
       const z = room.machine.zone;
       if (zone !== null && z !== zone) continue;
@@ -259,7 +282,11 @@
     this.records.set(holdKey(job.spec.id), undefined, false);
   }
 
-  private hold(pass: Pass, job: Job, all: { room: Room }[]): void {
+  private bestTargets(
+    pass: Pass,
+    job: Job,
+    all: { room: Room }[],
+  ): { targets: Target[]; fillAt: number } {
     let best: Target[] = [];
     let bestAt = Infinity;
     for (const zone of this.zoneChoices(job, all)) {
@@ -273,7 +300,11 @@
         bestAt = at;
       }
     }
-    const fillAt = bestAt;
+    return { targets: best, fillAt: bestAt };
+  }
+
+  private hold(pass: Pass, job: Job, all: { room: Room }[]): void {
+    const { targets: best, fillAt } = this.bestTargets(pass, job, all);
     for (const t of best) t.room.claim(needOf(job.spec), fillAt);
     const machines = best.map((t) => t.room.machine.id);
     const since = job.hold?.since ?? pass.now;
--- a/src/controller/placement/room.ts
+++ b/src/controller/placement/room.ts
@@ -64,7 +64,17 @@
   }
 
   private binds(ahead: NonNullable<Claim['ahead']>, spec: JobSpec, level: number): boolean {
-    if (ahead.spec.class === spec.class || level > ahead.level) return false;
+    if (spec.kind === 'gang' || level > ahead.level) return false;
+    return this.eats(ahead, spec);
+  }
+
+  /** Whether room kept for other classes would go to this smaller task, if it were let. */
+  intrudes(spec: JobSpec): boolean {
+    return this.claims.some((c) => c.ahead !== null && this.eats(c.ahead, spec));
+  }
+
+  private eats(ahead: NonNullable<Claim['ahead']>, spec: JobSpec): boolean {
+    if (ahead.spec.class === spec.class) return false;
     if (ahead.spec.kind !== 'gang' && spec.gpus > 0) return false;
     return this.share(ahead.spec) >= ahead.larger * this.share(spec);
   }
--- a/src/controller/workers/workers.ts
+++ b/src/controller/workers/workers.ts
@@ -375,6 +375,16 @@
     const a = m.assignments.get(taskName(t.job, t.task));
     if (a?.attempt === t.attempt && a.session === m.session) {
       present.add(a);
+      if (t.cause === 'alone' && this.waitsOn(a)) {
+        // Its part of the gang came too early: the others still fetch their image. It starts again
+        // under the same attempt; tearing the gang down would throw those fetches away.
+        const id = { job: t.job, task: t.task, attempt: t.attempt };
+        orders.push({ op: 'forget', ...id }, { op: 'start', ...id });
+        a.phase = 'sent';
+        a.state = null;
+        a.sentSeq = m.seq;
+        return;
+      }
       if (a.phase !== 'ended') this.follow(a, t);
     } else if (t.state !== 'exited') {
       // Nothing on record and yet there: it should not be; it must not stay either.
@@ -393,6 +403,17 @@
     orders.push({ op: 'forget', job: t.job, task: t.task, attempt: t.attempt });
   }
 
+  /** Whether a gang's part that gave up waiting is still wanted. */
+  private waitsOn(a: Assignment): boolean {
+    const { job } = a;
+    if (job?.closed !== null || job.regrouping || a.stop !== null) return false;
+    if (a.phase === 'ended' || a.machine.unresolved.has(attemptName(a))) return false;
+    if (a.machine.noticeAt !== null || job.assigned.size < job.spec.tasks) return false;
+    for (const other of job.assigned.values())
+      if (other !== a && (other.state === 'fetching' || other.state === null)) return true;
+    return false;
+  }
+
   private follow(a: Assignment, t: TaskReport): void {
     const now = this.core.now();
     a.phase = 'seen';
