--- a/src/controller/jobs/table.ts
+++ b/src/controller/jobs/table.ts
@@ -34,6 +34,8 @@
   regrouping = false;
   exits: Record<string, number> = {};
   preemptions = 0;
+  /** It can no longer be done in time; stays so once it is. */
+  late = false;
   /** Nothing is placed before then, after errors. */
   notBefore = 0;
   errors = 0;
--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -70,6 +70,8 @@
     this.rank = {
       agingMs: settings.workerLeaseMs * settings.get('placement.aging.ratio'),
       bonus: settings.get('placement.preempted.bonus.ratio'),
+      late: settings.get('placement.late.ratio'),
+      slackMs: (job) => this.slackMs(job),
     };
   }
 
@@ -85,6 +87,7 @@
     const waiting = [...this.table.jobs.values()].filter(
       (j) => j.pending.length > 0 && !j.regrouping && !j.ending && j.notBefore <= now,
     );
+    this.markLate(waiting, now);
     waiting.sort((a, b) => compareRank(a, b, this.rank));
     this.lacking = [];
     this.reserve.plan(pass.rooms, this.lackingClasses, now);
@@ -95,6 +98,27 @@
     this.lackingClasses = new Set(this.lacking.map((l) => l.job.spec.class));
   }
 
+  /** The wait that a job's due time, or what is expected of its class, leaves it. */
+  private slackMs(job: Job): number | null {
+    const { spec } = job;
+    const due = spec.deadlineS === null ? null : spec.deadlineS * 1000 - this.estimates.runMs(spec);
+    const start = this.settings.startWithinMs(spec.class);
+    const finish = this.settings.finishWithinMs(spec.class);
+    const end = finish === null ? null : finish - this.estimates.runMs(spec);
+    const all = [due, start, end].filter((x): x is number => x !== null);
+    return all.length === 0 ? null : Math.max(0, Math.min(...all));
+  }
+
+  /** Jobs whose due time has become out of reach, allowing for half as long again. */
+  private markLate(jobs: Job[], now: number): void {
+    for (const job of jobs) {
+      const { deadlineS } = job.spec;
+      if (job.late || deadlineS === null) continue;
+      const end = now + this.estimates.runMs(job.spec);
+      if (end > job.submittedAt + deadlineS * 1500) job.late = true;
+    }
+  }
+
   private *assignments(): Iterable<Assignment> {
     for (const m of this.workers.machines.values()) yield* m.assignments.values();
   }
--- a/src/controller/settings/properties.ts
+++ b/src/controller/settings/properties.ts
@@ -61,6 +61,12 @@
     max: 10,
     text: 'Rise of a job by each preemption, as a ratio to a priority class.',
   },
+  'placement.late.ratio': {
+    value: 0.5,
+    min: 0,
+    max: 10,
+    text: 'What a job that cannot be done in time any more yields, as a ratio to a priority class.',
+  },
   'placement.victim.age.s': {
     value: 30,
     min: 0,
--- a/src/controller/settings/settings.ts
+++ b/src/controller/settings/settings.ts
@@ -41,6 +41,14 @@
     return o?.withinS == null ? null : o.withinS * 1000;
   }
 
+  /** Time within which jobs of a class should be done, by the strictest objective. */
+  finishWithinMs(cls: string): number | null {
+    const within = this.platform.objectives
+      .filter((x) => x.kind === 'finished' && x.class === cls && x.withinS !== null)
+      .map((x) => x.withinS ?? 0);
+    return within.length === 0 ? null : Math.min(...within) * 1000;
+  }
+
   /** Cap of a team, where 0 in the settings means none. */
   static cap(value: number): number {
     return value > 0 ? value : Infinity;
