--- /dev/null
+++ b/test/world.test.ts
@@ -0,0 +1,41 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { World, type Faults } from './world/world.js';
+
+const quiet: Faults = { everyMs: Infinity, doubled: 0, errors: 0, bootFails: 0 };
+const rough: Faults = { everyMs: 9000, doubled: 0.02, errors: 0.03, bootFails: 0.1 };
+
+function day(seed: number, faults: Faults, jobs: number, ms: number): World {
+  const world = new World(seed, faults);
+  for (let i = 0; i < jobs; i++) {
+    world.sim.after(world.sim.between(0, ms * 0.8), () => {
+      const cancel = world.sim.random() < 0.15 ? world.sim.between(0, 40_000) : null;
+      world.user(world.randomJob(), cancel);
+    });
+  }
+  // Somebody asks about jobs that nobody submitted.
+  const stranger = (): void => {
+    world.ask('GET', '/submissions/req-999999', undefined, (status, state) => {
+      world.rules.answered('req-999999', status, state, false);
+      world.sim.after(7000, stranger);
+    });
+  };
+  stranger();
+  world.play(ms);
+  world.calm = true;
+  world.play(600_000);
+  assert.deepEqual(world.rules.unfinished(), [], 'accepted jobs that never finished');
+  assert.ok(world.rules.started > jobs / 2, 'hardly anything ran');
+  return world;
+}
+
+describe('the whole service in a simulated world', () => {
+  it('serves a quiet day', () => {
+    day(1, quiet, 30, 200_000);
+  });
+
+  for (let seed = 1; seed <= 10; seed++)
+    it(`keeps the rules and finishes what it accepted under troubles, seed ${seed}`, () => {
+      day(seed, rough, 30, 300_000);
+    });
+});
--- /dev/null
+++ b/test/world/sim.ts
@@ -0,0 +1,242 @@
+import type { Call, Env, Reply, Timer } from '../../src/controller/core/env.js';
+import { uniform } from '../../src/controller/core/random.js';
+import { decodeBody, encodeBody } from '../../src/controller/wire/cbor.js';
+
+interface Event {
+  at: number;
+  order: number;
+  run: () => void;
+  cancelled: boolean;
+}
+
+/** Virtual time: events in order of time, then of scheduling. Milliseconds. */
+export class Sim {
+  now = 0;
+  private order = 0;
+  private readonly heap: Event[] = [];
+  readonly random: () => number;
+
+  constructor(seed: number) {
+    this.random = uniform(seed);
+  }
+
+  after(ms: number, run: () => void): Timer {
+    const e: Event = { at: this.now + Math.max(0, ms), order: this.order++, run, cancelled: false };
+    this.push(e);
+    return {
+      cancel: () => {
+        e.cancelled = true;
+      },
+    };
+  }
+
+  between(from: number, to: number): number {
+    return from + (to - from) * this.random();
+  }
+
+  pick<T>(list: readonly T[]): T {
+    const x = list[Math.floor(this.random() * list.length)];
+    if (x === undefined) throw new Error('nothing to pick from');
+    return x;
+  }
+
+  /** Runs all events up to `until`; `check` after each of them. */
+  run(until: number, check: () => void): void {
+    for (;;) {
+      const first = this.heap[0];
+      if (first === undefined || first.at > until) break;
+      this.pop();
+      if (first.cancelled) continue;
+      this.now = first.at;
+      first.run();
+      check();
+    }
+    this.now = until;
+  }
+
+  private less(a: Event, b: Event): boolean {
+    return a.at < b.at || (a.at === b.at && a.order < b.order);
+  }
+
+  private push(e: Event): void {
+    const h = this.heap;
+    let i = h.push(e) - 1;
+    while (i > 0) {
+      const up = (i - 1) >> 1;
+      const p = h[up];
+      if (p === undefined || !this.less(e, p)) break;
+      h[i] = p;
+      i = up;
+    }
+    h[i] = e;
+  }
+
+  private pop(): void {
+    const h = this.heap;
+    const last = h.pop();
+    if (last === undefined || h.length === 0) return;
+    let i = 0;
+    for (;;) {
+      let c = 2 * i + 1;
+      const left = h[c];
+      const right = h[c + 1];
+      if (left === undefined) break;
+      let child = left;
+      if (right !== undefined && this.less(right, left)) {
+        child = right;
+        c++;
+      }
+      if (!this.less(child, last)) break;
+      h[i] = child;
+      i = c;
+    }
+    h[i] = last;
+  }
+}
+
+export type Respond = (reply: Reply) => void;
+export type Service = (from: string, call: Call, respond: Respond) => void;
+
+type Cut = 'hold' | 'reset';
+
+/** Delays, cuts, late and doubled messages between named hosts. */
+export class Network {
+  private readonly services = new Map<string, { host: string; serve: Service }>();
+  private readonly cuts = new Map<string, Cut>();
+  private held: { from: string; to: string; run: () => void }[] = [];
+  /** Chance that a request arrives a second time, much later. */
+  doubled = 0;
+
+  constructor(private readonly sim: Sim) {}
+
+  listen(addr: string, host: string, serve: Service): void {
+    this.services.set(addr, { host, serve });
+  }
+
+  remove(addr: string): void {
+    this.services.delete(addr);
+  }
+
+  cut(a: string, b: string, mode: Cut): void {
+    this.cuts.set(`${a} ${b}`, mode).set(`${b} ${a}`, mode);
+  }
+
+  heal(a: string, b: string): void {
+    this.cuts.delete(`${a} ${b}`);
+    this.cuts.delete(`${b} ${a}`);
+    const free = this.held.filter((h) => !this.cuts.has(`${h.from} ${h.to}`));
+    this.held = this.held.filter((h) => this.cuts.has(`${h.from} ${h.to}`));
+    for (const h of free) this.sim.after(this.sim.between(0.2, 3), h.run);
+  }
+
+  /** Delivers, holds back or loses. `lost` is called if the sender would notice. */
+  send(from: string, to: string, run: () => void, lost: () => void): void {
+    const cut = this.cuts.get(`${from} ${to}`);
+    if (cut === 'reset') this.sim.after(1, lost);
+    else if (cut === 'hold') this.held.push({ from, to, run });
+    else {
+      this.sim.after(this.sim.between(0.2, 2), () => {
+        // A cut may have come while the message was under way.
+        const now = this.cuts.get(`${from} ${to}`);
+        if (now === undefined) run();
+        else if (now === 'hold') this.held.push({ from, to, run });
+        else lost();
+      });
+    }
+  }
+
+  call(from: string, call: Call, alive: () => boolean, done: (r: Reply) => void): void {
+    let settled = false;
+    const finish = (r: Reply): void => {
+      if (settled) return;
+      settled = true;
+      timer.cancel();
+      if (alive()) done(r);
+    };
+    const none: Reply = { status: 0, body: null };
+    const timer = this.sim.after(call.timeoutMs, () => finish(none));
+    const target = this.services.get(call.to);
+    if (target === undefined) {
+      this.sim.after(1, () => finish(none));
+      return;
+    }
+    // Over the wire: what arrives is a copy.
+    const copy = call.body === undefined ? undefined : decodeBody(encodeBody(call.body));
+    const deliver = (respond: Respond): void => {
+      const service = this.services.get(call.to);
+      if (service === undefined) respond(none);
+      else service.serve(from, { ...call, body: copy }, respond);
+    };
+    const back = (r: Reply): void => {
+      const body = r.body === null ? null : decodeBody(encodeBody(r.body));
+      this.send(
+        target.host,
+        from,
+        () => finish({ status: r.status, body }),
+        () => finish(none),
+      );
+    };
+    this.send(
+      from,
+      target.host,
+      () => deliver(back),
+      () => finish(none),
+    );
+    if (call.method === 'POST' && this.sim.random() < this.doubled)
+      this.sim.after(this.sim.between(5, 40_000), () => deliver(() => undefined));
+  }
+}
+
+/** A controller process's world; everything stops when the process is killed. */
+export class ProcessEnv implements Env {
+  alive = true;
+  private readonly drift: number;
+  private readonly offset: number;
+
+  constructor(
+    private readonly sim: Sim,
+    private readonly net: Network,
+    private readonly host: string,
+    private readonly peers: Map<string, (bytes: Buffer) => void>,
+  ) {
+    this.drift = 1 + sim.between(0, 0.0005);
+    this.offset = sim.between(0, 1e6);
+  }
+
+  now(): number {
+    return this.offset + this.sim.now * this.drift;
+  }
+
+  wall(): number {
+    return 1.7e12 + this.sim.now;
+  }
+
+  random(): number {
+    return this.sim.random();
+  }
+
+  soon(fn: () => void): void {
+    this.timer(0, fn);
+  }
+
+  timer(ms: number, fn: () => void): Timer {
+    return this.sim.after(ms / this.drift, () => {
+      if (this.alive) fn();
+    });
+  }
+
+  call(call: Call, done: (reply: Reply) => void): void {
+    if (!this.alive) return;
+    this.net.call(this.host, call, () => this.alive, done);
+  }
+
+  sendPeer(host: string, frame: Buffer): void {
+    if (!this.alive) return;
+    this.net.send(
+      this.host,
+      host,
+      () => this.peers.get(host)?.(frame),
+      () => undefined,
+    );
+  }
+}
--- /dev/null
+++ b/test/world/state-service.ts
@@ -0,0 +1,195 @@
+import type { Call } from '../../src/controller/core/env.js';
+import type { Network, Respond, Sim } from './sim.js';
+
+interface Entry {
+  value: unknown;
+  stamp: number;
+  permit: number | null;
+}
+
+interface Change {
+  stamp: number;
+  key: string;
+  value: unknown;
+  deleted: boolean;
+}
+
+interface Watch {
+  prefix: string;
+  from: number;
+  respond: Respond;
+  open: boolean;
+}
+
+interface Multi {
+  if?: { k: string; stamp: number }[];
+  writes?: { set?: string; delete?: string; value?: unknown; permit?: number }[];
+}
+
+/** Stand-in for the state service, after PROTOCOL. */
+export class StateService {
+  readonly entries = new Map<string, Entry>();
+  private readonly leases = new Map<number, { life: number; ends: number }>();
+  private log: Change[] = [];
+  private watches: Watch[] = [];
+  private ledger = 0;
+  private permits = 0;
+  private down = false;
+  private readonly refused = new Set<string>();
+
+  constructor(
+    private readonly sim: Sim,
+    net: Network,
+    addr: string,
+    private readonly limits: { txnOps: number; valueKb: number },
+  ) {
+    net.listen(addr, 'state', (from, call, respond) => this.serve(from, call, respond));
+    this.expire();
+  }
+
+  outage(ms: number): void {
+    this.down = true;
+    this.sim.after(ms, () => {
+      this.down = false;
+      for (const l of this.leases.values()) l.ends = this.sim.now + l.life;
+    });
+  }
+
+  /** One node alone gets 503, and its leases run out. */
+  refuse(host: string, ms: number): void {
+    this.refused.add(host);
+    this.sim.after(ms, () => this.refused.delete(host));
+  }
+
+  private expire(): void {
+    this.sim.after(50, () => this.expire());
+    if (this.down) return;
+    for (const [id, l] of this.leases) if (this.sim.now > l.ends) this.end(id);
+  }
+
+  private end(id: number): void {
+    this.leases.delete(id);
+    const keys = [...this.entries].filter(([, e]) => e.permit === id).map(([k]) => k);
+    if (keys.length === 0) return;
+    this.ledger++;
+    for (const k of keys) this.change(k, undefined, null, true);
+    this.notify();
+  }
+
+  private change(key: string, value: unknown, permit: number | null, deleted: boolean): void {
+    if (deleted) this.entries.delete(key);
+    else this.entries.set(key, { value, stamp: this.ledger, permit });
+    this.log.push({ stamp: this.ledger, key, value, deleted });
+    if (this.log.length > 10_000) this.log = this.log.slice(-10_000);
+  }
+
+  private notify(): void {
+    for (const w of this.watches) this.tryWatch(w);
+    this.watches = this.watches.filter((w) => w.open);
+  }
+
+  private tryWatch(w: Watch): void {
+    const found = this.log.filter((c) => c.stamp > w.from && c.key.startsWith(w.prefix));
+    if (!w.open || found.length === 0) return;
+    w.open = false;
+    w.respond({
+      status: 200,
+      body: {
+        ledger: this.ledger,
+        log: found.map((c) =>
+          c.deleted
+            ? { delete: c.key, stamp: c.stamp }
+            : { set: c.key, value: c.value, stamp: c.stamp },
+        ),
+      },
+    });
+  }
+
+  private serve(from: string, call: Call, respond: Respond): void {
+    if (this.down || this.refused.has(from)) return respond({ status: 503, body: null });
+    const url = new URL(call.path, 'http://state');
+    const path = url.pathname;
+    if (path === '/multi') return respond(this.multi(call.body as Multi));
+    if (path === '/holds') {
+      const id = ++this.permits;
+      const life = (call.body as { life_ms: number }).life_ms;
+      this.leases.set(id, { life, ends: this.sim.now + life });
+      return respond({ status: 200, body: { permit: id } });
+    }
+    const hold = /^\/holds\/(\d+)(\/extend)?$/.exec(path);
+    if (hold !== null) {
+      const id = Number(hold[1]);
+      const lease = this.leases.get(id);
+      if (lease === undefined) return respond({ status: 404, body: null });
+      if (call.method === 'DELETE') this.end(id);
+      else lease.ends = this.sim.now + lease.life;
+      return respond({ status: 200, body: { permit: id } });
+    }
+    if (path === '/follow') {
+      const w: Watch = {
+        prefix: url.searchParams.get('starts') ?? '',
+        from: Number(url.searchParams.get('from')),
+        respond,
+        open: true,
+      };
+      this.watches.push(w);
+      this.tryWatch(w);
+      this.sim.after(Number(url.searchParams.get('hold_ms')), () => {
+        if (!w.open || this.down) return;
+        w.open = false;
+        respond({ status: 200, body: { ledger: this.ledger, log: [] } });
+      });
+      return;
+    }
+    if (path === '/keys') return respond(this.range(url));
+    const key = path.slice('/keys/'.length);
+    const e = this.entries.get(key);
+    if (e === undefined) return respond({ status: 404, body: { ledger: this.ledger } });
+    respond({ status: 200, body: { k: key, value: e.value, stamp: e.stamp } });
+  }
+
+  private range(url: URL): { status: number; body: unknown } {
+    const prefix = url.searchParams.get('starts') ?? '';
+    const after = url.searchParams.get('from') ?? '';
+    const limit = Number(url.searchParams.get('limit'));
+    const all = [...this.entries.keys()].filter((k) => k.startsWith(prefix) && k > after).sort();
+    // Small pages, so that paging is used.
+    const page = all.slice(0, Math.min(limit, 7));
+    return {
+      status: 200,
+      body: {
+        entries: page.map((k) => ({
+          k,
+          value: this.entries.get(k)?.value,
+          stamp: this.entries.get(k)?.stamp,
+        })),
+        has_next: all.length > page.length,
+        ledger: this.ledger,
+      },
+    };
+  }
+
+  private multi(m: Multi): { status: number; body: unknown } {
+    const writes = m.writes ?? [];
+    const size = writes.some(
+      (w) => JSON.stringify(w.value ?? null).length > this.limits.valueKb * 1024,
+    );
+    if (writes.length > this.limits.txnOps || (m.if ?? []).length > 4 * this.limits.txnOps || size)
+      return { status: 400, body: { error: 'limits' } };
+    for (const w of writes)
+      if (w.permit !== undefined && !this.leases.has(w.permit))
+        return { status: 400, body: { error: 'no such lease' } };
+    const failed = (m.if ?? [])
+      .filter((c) => (this.entries.get(c.k)?.stamp ?? 0) !== c.stamp)
+      .map((c) => c.k);
+    if (failed.length > 0) return { status: 409, body: { failed, ledger: this.ledger } };
+    if (writes.length > 0) this.ledger++;
+    for (const w of writes) {
+      if (w.set !== undefined) this.change(w.set, w.value, w.permit ?? null, false);
+      else if (w.delete !== undefined && this.entries.has(w.delete))
+        this.change(w.delete, undefined, null, true);
+    }
+    if (writes.length > 0) this.notify();
+    return { status: 200, body: { ledger: this.ledger } };
+  }
+}
