--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -91,7 +91,7 @@
           this.frontend.learnFinal(id, state);
           this.progress.delete(id);
           // A cancellation made on another node, sooner than the watch tells.
-          if (state === 'cancelled') this.reign?.table.removed(id);
+          if (state === 'cancelled') this.reign?.table.cancelled(id);
         },
         progress: (p) => {
           this.progress.delete(p.id);
@@ -109,7 +109,7 @@
       cancelled: (id) => {
         this.peers.announce(id, 'cancelled');
         this.progress.delete(id);
-        this.reign?.table.removed(id);
+        this.reign?.table.cancelled(id);
       },
       accepted: () => undefined,
     });
@@ -182,6 +182,7 @@
       onFenced: () => this.leadership.stepDown('another leader'),
     });
     const table: JobTable = new JobTable(core, settings, client, records, {
+      vanished: (job) => workers.stopJob(job, 0, 'job ended'),
       closed: (job) => {
         workers.jobClosed(job);
         if (records.has(holdKey(job.spec.id))) records.set(holdKey(job.spec.id), undefined, false);
--- a/src/controller/fleet/fleet.ts
+++ b/src/controller/fleet/fleet.ts
@@ -173,7 +173,10 @@
       }
     }
     const silentMs = this.settings.workerGoneMs * 1.5;
-    const idleMs = this.settings.workerLeaseMs * this.settings.get('fleet.idle.ratio');
+    const idle = this.settings.workerLeaseMs * this.settings.get('fleet.idle.ratio');
+    // While work lacks room that the cloud refuses, what stands idle may be in its way.
+    const refused = [...this.backoff.values()].some((b) => b.until > now);
+    const idleMs = refused && this.placement.lacking.length > 0 ? idle / 8 : idle;
     for (const m of [...this.workers.machines.values()]) {
       if (this.releasing.has(m.id)) continue;
       const silent = now - Math.max(m.lastReportAt, m.firstSeen) > silentMs;
@@ -341,6 +344,10 @@
     let best: Offer | null = null;
     let bestPrice = Infinity;
     const need = needOf(spec);
+    const zones = new Map<string, number>();
+    const count = (zone: string): unknown => zones.set(zone, (zones.get(zone) ?? 0) + 1);
+    for (const c of this.coming.values()) count(c.zone);
+    for (const m of this.workers.machines.values()) if (allowed(spec, m)) count(m.zone);
     for (const type of types)
       for (const zone of type.zones)
         for (const spot of spec.spot ? [true, false] : [false]) {
@@ -360,9 +367,11 @@
           const price =
             ((spot ? type.spotPrice : type.price) / holds) *
             (need.gpus === 0 && type.gpus > 0 ? 3 : 1);
-          if (price < bestPrice) {
+          // Equal offers: the zone with the fewest machines, as scattered work needs several.
+          const crowd = (zones.get(zone) ?? 0) * (spec.spread ? 1 : 1e-3);
+          if (price * (1 + crowd) < bestPrice) {
             best = offer;
-            bestPrice = price;
+            bestPrice = price * (1 + crowd);
           }
         }
     return best;
--- a/src/controller/jobs/table.ts
+++ b/src/controller/jobs/table.ts
@@ -30,6 +30,8 @@
   /** Cancelled, or its end is being written: nothing of it may be placed. */
   closed: FinalState | null = null;
   ending = false;
+  /** Its live record is gone, and its end is being read. */
+  vanished = false;
   /** A gang lost a part: no new attempt before all of the old one is gone. */
   regrouping = false;
   exits: Record<string, number> = {};
@@ -89,6 +91,8 @@
 }
 
 export interface TableHooks {
+  /** The job has ended somehow: nothing of it should run. */
+  vanished(job: Job): void;
   /** The job has ended: its tasks must go from their machines. */
   closed(job: Job): void;
   /** A job became known to this leader. */
@@ -167,11 +171,24 @@
     }
   }
 
-  /** The live record is gone and this leader did not remove it: its user has cancelled it. */
+  /**
+   * The live record is gone and this leader did not remove it. Most likely its user has cancelled
+   * it; but a leader that has been replaced without knowing it yet sees the same when its successor
+   * finishes the job. So the tasks are stopped, and how the job ended is read, never guessed.
+   */
   removed(id: string): void {
     const job = this.jobs.get(id);
     if (job === undefined || job.ending) return;
-    this.close(job, 'cancelled');
+    job.ending = true;
+    job.vanished = true;
+    this.hooks.vanished(job);
+    this.findEnd(job);
+  }
+
+  /** The job is known to have been cancelled. */
+  cancelled(id: string): void {
+    const job = this.jobs.get(id);
+    if (job !== undefined) this.close(job, 'cancelled');
   }
 
   private close(job: Job, state: FinalState): void {
@@ -278,6 +295,7 @@
       else {
         this.core.after(200, 'find-end', () => {
           if (job.closed !== null) return;
+          if (job.vanished) return this.findEnd(job);
           job.ending = false;
           this.finish(job);
         });
--- a/src/controller/workers/workers.ts
+++ b/src/controller/workers/workers.ts
@@ -265,7 +265,10 @@
     );
     this.judge(a, job, outcome);
     if (job.spec.kind === 'gang') {
-      if (!job.regrouping && !job.complete) this.stopJob(job, 0, 'gang lost a part');
+      // Also when this was the gang's only part: nothing is left to stop then, but all to regroup.
+      const first = !job.regrouping && !job.complete;
+      if (first) job.regrouping = true;
+      if (first) this.stopJob(job, 0, 'gang lost a part');
       else this.regroup(job);
     } else if (job.assigned.get(a.task) === undefined) this.table.putBack(job, a.task);
   }
