--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -198,7 +198,7 @@
     });
     const workers: Workers = new Workers(core, settings, term, records, table, {
       type: (name) => this.types?.find((t) => t.name === name),
-      higherToken: (token) => this.leadership.higherToken(token),
+      higherTerm: (t) => this.leadership.higherTerm(t),
       changed: () => this.placeSoon(),
       ran: (a, tookMs) => {
         if (a.job === null) return;
--- /dev/null
+++ b/src/controller/http/parser.test.ts
@@ -0,0 +1,115 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import fc from 'fast-check';
+import { formatRequest, formatResponse, HttpError, Parser } from './parser.js';
+
+const limits = { headBytes: 1024, bodyBytes: 4096 };
+
+function statusOf(text: string): number | null {
+  const p = new Parser('request', limits);
+  try {
+    p.push(Buffer.from(text, 'latin1'));
+    p.next();
+    return null;
+  } catch (err) {
+    assert.ok(err instanceof HttpError);
+    return err.status;
+  }
+}
+
+describe('HTTP parser', () => {
+  it('reads messages however they are cut and joined', () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.tuple(fc.constantFrom('/a', '/b?x=1'), fc.uint8Array({ maxLength: 300 })), {
+          minLength: 1,
+          maxLength: 4,
+        }),
+        fc.array(fc.nat(50), { minLength: 1 }),
+        (messages, cuts) => {
+          const all = Buffer.concat(
+            messages.map(([path, body]) => formatRequest('POST', 'h', path, Buffer.from(body))),
+          );
+          const parser = new Parser('request', limits);
+          const got: [string, Uint8Array][] = [];
+          let at = 0;
+          for (let i = 0; at < all.length; i++) {
+            const size = 1 + (cuts[i % cuts.length] ?? 0);
+            parser.push(all.subarray(at, at + size));
+            at += size;
+            for (let m = parser.next(); m !== null; m = parser.next())
+              got.push([m.path, new Uint8Array(m.body)]);
+          }
+          assert.deepEqual(got, messages);
+          assert.ok(parser.idle);
+        },
+      ),
+      { seed: 1, numRuns: 200 },
+    );
+  });
+
+  it('never throws anything but HttpError, whatever comes in', () => {
+    const pieces = fc.oneof(
+      fc.uint8Array({ maxLength: 40 }).map((b) => Buffer.from(b)),
+      fc
+        .constantFrom(
+          'POST / HTTP/1.1\r\n',
+          'Content-Length: 5\r\n',
+          '\r\n',
+          'Transfer-Encoding: chunked\r\n',
+          '5\r\nabcde\r\n',
+          '0\r\n\r\n',
+          'x:',
+        )
+        .map((s) => Buffer.from(s)),
+    );
+    fc.assert(
+      fc.property(fc.array(pieces, { maxLength: 12 }), (parts) => {
+        const parser = new Parser('request', limits);
+        try {
+          for (const part of parts) {
+            parser.push(part);
+            while (parser.next() !== null);
+          }
+        } catch (err) {
+          assert.ok(err instanceof HttpError);
+        }
+      }),
+      { seed: 2, numRuns: 1000 },
+    );
+  });
+
+  it('reads chunked bodies, with extensions and trailers', () => {
+    const p = new Parser('request', limits);
+    p.push(
+      Buffer.from(
+        'POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n2\r\nde\r\n0\r\nT: v\r\n\r\n',
+      ),
+    );
+    assert.equal(p.next()?.body.toString(), 'abcde');
+  });
+
+  it('refuses what is malformed or too large with the right status', () => {
+    assert.equal(statusOf('nonsense\r\n\r\n'), 400);
+    assert.equal(statusOf('GET /x HTTP/2.0\r\n\r\n'), 400);
+    assert.equal(statusOf('GET /x HTTP/1.1\r\nbad header\r\n\r\n'), 400);
+    assert.equal(statusOf('POST /x HTTP/1.1\r\nContent-Length: 5000\r\n\r\n'), 413);
+    assert.equal(statusOf('POST /x HTTP/1.1\r\nContent-Length: -1\r\n\r\n'), 400);
+    assert.equal(
+      statusOf('POST /x HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n'),
+      400,
+    );
+    assert.equal(
+      statusOf('POST /x HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n'),
+      400,
+    );
+    assert.equal(statusOf(`GET /x HTTP/1.1\r\nA: ${'x'.repeat(2000)}\r\n\r\n`), 431);
+    assert.equal(statusOf('POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffff\r\n'), 413);
+  });
+
+  it('tells clients when to come back, in whole seconds of at least one', () => {
+    const bytes = formatResponse({ status: 503, body: Buffer.alloc(0), retryAfterS: 0.2 }, true);
+    assert.match(bytes.toString(), /^HTTP\/1\.1 503 .*\r\n(?:.*\r\n)*Retry-After: 1\r\n/);
+    assert.match(bytes.toString(), /Connection: close\r\n/);
+  });
+});
--- /dev/null
+++ b/src/controller/http/server.test.ts
@@ -0,0 +1,72 @@
+import assert from 'node:assert/strict';
+import net from 'node:net';
+import { after, before, describe, it } from 'node:test';
+import { HttpClient } from './client.js';
+import { HttpServer } from './server.js';
+
+const port = 39_471;
+
+describe('HTTP server and client over loopback', () => {
+  let server: HttpServer;
+  before(
+    () =>
+      new Promise<void>((resolve, reject) => {
+        server = new HttpServer(
+          {
+            host: '127.0.0.1',
+            port,
+            limits: { headBytes: 1024, bodyBytes: 64 },
+            maxSockets: 20,
+            readMs: 200,
+            idleMs: 2000,
+          },
+          (request, respond) => {
+            if (request.path === '/silent') return;
+            respond({ status: 200, body: request.body });
+          },
+        );
+        server.listen(resolve, reject);
+      }),
+  );
+  after(() => server.close());
+
+  const raw = (text: string): Promise<string> =>
+    new Promise((resolve) => {
+      const socket = net.connect({ host: '127.0.0.1', port });
+      let got = '';
+      socket.on('data', (b) => (got += b.toString('latin1')));
+      socket.on('error', () => undefined);
+      socket.on('close', () => resolve(got));
+      socket.write(text);
+    });
+
+  it('answers malformed bytes with 400, and what is too large with 413, and closes', async () => {
+    assert.match(await raw('\0\0\0\0\r\n\r\n'), /^HTTP\/1\.1 400 /);
+    assert.match(await raw('POST / HTTP/1.1\r\nContent-Length: 999\r\n\r\n'), /^HTTP\/1\.1 413 /);
+  });
+
+  it('closes on a request that does not arrive whole in time', async () => {
+    assert.equal(await raw('POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab'), '');
+  });
+
+  it('keeps connections, and reports no answer as none', async () => {
+    const client = new HttpClient({ perHost: 1, idleMs: 50, maxBodyBytes: 1024 });
+    const call = (path: string, body: string, ms: number): Promise<string | null> =>
+      new Promise((resolve) => {
+        client.request(`127.0.0.1:${port}`, 'POST', path, Buffer.from(body), ms, (m) =>
+          resolve(m === null ? null : m.body.toString()),
+        );
+      });
+    assert.deepEqual(await Promise.all(['a', 'b', 'c'].map((b) => call('/', b, 1000))), [
+      'a',
+      'b',
+      'c',
+    ]);
+    assert.equal(await call('/silent', 'x', 50), null);
+    assert.equal(await call('/', 'again', 1000), 'again');
+    const gone = await new Promise((resolve) => {
+      client.request('127.0.0.1:9', 'GET', '/', null, 500, resolve);
+    });
+    assert.equal(gone, null);
+  });
+});
--- a/src/controller/leadership/leadership.ts
+++ b/src/controller/leadership/leadership.ts
@@ -58,11 +58,11 @@
     return this.info;
   }
 
-  /** Somebody has shown a token above ours: there is a later leader. */
-  higherToken(token: number | bigint): void {
-    if (this.mine === null || token <= this.mine.term) return;
-    this.core.log.warn({ term: this.mine.term, seen: String(token) }, 'a later term was seen');
-    this.stepDown('higher token');
+  /** Somebody has shown a term above ours: there is a later leader. */
+  higherTerm(term: number): void {
+    if (this.mine === null || term <= this.mine.term) return;
+    this.core.log.warn({ term: this.mine.term, seen: term }, 'a later term was seen');
+    this.stepDown('higher term');
   }
 
   stepDown(reason: string): void {
--- /dev/null
+++ b/src/controller/placement/placement.test.ts
@@ -0,0 +1,124 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import fc from 'fast-check';
+import { Job } from '../jobs/table.js';
+import type { JobSpec, Priority } from '../wire/jobs.js';
+import type { MachineType } from '../wire/cloud.js';
+import { Machine } from '../workers/machine.js';
+import { compareRank, rankTime, type RankSettings } from './rank.js';
+import { needOf, Room } from './room.js';
+import { Teams, withinGuarantee } from './teams.js';
+
+const type: MachineType = {
+  ...{ name: 'big', cpus: 16, gpus: 4, memoryGb: 64, cacheGb: 10 },
+  ...{ fetchGbPerS: 1, price: 1, spotPrice: 1, bootS: 10, zones: ['a'] },
+};
+let ids = 0;
+function spec(part: Partial<JobSpec>): JobSpec {
+  return {
+    ...{ id: `req-${ids++}`, class: 'c', team: 'red', kind: 'gang', priority: 'normal', tasks: 1 },
+    ...{ cpus: 4, gpus: 1, memoryGb: 4, image: 'i', imageGb: 1, types: null, zone: null },
+    ...{ oneZone: false, spread: false, spot: true, estimateS: 10, checkpointS: 0, saveS: 0 },
+    deadlineS: null,
+    ...part,
+  };
+}
+const settings: RankSettings = { agingMs: 400_000, bonus: 0.25, late: 0.5, slackMs: () => null };
+const job = (part: Partial<JobSpec>, at: number): Job => new Job(spec(part), at, 1, at);
+
+describe('rank', () => {
+  it('is priority, then submission, then id', () => {
+    const low = job({ priority: 'low' }, 0);
+    const high = job({ priority: 'high' }, 5000);
+    const later = job({ priority: 'high' }, 6000);
+    const twin = job({ priority: 'high' }, 6000);
+    const sorted = [twin, later, low, high].sort((a, b) => compareRank(a, b, settings));
+    assert.deepEqual(sorted, [high, later, twin, low]);
+  });
+
+  it('is a total order that waiting does not change, and aging crosses priorities', () => {
+    const any = fc.record({
+      priority: fc.constantFrom<Priority>('low', 'normal', 'high', 'production'),
+      at: fc.nat(1_000_000),
+      preemptions: fc.nat(3),
+    });
+    fc.assert(
+      fc.property(fc.array(any, { minLength: 3, maxLength: 3 }), (list) => {
+        const [a, b, c] = list.map((x) => {
+          const j = job({ priority: x.priority }, x.at);
+          j.preemptions = x.preemptions;
+          return j;
+        });
+        if (a === undefined || b === undefined || c === undefined) return;
+        assert.notEqual(compareRank(a, b, settings), 0);
+        assert.equal(
+          Math.sign(compareRank(a, b, settings)),
+          -Math.sign(compareRank(b, a, settings)),
+        );
+        if (compareRank(a, b, settings) < 0 && compareRank(b, c, settings) < 0)
+          assert.ok(compareRank(a, c, settings) < 0);
+      }),
+      { seed: 4 },
+    );
+    const old = job({ priority: 'low' }, 0);
+    assert.ok(
+      rankTime(old, settings) < rankTime(job({ priority: 'production' }, 1_200_001), settings),
+    );
+  });
+});
+
+describe('room and holds', () => {
+  const room = (): Room => {
+    const m = new Machine('n-1', 0);
+    m.type = type;
+    return new Room(m, 100);
+  };
+  const one = spec({});
+
+  it('counts whole tasks by the scarcest kind of room', () => {
+    assert.equal(room().fitsEmpty(needOf(one)), 4);
+    assert.equal(room().fitsEmpty({ cpus: 16.0000001, gpus: 0, memoryGb: 0 }), 1);
+    assert.equal(room().fitsEmpty({ cpus: 1, gpus: 0, memoryGb: 33 }), 1);
+  });
+
+  it('lets lower ranks into held room only for work that ends before the hold fills', () => {
+    const r = room();
+    r.claim({ cpus: 8, gpus: 3, memoryGb: 8 }, 100_000);
+    assert.equal(r.fits(one, 1, 95_000, 0.9, 0), 1);
+    assert.equal(r.fits(one, 1, 80_000, 0.9, 0), 4);
+  });
+
+  it('keeps room ahead against small arrays, not against gangs or higher priorities', () => {
+    const r = room();
+    const whole = spec({ class: 'whole', gpus: 4, cpus: 14 });
+    r.keep(whole, 1, 1, 0, 1.5);
+    const small = spec({ kind: 'array', class: 'small' });
+    assert.equal(r.fits(small, 1, 1000, 0.9, 0), 0);
+    assert.equal(r.fits(small, 2, 1000, 0.9, 0), 4);
+    assert.equal(r.fits(one, 1, 1000, 0.9, 0), 4);
+    assert.equal(r.fits(whole, 1, 1000, 0.9, 0), 1);
+    assert.ok(r.intrudes(small));
+  });
+});
+
+describe('teams', () => {
+  const team = { name: 'red', cpus: 0, gpus: 4, cpusMax: 0, gpusMax: 6 };
+  it('counts every task that is not surely gone against the limit', () => {
+    const teams = new Teams([team], []);
+    assert.equal(teams.allowance(spec({ gpus: 2 })), 3);
+    teams.add('red', { cpus: 1, gpus: 5, memoryGb: 1 }, 1);
+    assert.equal(teams.allowance(spec({ gpus: 2 })), 0);
+    assert.equal(teams.allowance(spec({ gpus: 1 })), 1);
+    assert.equal(teams.allowance(spec({ team: 'nobody' })), 0);
+  });
+
+  it('finds the jobs inside a guarantee, earlier ones first', () => {
+    const first = job({ gpus: 3 }, 0);
+    const second = job({ gpus: 2 }, 1);
+    const third = job({ gpus: 1, tasks: 1 }, 2);
+    const inside = withinGuarantee([team], [third, second, first]);
+    assert.ok(inside.has(first));
+    assert.ok(!inside.has(second));
+    assert.ok(!inside.has(third), 'the guarantee is used up by the one before');
+  });
+});
--- a/src/controller/workers/machine.ts
+++ b/src/controller/workers/machine.ts
@@ -19,12 +19,14 @@
   /** When the cloud takes the machine, by its notice. */
   noticeAt: number | null = null;
   readonly assignments = new Map<string, Assignment>();
+  /** Raised to void old direct commands; see token.ts. */
+  epoch = 0;
   /**
-   * Attempts started by a direct command that has not been answered. A copy of it may still be on
-   * its way, and once `clear` has run it would start the task anew: until the answer or the next
-   * session, these attempts are never cleared, and their absence proves nothing.
+   * Attempts of this session started by a direct command, with its token. Until the worker shows a
+   * higher one, a copy of the command may still be carried out: then absence from a report proves
+   * nothing, and `clear` has to come with a higher token.
    */
-  readonly unresolved = new Set<string>();
+  readonly direct = new Map<string, number>();
   cpus = 0;
   gpus = 0;
   memoryGb = 0;
--- a/src/controller/workers/workers.ts
+++ b/src/controller/workers/workers.ts
@@ -17,12 +17,13 @@
 } from '../wire/workers.js';
 import type { Assignment, Need } from './assignment.js';
 import { Machine } from './machine.js';
+import { EPOCHS, makeToken, termOf } from './token.js';
 
 export const machineKey = (id: string): string => `machine/${id}`;
 
 export interface WorkersHooks {
   type(name: string): MachineType | undefined;
-  higherToken(token: number | bigint): void;
+  higherTerm(term: number): void;
   /** Room, tasks or machines changed: placement should look again. */
   changed(): void;
   /** A task ran to its end: what it took against what was expected. */
@@ -306,7 +307,7 @@
   // ---- reports
 
   report(r: Report): ReportAnswer {
-    this.hooks.higherToken(r.token);
+    this.hooks.higherTerm(termOf(r.token));
     const now = this.core.now();
     const m = this.machine(r.machine);
     if (r.session < m.session || r.session < m.minSession) return { status: 503 };
@@ -324,7 +325,7 @@
       for (const a of [...m.assignments.values()]) if (a.session < r.session) this.end(a, 'lost');
       m.session = r.session;
       m.synced = false;
-      m.unresolved.clear();
+      m.direct.clear();
       this.touch(m);
     }
     m.seq = r.seq;
@@ -334,7 +335,8 @@
     m.noticeAt = r.noticeS === null ? null : now + r.noticeS * 1000;
     // A report sent before the worker knew our term may be as old as any report: what it lacks
     // proves nothing, for the leader before may have started it since.
-    const current = r.token === this.term;
+    const current = termOf(r.token) === this.term;
+    for (const [name, token] of m.direct) if (r.token > token) m.direct.delete(name);
     if (current && !m.synced) {
       m.synced = true;
       this.hooks.changed();
@@ -347,24 +349,30 @@
     if (current)
       for (const a of [...m.assignments.values()]) {
         if (present.has(a) || a.phase === 'ended' || a.session !== r.session) continue;
-        this.missing(a, r, orders);
+        this.missing(a, r);
       }
     for (const a of [...m.assignments.values()]) this.order(a, r, orders);
     if (m.noticeAt !== null) this.hooks.changed();
-    return { status: 200, body: writeOrders(this.term, orders) };
+    return { status: 200, body: writeOrders(this.token(m), orders) };
+  }
+
+  private token(m: Machine): number {
+    return makeToken(this.term, m.epoch);
+  }
+
+  /** Sees to it that the answer to this report voids direct starts of the attempt; true if any may be about. */
+  private voids(m: Machine, attempt: string): boolean {
+    const token = m.direct.get(attempt);
+    if (token === undefined) return false;
+    if (token === this.token(m)) m.epoch++;
+    return true;
   }
 
   /** A report that was sent under our term lacks a task that should be there. */
-  private missing(a: Assignment, r: Report, orders: Order[]): void {
+  private missing(a: Assignment, r: Report): void {
     if (a.phase !== 'seen' && a.phase !== 'sent') return;
-    const id = { job: a.jobId, task: a.task, attempt: a.attempt };
-    if (a.machine.unresolved.has(attemptName(a))) {
-      // The direct start may have been lost or may come late. Whatever it does, the worker must get
-      // to know the attempt: then a late copy has no effect.
-      orders.push({ op: 'start', ...id });
-      if (a.stop !== null) orders.push({ op: 'stop', ...id, graceS: 0 });
-      return;
-    }
+    // A direct start may yet come. Once the worker shows the raised token, it can't any more.
+    if (this.voids(a.machine, attemptName(a.jobId, a.task, a.attempt))) return;
     // The worker has one report in flight at a time, so a later report without the task means that
     // the answer with its start was dropped, or that the task is gone.
     if (a.sentSeq !== null && r.seq <= a.sentSeq) return;
@@ -382,6 +390,7 @@
         // Its part of the gang came too early: the others still fetch their image. It starts again
         // under the same attempt; tearing the gang down would throw those fetches away.
         const id = { job: t.job, task: t.task, attempt: t.attempt };
+        this.voids(m, attemptName(t.job, t.task, t.attempt));
         orders.push({ op: 'forget', ...id }, { op: 'start', ...id });
         a.phase = 'sent';
         a.state = null;
@@ -402,7 +411,7 @@
       // Until it is on record, this report is the only trace of the completion.
       if (job.recorded[t.task] !== 1) return;
     }
-    if (m.unresolved.has(`${taskName(t.job, t.task)}@${t.attempt}`)) return;
+    this.voids(m, attemptName(t.job, t.task, t.attempt));
     orders.push({ op: 'forget', job: t.job, task: t.task, attempt: t.attempt });
   }
 
@@ -410,7 +419,7 @@
   private waitsOn(a: Assignment): boolean {
     const { job } = a;
     if (job?.closed !== null || job.regrouping || a.stop !== null) return false;
-    if (a.phase === 'ended' || a.machine.unresolved.has(attemptName(a))) return false;
+    if (a.phase === 'ended') return false;
     if (a.machine.noticeAt !== null || job.assigned.size < job.spec.tasks) return false;
     for (const other of job.assigned.values())
       if (other !== a && (other.state === 'fetching' || other.state === null)) return true;
@@ -514,13 +523,13 @@
   /**
    * Starts and stops go out at once as well; the answers to reports repeat them until they show.
    * Starts only to a worker that is known to have our term in this session: there the command can
-   * be carried out at most until the next term or session, and its answer says that it was.
+   * be carried out at most until the token is raised or the session ends.
    */
   private sendDirect(m: Machine): void {
     if (m.addr === '') return;
     const orders: Order[] = [];
     const starts: Assignment[] = [];
-    const startable = m.synced && m.noticeAt === null && this.alive(m);
+    const startable = m.synced && m.noticeAt === null && m.epoch < EPOCHS - 2 && this.alive(m);
     for (const a of m.assignments.values()) {
       if (a.session !== m.session) continue;
       const id = { job: a.jobId, task: a.task, attempt: a.attempt };
@@ -536,7 +545,7 @@
     for (const a of starts) {
       a.phase = 'sent';
       a.sentSeq = m.seq;
-      m.unresolved.add(attemptName(a));
+      m.direct.set(attemptName(a.jobId, a.task, a.attempt), this.token(m));
     }
     const { session } = m;
     this.core.env.call(
@@ -544,9 +553,8 @@
         to: m.addr,
         method: 'POST',
         path: '/do',
-        body: writeDirect(this.term, session, orders),
-        // After this time the session has ended, and with it what the command could do.
-        timeoutMs: starts.length > 0 ? this.settings.workerGoneMs : this.settings.reportMs,
+        body: writeDirect(this.token(m), session, orders),
+        timeoutMs: this.settings.reportMs,
       },
       (reply) => this.core.post('direct', () => this.directDone(m, session, starts, reply)),
     );
@@ -561,21 +569,21 @@
       this.core.log.warn({ machine: m.id, err }, 'broken answer of a worker');
       return;
     }
-    if (reply.status === 409) this.hooks.higherToken(r.token);
+    if (reply.status === 409) this.hooks.higherTerm(termOf(r.token));
     if (m.session !== session) return;
     for (const a of starts) {
-      m.unresolved.delete(attemptName(a));
-      if (a.phase !== 'sent') continue;
       if (reply.status === 409) {
-        a.phase = 'recorded';
+        m.direct.delete(attemptName(a.jobId, a.task, a.attempt));
+        if (a.phase === 'sent') a.phase = 'recorded';
         continue;
       }
+      if (a.phase !== 'sent') continue;
       // Reports sent before the command was carried out cannot show the task.
       a.sentSeq = r.seq;
     }
   }
 }
 
-function attemptName(a: Assignment): string {
-  return `${taskName(a.jobId, a.task)}@${a.attempt}`;
+function attemptName(job: string, task: number, attempt: number | bigint): string {
+  return `${taskName(job, task)}@${attempt}`;
 }
--- /dev/null
+++ b/test/planted.test.ts
@@ -0,0 +1,129 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import type { JobSpec } from '../src/controller/wire/jobs.js';
+import { Rules, type Place } from './world/rules.js';
+
+// The simulated world is worth what its checks catch: one planted violation of each rule.
+
+const spec: JobSpec = {
+  id: 'req-1',
+  class: 'train',
+  team: 'red',
+  kind: 'gang',
+  priority: 'normal',
+  tasks: 2,
+  cpus: 1,
+  gpus: 2,
+  memoryGb: 1,
+  image: 'i',
+  imageGb: 1,
+  types: ['big'],
+  zone: null,
+  oneZone: true,
+  spread: false,
+  spot: false,
+  estimateS: 10,
+  checkpointS: 0,
+  saveS: 0,
+  deadlineS: null,
+};
+const a: Place = { machine: 'n-1', type: 'big', zone: 'a', spot: false };
+const team = { name: 'red', cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 4 };
+
+function broken(plant: (r: Rules, time: { now: number }) => void): string[] {
+  const time = { now: 0 };
+  const rules = new Rules([team], 45_000, () => time.now);
+  rules.submitted(spec);
+  plant(rules, time);
+  return rules.broken.map((b) => b.split(' s ')[1]?.split(':')[0] ?? '');
+}
+
+describe('planted violations', () => {
+  it('none on a clean life', () => {
+    const found = broken((r) => {
+      r.answered('req-1', 201, 'pending', true);
+      for (const t of [0, 1]) r.taskOn('req-1', t, a);
+      for (const t of [0, 1]) {
+        r.taskDone('req-1', t);
+        r.taskOff('req-1', t, 'n-1');
+      }
+      r.answered('req-1', 200, 'done', false);
+      r.tick();
+    });
+    assert.deepEqual(found, []);
+  });
+
+  const cases: [string, (r: Rules, time: { now: number }) => void][] = [
+    [
+      'ran_twice',
+      (r) => {
+        r.taskOn('req-1', 0, a);
+        r.taskOn('req-1', 0, { ...a, machine: 'n-2' });
+      },
+    ],
+    [
+      'quota',
+      (r) => {
+        for (const t of [0, 1]) r.taskOn('req-1', t, a);
+        r.submitted({ ...spec, id: 'req-2' });
+        r.taskOn('req-2', 0, a);
+      },
+    ],
+    ['wrong_place', (r) => r.taskOn('req-1', 0, { ...a, type: 'small' })],
+    ['wrong_place', (r) => r.taskOn('req-1', 0, { ...a, spot: true })],
+    [
+      'wrong_place',
+      (r) => {
+        r.taskOn('req-1', 0, a);
+        r.taskOn('req-1', 1, { ...a, zone: 'b', machine: 'n-2' });
+      },
+    ],
+    [
+      'wrong_place',
+      (r) => {
+        r.submitted({ ...spec, id: 'req-2', oneZone: false, spread: true, gpus: 1 });
+        r.taskOn('req-2', 0, a);
+        r.taskOn('req-2', 1, a);
+      },
+    ],
+    [
+      'ran_cancelled',
+      (r, time) => {
+        r.taskOn('req-1', 0, a);
+        r.cancelAsked('req-1');
+        r.answered('req-1', 200, 'aborted', false);
+        time.now = 46_000;
+        r.tick();
+      },
+    ],
+    [
+      'forgotten',
+      (r) => {
+        r.answered('req-1', 201, 'pending', true);
+        r.answered('req-1', 404, '', false);
+      },
+    ],
+    [
+      'forgotten',
+      (r) => {
+        r.answered('req-1', 201, 'pending', true);
+        r.answered('req-1', 422, '', true);
+      },
+    ],
+    ['invented', (r) => r.answered('req-9', 200, 'pending', false)],
+    ['not_done', (r) => r.answered('req-1', 200, 'done', false)],
+    [
+      'went_back',
+      (r) => {
+        for (const t of [0, 1]) r.taskDone('req-1', t);
+        r.answered('req-1', 200, 'done', false);
+        r.answered('req-1', 200, 'running', false);
+      },
+    ],
+    ['went_back', (r) => r.answered('req-1', 200, 'aborted', false)],
+  ];
+  for (const [i, [rule, plant]] of cases.entries())
+    it(`${rule} is caught (${i})`, () => {
+      assert.ok(broken(plant).includes(rule));
+    });
+});
--- a/test/world/machines.ts
+++ b/test/world/machines.ts
@@ -379,7 +379,7 @@
     const saves =
       spec !== undefined && spec.checkpointS > 0 && t.status === 'running' && graceS >= spec.saveS;
     if (t.status === 'flushing' && graceS > 0) return;
-    if (!saves || spec === undefined) return this.finish(t, 'stopped');
+    if (!saves) return this.finish(t, 'stopped');
     t.status = 'flushing';
     t.timer?.cancel();
     t.timer = this.shared.sim.after(spec.saveS * 1000, () => {
