--- a/src/controller/fleet/fleet.ts
+++ b/src/controller/fleet/fleet.ts
@@ -174,9 +174,12 @@
     }
     const silentMs = this.settings.workerGoneMs * 1.5;
     const idle = this.settings.workerLeaseMs * this.settings.get('fleet.idle.ratio');
-    // While work lacks room that the cloud refuses, what stands idle may be in its way.
+    // While a gang has long lacked room that the cloud refuses, what stands idle may be in its way.
+    // Not sooner: a returned machine takes its images along.
     const refused = [...this.backoff.values()].some((b) => b.until > now);
-    const idleMs = refused && this.placement.lacking.length > 0 ? idle / 8 : idle;
+    const long = this.settings.get('placement.cannot.fill.s') * 1000;
+    const stuck = this.placement.lacking.some(({ job }) => now - job.waitingSince > long);
+    const idleMs = refused && stuck ? idle / 8 : idle;
     for (const m of [...this.workers.machines.values()]) {
       if (this.releasing.has(m.id)) continue;
       const silent = now - Math.max(m.lastReportAt, m.firstSeen) > silentMs;
--- a/src/controller/jobs/table.ts
+++ b/src/controller/jobs/table.ts
@@ -138,7 +138,14 @@
     this.jobs.set(id, job);
     this.hooks.added(job);
     this.core.log.debug(
-      { job: id, class: spec.class, team: spec.team, tasks: spec.tasks },
+      {
+        job: id,
+        class: spec.class,
+        team: spec.team,
+        tasks: spec.tasks,
+        image: spec.image,
+        gb: spec.imageGb,
+      },
       'job known',
     );
     this.hooks.changed();
--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -278,6 +278,10 @@
     const ready = Math.max(
       ...targets.map((t) => fillAt + this.estimates.fetchMs(job.spec, t.room.machine)),
     );
+    const within = this.settings.startWithinMs(job.spec.class);
+    const left = within === null ? 0 : within - (pass.now - job.submittedAt);
+    // The one would be in time and the other would not; or it is clearly sooner.
+    if (fetch > left && ready - pass.now < left) return true;
     return ready - pass.now < fetch * 0.7;
   }
 
