--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -11,7 +11,7 @@
 import type { Settings } from './settings/settings.js';
 import { StateClient } from './store/client.js';
 import { Records } from './store/records.js';
-import { decodeBody, isMap, WireError } from './wire/cbor.js';
+import { decodeBody, encodeBody, isMap, WireError } from './wire/cbor.js';
 import { readCatalogue, writeCatalogue, type MachineType } from './wire/cloud.js';
 import type { JobAnswer } from './wire/jobs.js';
 import type { Item } from './wire/state.js';
@@ -19,6 +19,7 @@
 import { Workers } from './workers/workers.js';
 
 const CATALOGUE_KEY = 'catalogue';
+const NONE = Buffer.alloc(0);
 
 /** What only the leader has; made anew for each term and dropped whole with it. */
 class Reign {
@@ -93,6 +94,11 @@
           // A cancellation made on another node, sooner than the watch tells.
           if (state === 'cancelled') this.reign?.table.cancelled(id);
         },
+        request: (method, path, body, done) => {
+          this.handle(method, path, body, (a) =>
+            done(a.status, a.body === undefined ? NONE : encodeBody(a.body)),
+          );
+        },
         progress: (p) => {
           this.progress.delete(p.id);
           this.progress.set(p.id, p);
@@ -413,19 +419,65 @@
 
   request(method: string, path: string, body: Buffer, respond: (a: Answer) => void): void {
     this.core.post('request', () => {
-      const answer = (a: Answer): void => respond(a);
-      try {
-        this.route(method, path, body, answer);
-      } catch (err) {
-        if (err instanceof WireError) answer({ status: 400, body: { error: err.message } });
-        else {
-          this.core.log.error({ path, err }, 'request failed');
-          answer({ status: 500, body: { error: 'internal' } });
-        }
-      }
+      if (path.startsWith('/submissions')) this.withHelp(method, path, body, respond);
+      else this.handle(method, path, body, respond);
+    });
+  }
+
+  /**
+   * Answers a user, with a peer's help where the state service serves the peer and not this node.
+   * The peer is asked when this node has failed, or is late, so that a cut costs the user little.
+   */
+  private withHelp(method: string, path: string, body: Buffer, respond: (a: Answer) => void): void {
+    let answered = false;
+    let own: Answer | null = null;
+    let helping = false;
+    const answer = (a: Answer): void => {
+      if (answered) return;
+      answered = true;
+      late.cancel();
+      respond(a);
+    };
+    const help = (): boolean => {
+      if (answered || helping) return helping;
+      const fresh = this.settings.reportMs / 2;
+      const timeout = this.settings.reportMs / 6;
+      helping = this.peers.forward(method, path, body, timeout, fresh, (r) => {
+        helping = false;
+        if (r !== null && r.status !== 503) {
+          let value: unknown;
+          try {
+            value = r.body.length > 0 ? decodeBody(r.body) : undefined;
+          } catch {
+            value = undefined;
+          }
+          answer({ status: r.status, body: value });
+        } else if (own !== null) answer(own);
+      });
+      return helping;
+    };
+    const late = this.core.after(this.settings.reportMs / 25, 'late', () => void help());
+    this.handle(method, path, body, (a) => {
+      if (a.status !== 503) return answer(a);
+      own = a;
+      // Out of tokens is not a reason: the peers' are for their own users.
+      if (helping || (this.client.failingFor > 0 && help())) return;
+      answer(a);
     });
   }
 
+  private handle(method: string, path: string, body: Buffer, respond: (a: Answer) => void): void {
+    try {
+      this.route(method, path, body, respond);
+    } catch (err) {
+      if (err instanceof WireError) respond({ status: 400, body: { error: err.message } });
+      else {
+        this.core.log.error({ path, err }, 'request failed');
+        respond({ status: 500, body: { error: 'internal' } });
+      }
+    }
+  }
+
   private decode(body: Buffer): unknown {
     try {
       return decodeBody(body);
--- a/src/controller/peers/peers.test.ts
+++ b/src/controller/peers/peers.test.ts
@@ -9,6 +9,14 @@
   progress: [
     { id: 'req-2', state: 'running', done: 1, running: 2, exits: { error: 1 }, blocked: '' },
   ],
+  request: {
+    from: 'kiln-1',
+    id: 3,
+    method: 'GET',
+    path: '/submissions/req-1',
+    body: Buffer.from('x'),
+  },
+  reply: null,
 };
 
 describe('peers', () => {
--- a/src/controller/peers/peers.ts
+++ b/src/controller/peers/peers.ts
@@ -24,10 +24,27 @@
   blocked: string;
 }
 
+/** A user's request that the sender can't answer: the state service doesn't serve it just now. */
+export interface ForwardedRequest {
+  from: string;
+  id: number;
+  method: string;
+  path: string;
+  body: Buffer;
+}
+
+export interface ForwardedReply {
+  id: number;
+  status: number;
+  body: Buffer;
+}
+
 export interface PeerMessage {
   status: PeerStatus | null;
   finals: { id: string; state: FinalState }[];
   progress: JobProgress[];
+  request: ForwardedRequest | null;
+  reply: ForwardedReply | null;
 }
 
 const type = avsc.Type.forSchema({
@@ -93,6 +110,38 @@
         },
       },
     },
+    {
+      name: 'request',
+      type: [
+        'null',
+        {
+          type: 'record',
+          name: 'Request',
+          fields: [
+            { name: 'from', type: 'string' },
+            { name: 'id', type: 'long' },
+            { name: 'method', type: 'string' },
+            { name: 'path', type: 'string' },
+            { name: 'body', type: 'bytes' },
+          ],
+        },
+      ],
+    },
+    {
+      name: 'reply',
+      type: [
+        'null',
+        {
+          type: 'record',
+          name: 'Reply',
+          fields: [
+            { name: 'id', type: 'long' },
+            { name: 'status', type: 'int' },
+            { name: 'body', type: 'bytes' },
+          ],
+        },
+      ],
+    },
   ],
 });
 
@@ -143,6 +192,13 @@
 export interface PeerEvents {
   final(id: string, state: FinalState): void;
   progress(p: JobProgress): void;
+  /** To be answered here, and not passed on again. */
+  request(
+    method: string,
+    path: string,
+    body: Buffer,
+    done: (status: number, body: Buffer) => void,
+  ): void;
 }
 
 const PER_MESSAGE = 200;
@@ -150,6 +206,8 @@
 export class Peers {
   private readonly known = new Map<string, Known>();
   private finals: PeerMessage['finals'] = [];
+  private readonly asked = new Map<number, (r: ForwardedReply | null) => void>();
+  private lastId = 0;
 
   constructor(
     private readonly core: Core,
@@ -178,6 +236,8 @@
         status,
         finals: finals.slice(0, PER_MESSAGE),
         progress: progress.slice(0, PER_MESSAGE),
+        request: null,
+        reply: null,
       });
       for (const host of this.hosts) this.core.env.sendPeer(host, bytes);
       finals = finals.slice(PER_MESSAGE);
@@ -196,10 +256,54 @@
     }
     if (message.status !== null)
       this.known.set(message.status.host, { status: message.status, at: this.core.now() });
+    const { request, reply } = message;
+    if (request !== null) {
+      this.events.request(request.method, request.path, request.body, (status, body) => {
+        this.sendOne(request.from, { reply: { id: request.id, status, body } });
+      });
+    }
+    if (reply !== null) this.asked.get(reply.id)?.(reply);
     for (const f of message.finals) this.events.final(f.id, f.state);
     for (const p of message.progress) this.events.progress(p);
   }
 
+  private sendOne(host: string, part: Partial<PeerMessage>): void {
+    const empty = { status: null, finals: [], progress: [], request: null, reply: null };
+    this.core.env.sendPeer(host, encodePeer({ ...empty, ...part }));
+  }
+
+  /** Has the peer answer that the state service served last. False: there is none. */
+  forward(
+    method: string,
+    path: string,
+    body: Buffer,
+    timeoutMs: number,
+    freshMs: number,
+    done: (r: ForwardedReply | null) => void,
+  ): boolean {
+    const now = this.core.now();
+    let best: string | null = null;
+    let bestAge = freshMs;
+    for (const [host, { status, at }] of this.known) {
+      const age = status.stateOkAgeMs < 0 ? Infinity : status.stateOkAgeMs + (now - at);
+      if (age < bestAge) {
+        best = host;
+        bestAge = age;
+      }
+    }
+    if (best === null) return false;
+    const id = ++this.lastId;
+    const timer = this.core.after(timeoutMs, 'forward-timeout', () => settle(null));
+    const settle = (r: ForwardedReply | null): void => {
+      if (!this.asked.delete(id)) return;
+      timer.cancel();
+      done(r);
+    };
+    this.asked.set(id, settle);
+    this.sendOne(best, { request: { from: this.own().host, id, method, path, body } });
+    return true;
+  }
+
   /** Some peer was served by the state service within `ms`, by what it said lately. */
   stateServedElsewhere(ms: number): boolean {
     const now = this.core.now();
--- a/src/controller/store/client.ts
+++ b/src/controller/store/client.ts
@@ -70,6 +70,11 @@
     return this.core.now() - this.okAt;
   }
 
+  /** Calls that failed since the last that did not. */
+  get failingFor(): number {
+    return this.failing;
+  }
+
   /** The last calls failed: what is asked now would most likely fail too. */
   get down(): boolean {
     return this.failing >= 2 && this.failedAt > this.okAt;
