--- a/src/controller/settings/properties.ts
+++ b/src/controller/settings/properties.ts
@@ -14,7 +14,7 @@
  */
 const keys = {
   'leadership.lease.ratio': {
-    value: 0.22,
+    value: 0.13,
     min: 0.05,
     max: 0.8,
     text: "The leader's lease at the state service, as a ratio to the workers' lease.",
@@ -98,7 +98,7 @@
     text: "Arrivals of a class are remembered over this ratio of the workers' lease.",
   },
   'placement.reserve.share': {
-    value: 0.75,
+    value: 0.5,
     min: 0,
     max: 1,
     text: 'Largest share of the places of a class that is kept free of smaller work for it.',
