--- a/src/controller/jobs/table.ts
+++ b/src/controller/jobs/table.ts
@@ -36,8 +36,8 @@
   regrouping = false;
   exits: Record<string, number> = {};
   preemptions = 0;
-  /** It can no longer be done in time; stays so once it is. */
-  late = false;
+  /** How many of its aims it can no longer meet. */
+  aimsLost = 0;
   /** Nothing is placed before then, after errors. */
   notBefore = 0;
   errors = 0;
--- a/src/controller/placement/placement.test.ts
+++ b/src/controller/placement/placement.test.ts
@@ -5,7 +5,7 @@
 import type { JobSpec, Priority } from '../wire/jobs.js';
 import type { MachineType } from '../wire/cloud.js';
 import { Machine } from '../workers/machine.js';
-import { compareRank, rankTime, type RankSettings } from './rank.js';
+import { compareRank, loseAims, rankTime, type RankSettings } from './rank.js';
 import { needOf, Room } from './room.js';
 import { Teams, withinGuarantee } from './teams.js';
 
@@ -23,7 +23,7 @@
     ...part,
   };
 }
-const settings: RankSettings = { agingMs: 400_000, bonus: 0.25, late: 0.5, slackMs: () => null };
+const settings: RankSettings = { agingMs: 400_000, bonus: 0.25, late: 0.5, aims: () => [] };
 const job = (part: Partial<JobSpec>, at: number): Job => new Job(spec(part), at, 1, at);
 
 describe('rank', () => {
@@ -67,6 +67,23 @@
   });
 });
 
+describe('aims', () => {
+  const aimed: RankSettings = { ...settings, aims: () => [10_000, 60_000] };
+  it('rank a job by the next aim that it can meet, then behind those that can', () => {
+    const old = job({}, 0);
+    const young = job({}, 5000);
+    assert.ok(compareRank(old, young, aimed) < 0);
+    loseAims(old, aimed, 10_001);
+    assert.equal(old.aimsLost, 1);
+    assert.ok(compareRank(old, young, aimed) > 0);
+    loseAims(old, aimed, 100_000);
+    loseAims(young, aimed, 100_000);
+    assert.ok(compareRank(old, young, aimed) < 0, 'both late: submission decides');
+    const muchLater = job({}, 400_000);
+    assert.ok(compareRank(old, muchLater, aimed) < 0, 'late work does not starve');
+  });
+});
+
 describe('room and holds', () => {
   const room = (): Room => {
     const m = new Machine('n-1', 0);
--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -6,7 +6,7 @@
 import type { Machine } from '../workers/machine.js';
 import type { Workers } from '../workers/workers.js';
 import type { Estimates } from './estimates.js';
-import { compareRank, type RankSettings } from './rank.js';
+import { compareRank, loseAims, type RankSettings } from './rank.js';
 import type { Reserve } from './reserve.js';
 import { allowed, needOf, Room, times } from './room.js';
 import { Teams, withinGuarantee } from './teams.js';
@@ -37,6 +37,9 @@
   guaranteed: Set<Job>;
 }
 
+/** Share of its estimate by which a run is allowed to take longer when its latest start is set. */
+const RUN_MARGIN = 1.3;
+
 /** Attempts of one leader; with the term they are unique over all time. */
 const ATTEMPTS = 2 ** 22;
 
@@ -71,7 +74,7 @@
       agingMs: settings.workerLeaseMs * settings.get('placement.aging.ratio'),
       bonus: settings.get('placement.preempted.bonus.ratio'),
       late: settings.get('placement.late.ratio'),
-      slackMs: (job) => this.slackMs(job),
+      aims: (job) => this.aims(job),
     };
   }
 
@@ -87,7 +90,7 @@
     const waiting = [...this.table.jobs.values()].filter(
       (j) => j.pending.length > 0 && !j.regrouping && !j.ending && j.notBefore <= now,
     );
-    this.markLate(waiting, now);
+    for (const job of waiting) loseAims(job, this.rank, now);
     waiting.sort((a, b) => compareRank(a, b, this.rank));
     this.lacking = [];
     this.reserve.plan(pass.rooms, this.lackingClasses, now);
@@ -98,25 +101,13 @@
     this.lackingClasses = new Set(this.lacking.map((l) => l.job.spec.class));
   }
 
-  /** The wait that a job's due time, or what is expected of its class, leaves it. */
-  private slackMs(job: Job): number | null {
+  /** Latest starts for what is expected of the job: its class's wait, its ends, its due time. */
+  private aims(job: Job): number[] {
     const { spec } = job;
-    const due = spec.deadlineS === null ? null : spec.deadlineS * 1000 - this.estimates.runMs(spec);
-    const start = this.settings.startWithinMs(spec.class);
-    const finish = this.settings.finishWithinMs(spec.class);
-    const end = finish === null ? null : finish - this.estimates.runMs(spec);
-    const all = [due, start, end].filter((x): x is number => x !== null);
-    return all.length === 0 ? null : Math.max(0, Math.min(...all));
-  }
-
-  /** Jobs whose due time has become out of reach, allowing for half as long again. */
-  private markLate(jobs: Job[], now: number): void {
-    for (const job of jobs) {
-      const { deadlineS } = job.spec;
-      if (job.late || deadlineS === null) continue;
-      const end = now + this.estimates.runMs(job.spec);
-      if (end > job.submittedAt + deadlineS * 1500) job.late = true;
-    }
+    // Estimates err; a start at the last moment would as likely as not be late.
+    const run = this.estimates.runMs(spec) * RUN_MARGIN + this.settings.reportMs;
+    const { starts, ends } = this.settings.aims(spec.class, spec.deadlineS);
+    return [...starts, ...ends.map((e) => Math.max(0, e - run))].sort((x, y) => x - y);
   }
 
   private *assignments(): Iterable<Assignment> {
--- a/src/controller/placement/rank.ts
+++ b/src/controller/placement/rank.ts
@@ -5,27 +5,33 @@
   agingMs: number;
   /** What a preemption adds, as a share of a class. */
   bonus: number;
-  /** What a job that can no longer be in time yields, as a share of a class. */
+  /** What a job that can no longer meet any aim yields, as a share of a class. */
   late: number;
-  /** How long a job can wait and still be in time; null: nothing is said of it. */
-  slackMs(job: Job): number | null;
+  /** Latest starts by which the job still meets its aims, since submission, ascending. */
+  aims(job: Job): number[];
 }
 
 /**
- * The time at which a job would have had to be submitted, at the lowest priority and without due
- * time, to rank the same. All jobs age alike, so the order of two jobs hardly changes while they
- * wait, and any job is in the end before all that come later: total, and without starvation.
+ * The time at which a job would have had to be submitted, at the lowest priority and without aims,
+ * to rank the same. All jobs age alike, so the order of two jobs hardly changes while they wait,
+ * and any job is in the end before all that come later: total, and without starvation.
  *
- * Within a priority, jobs that have to start sooner go first. One that can no longer be in time
- * yields, once and by a fixed amount, to those that still can.
+ * Within a priority, jobs that have to start sooner go first. A job that has lost an aim is ranked
+ * by its next one, and after its last yields by a fixed amount: each step is taken once and is
+ * bounded, and makes way for work that can still be in time.
  */
 export function rankTime(job: Job, s: RankSettings): number {
-  const yielded = job.late ? s.late : 0;
-  return (
-    job.submittedAt +
-    (s.slackMs(job) ?? 0) -
-    (job.level + job.preemptions * s.bonus - yielded) * s.agingMs
-  );
+  const aims = s.aims(job);
+  const last = aims.at(-1) ?? 0;
+  const slack = aims[job.aimsLost] ?? last + (aims.length > 0 ? s.late * s.agingMs : 0);
+  return job.submittedAt + slack - (job.level + job.preemptions * s.bonus) * s.agingMs;
+}
+
+/** Counts the aims that have gone out of reach; the count never falls. */
+export function loseAims(job: Job, s: RankSettings, now: number): void {
+  const aims = s.aims(job);
+  while (job.aimsLost < aims.length && job.submittedAt + (aims[job.aimsLost] ?? 0) < now)
+    job.aimsLost++;
 }
 
 /** Total order of holds and of everything that waits: rank, submission, id. Lower goes first. */
--- a/src/controller/settings/platform.ts
+++ b/src/controller/settings/platform.ts
@@ -29,6 +29,8 @@
   kind: string;
   class: string | null;
   withinS: number | null;
+  /** Of a due time. */
+  times: number;
 }
 
 export interface Team {
@@ -119,6 +121,7 @@
       kind: str(o, 'kind', `params.objectives.${i}.`),
       class: typeof o['class'] === 'string' ? o['class'] : null,
       withinS: typeof o['within_s'] === 'number' ? o['within_s'] : null,
+      times: typeof o['times'] === 'number' ? o['times'] : 1,
     })),
     workers: {
       reportS: num(workers, 'report_s', w, 0.1),
--- a/src/controller/settings/settings.ts
+++ b/src/controller/settings/settings.ts
@@ -41,12 +41,18 @@
     return o?.withinS == null ? null : o.withinS * 1000;
   }
 
-  /** Time within which jobs of a class should be done, by the strictest objective. */
-  finishWithinMs(cls: string): number | null {
-    const within = this.platform.objectives
-      .filter((x) => x.kind === 'finished' && x.class === cls && x.withinS !== null)
-      .map((x) => x.withinS ?? 0);
-    return within.length === 0 ? null : Math.min(...within) * 1000;
+  /** What is expected of a job of the class, in milliseconds since its submission. */
+  aims(cls: string, deadlineS: number | null): { starts: number[]; ends: number[] } {
+    const starts: number[] = [];
+    const ends: number[] = [];
+    for (const o of this.platform.objectives) {
+      if (o.class !== cls) continue;
+      if (o.kind === 'wait' && o.withinS !== null) starts.push(o.withinS * 1000);
+      if (o.kind === 'finished' && o.withinS !== null) ends.push(o.withinS * 1000);
+      if (o.kind === 'deadline' && deadlineS !== null) ends.push(deadlineS * o.times * 1000);
+    }
+    if (deadlineS !== null && ends.length === 0) ends.push(deadlineS * 1000);
+    return { starts, ends };
   }
 
   /** Cap of a team, where 0 in the settings means none. */
