--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -23,6 +23,8 @@
   room: Room;
   fillAt: number;
   victims: Assignment[];
+  /** Work that stopping the victims would lose. */
+  lostMs: number;
 }
 
 interface Pick {
@@ -40,6 +42,9 @@
 /** Share of its estimate by which a run is allowed to take longer when its latest start is set. */
 const RUN_MARGIN = 1.3;
 
+/** How much sooner a gang has to start for each second of work that is lost for it. */
+const LOST_WEIGHT = 0.3;
+
 /** Attempts of one leader; with the term they are unique over all time. */
 const ATTEMPTS = 2 ** 22;
 
@@ -358,7 +363,8 @@
         // Holds last: a machine already held is left only for one clearly better.
         const kept =
           job.hold?.machines.includes(room.machine.id) === true ? this.settings.reportMs : 0;
-        const cost = t.fillAt + this.estimates.fetchMs(job.spec, room.machine) - kept;
+        const fetch = this.estimates.fetchMs(job.spec, room.machine);
+        const cost = t.fillAt + fetch - kept + LOST_WEIGHT * t.lostMs;
         if (cost < bestCost) {
           best = t;
           bestCost = cost;
@@ -401,7 +407,7 @@
       gpus += a.need.gpus;
       memoryGb += a.need.memoryGb;
     };
-    if (enough()) return { room, fillAt: pass.now, victims: [] };
+    if (enough()) return { room, fillAt: pass.now, victims: [], lostMs: 0 };
     const there = [...room.machine.assignments.values()].filter((a) => a.phase !== 'ended');
     const ends = there
       .map((a) => ({ a, at: pass.now + this.estimates.remainingMs(a, pass.now) }))
@@ -426,7 +432,7 @@
       free(a);
       fillAt = Math.max(fillAt, pass.now + this.estimates.remainingMs(a, pass.now));
     }
-    if (enough()) return { room, fillAt, victims: [] };
+    if (enough()) return { room, fillAt, victims: [], lostMs: 0 };
     const choice = there.filter(
       (a) => a.stop === null && !used.has(a) && this.mayStop(pass, job, a),
     );
@@ -439,7 +445,7 @@
       free(a);
       fillAt = Math.max(fillAt, pass.now + this.settings.reportMs + a.saveS * 1000);
     }
-    if (!enough()) return { room, fillAt: natural, victims: [] };
+    if (!enough()) return { room, fillAt: natural, victims: [], lostMs: 0 };
     // Victims that the rest made needless are spared.
     for (const a of [...victims]) {
       cpus -= a.need.cpus;
@@ -448,7 +454,20 @@
       if (enough()) victims.splice(victims.indexOf(a), 1);
       else free(a);
     }
-    return { room, fillAt, victims };
+    const lostMs = victims.reduce((sum, a) => sum + this.lostMs(a, pass.now), 0);
+    // Waiting may cost less than stopping.
+    return natural < fillAt + LOST_WEIGHT * lostMs
+      ? { room, fillAt: natural, victims: [], lostMs: 0 }
+      : { room, fillAt, victims, lostMs };
+  }
+
+  /** What stopping a task costs: its run so far, or its save, and starting it again. */
+  private lostMs(a: Assignment, now: number): number {
+    if (a.job === null || a.state === 'fetching' || a.state === null) return 0;
+    const { spec } = a.job;
+    const ran = now - (a.runningAt ?? a.since);
+    const again = this.settings.reportMs + this.estimates.fetchMs(spec, a.machine);
+    return (spec.checkpointS > 0 ? Math.min(ran, spec.saveS * 2000) : ran) + again;
   }
 
   /** PROTOCOL, "Preemption": for higher priority, or for a guarantee against borrowed room. */
