--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -43,7 +43,7 @@
 const RUN_MARGIN = 1.3;
 
 /** How much sooner a gang has to start for each second of work that is lost for it. */
-const LOST_WEIGHT = 0.3;
+const LOST_WEIGHT = 0.15;
 
 /** Attempts of one leader; with the term they are unique over all time. */
 const ATTEMPTS = 2 ** 22;
@@ -423,7 +423,8 @@
     }
     if (natural === Infinity) return null;
     // Soon free by itself: nothing needs stopping.
-    if (natural - pass.now < this.settings.reportMs) return { room, fillAt: natural, victims: [] };
+    if (natural - pass.now < this.settings.reportMs)
+      return { room, fillAt: natural, victims: [], lostMs: 0 };
     ({ cpus, gpus, memoryGb } = before);
     const victims: Assignment[] = [];
     let fillAt = pass.now + this.settings.reportMs;
@@ -467,7 +468,9 @@
     const { spec } = a.job;
     const ran = now - (a.runningAt ?? a.since);
     const again = this.settings.reportMs + this.estimates.fetchMs(spec, a.machine);
-    return (spec.checkpointS > 0 ? Math.min(ran, spec.saveS * 2000) : ran) + again;
+    const lost = spec.checkpointS > 0 ? Math.min(ran, spec.saveS * 2000) : ran;
+    // A gang has to find its places once more.
+    return lost + again + (spec.kind === 'gang' ? this.estimates.runMs(spec) : 0);
   }
 
   /** PROTOCOL, "Preemption": for higher priority, or for a guarantee against borrowed room. */
