--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -4,7 +4,9 @@
 import { Frontend, type Answer } from './jobs/frontend.js';
 import { JobTable } from './jobs/table.js';
 import { Leadership, LEADER_KEY } from './leadership/leadership.js';
-import { Peers, type JobProgress } from './peers/peers.js';
+import type { Metrics } from './operators/metrics.js';
+import { clusterView } from './operators/view.js';
+import { Peers, type ForwardedReply, type JobProgress } from './peers/peers.js';
 import { Estimates } from './placement/estimates.js';
 import { Reserve } from './placement/reserve.js';
 import { holdKey, Placement } from './placement/placement.js';
@@ -21,6 +23,16 @@
 const CATALOGUE_KEY = 'catalogue';
 const NONE = Buffer.alloc(0);
 
+export type MetricsSink = Pick<Metrics, 'request' | 'pass' | 'preemptions' | 'gauge' | 'text'>;
+
+function fromPeer(r: ForwardedReply): Answer {
+  try {
+    return { status: r.status, ...(r.body.length > 0 ? { body: decodeBody(r.body) } : {}) };
+  } catch {
+    return { status: 503, body: { error: 'broken answer of a peer' } };
+  }
+}
+
 /** What only the leader has; made anew for each term and dropped whole with it. */
 class Reign {
   ready = false;
@@ -52,6 +64,8 @@
   private typesAt = -Infinity;
   private reign: Reign | null = null;
   private served = false;
+  /** Loaded a little after the start, which is to be short. */
+  metrics: MetricsSink | null = null;
 
   constructor(
     env: Env,
@@ -364,6 +378,7 @@
         reign.passDue = false;
         reign.passAt = this.core.now();
         reign.placement.pass();
+        this.metrics?.pass(this.core.now() - reign.passAt);
       } else if (!reign.passTimer) {
         reign.passTimer = true;
         this.core.after(wait, 'pass', () => {
@@ -419,8 +434,17 @@
 
   request(method: string, path: string, body: Buffer, respond: (a: Answer) => void): void {
     this.core.post('request', () => {
-      if (path.startsWith('/submissions')) this.withHelp(method, path, body, respond);
-      else this.handle(method, path, body, respond);
+      const from = this.core.now();
+      const route = path.split('/', 2)[1]?.split('?', 1)[0] ?? '';
+      const answer = (a: Answer): void => {
+        const known = a.status !== 404 || route === 'submissions' ? route : 'other';
+        this.metrics?.request(known, a.status, this.core.now() - from);
+        respond(a);
+      };
+      if (route === 'submissions') this.withHelp(method, path, body, answer);
+      else if (route === 'cluster' && this.reign === null)
+        this.askLeader(method, path, body, answer);
+      else this.handle(method, path, body, answer);
     });
   }
 
@@ -440,21 +464,15 @@
     };
     const help = (): boolean => {
       if (answered || helping) return helping;
-      const fresh = this.settings.reportMs / 2;
-      const timeout = this.settings.reportMs / 6;
-      helping = this.peers.forward(method, path, body, timeout, fresh, (r) => {
+      const host = this.peers.served(this.settings.reportMs / 2);
+      if (host === null) return false;
+      helping = true;
+      this.peers.forward(host, method, path, body, this.settings.reportMs / 6, (r) => {
         helping = false;
-        if (r !== null && r.status !== 503) {
-          let value: unknown;
-          try {
-            value = r.body.length > 0 ? decodeBody(r.body) : undefined;
-          } catch {
-            value = undefined;
-          }
-          answer({ status: r.status, body: value });
-        } else if (own !== null) answer(own);
+        if (r !== null && r.status !== 503) answer(fromPeer(r));
+        else if (own !== null) answer(own);
       });
-      return helping;
+      return true;
     };
     const late = this.core.after(this.settings.reportMs / 25, 'late', () => void help());
     this.handle(method, path, body, (a) => {
@@ -466,6 +484,22 @@
     });
   }
 
+  private askLeader(
+    method: string,
+    path: string,
+    body: Buffer,
+    respond: (a: Answer) => void,
+  ): void {
+    const leader = this.leadership.leader?.host;
+    if (leader === undefined || leader === this.settings.platform.host)
+      return this.handle(method, path, body, respond);
+    this.peers.forward(leader, method, path, body, this.settings.reportMs / 2, (r) =>
+      respond(
+        r === null ? { status: 503, body: { error: 'the leader does not answer' } } : fromPeer(r),
+      ),
+    );
+  }
+
   private handle(method: string, path: string, body: Buffer, respond: (a: Answer) => void): void {
     try {
       this.route(method, path, body, respond);
@@ -502,6 +536,14 @@
           : { status: 503, body: { ready: false } },
       );
     }
+    if (path === '/cluster') {
+      if (method !== 'GET') return wrong('GET');
+      return this.cluster(respond);
+    }
+    if (path === '/metrics') {
+      if (method !== 'GET') return wrong('GET');
+      return this.scrape(respond);
+    }
     if (path === '/submissions') {
       if (method !== 'POST') return wrong('POST');
       return this.frontend.submit(this.decode(body), respond);
@@ -516,6 +558,46 @@
     respond({ status: 404, body: { error: 'no such path' } });
   }
 
+  private cluster(respond: (a: Answer) => void): void {
+    const { reign } = this;
+    if (reign === null || !reign.ready || this.types === null)
+      return respond({ status: 503, body: { error: 'no leader just now' }, retryAfterS: 1 });
+    const { term, table, workers, placement, fleet } = reign;
+    const { settings } = this;
+    const common = { settings, term, table, workers, placement, fleet, types: this.types };
+    respond({
+      status: 200,
+      body: clusterView({ ...common, acting: this.leadership.acting, now: this.core.now() }),
+    });
+  }
+
+  private scrape(respond: (a: Answer) => void): void {
+    const { metrics, reign } = this;
+    if (metrics === null)
+      return respond({ status: 503, body: { error: 'starting' }, retryAfterS: 5 });
+    metrics.gauge('leading', '1 on the leader.', this.leadership.acting ? 1 : 0);
+    metrics.gauge('term', 'Term of the leader known here.', this.leadership.leader?.term ?? 0);
+    metrics.gauge('memory_bytes', 'Memory that the process holds.', process.memoryUsage.rss());
+    if (reign !== null) {
+      const jobs = [...reign.table.jobs.values()];
+      metrics.gauge('jobs', 'Unfinished jobs.', jobs.length);
+      metrics.gauge('holds', 'Gangs that hold room.', jobs.filter((j) => j.hold !== null).length);
+      metrics.gauge(
+        'pending_tasks',
+        'Tasks that wait for room.',
+        jobs.reduce((n, j) => n + j.pending.length, 0),
+      );
+      metrics.gauge('machines', 'Machines known.', reign.workers.machines.size);
+      metrics.gauge('booting', 'Machines rented and not up yet.', reign.fleet.booting);
+      metrics.preemptions(reign.placement.preemptions);
+    }
+    void metrics
+      .text()
+      .then((text) =>
+        respond({ status: 200, raw: Buffer.from(text), type: 'text/plain; version=0.0.4' }),
+      );
+  }
+
   /**
    * Ready once the node knows the machine types and the state service has served it. Later it is
    * unready only while the state service serves others and not this node: when nobody is served,
--- a/src/controller/jobs/frontend.ts
+++ b/src/controller/jobs/frontend.ts
@@ -21,6 +21,9 @@
 
 export interface Answer {
   allow?: string;
+  /** A body that is not CBOR, with its type. */
+  raw?: Buffer;
+  type?: string;
   status: number;
   body?: unknown;
   retryAfterS?: number;
--- /dev/null
+++ b/src/controller/operators/client.ts
@@ -0,0 +1,47 @@
+import { HttpClient } from '../http/client.js';
+import { decodeBody, encodeBody, isMap } from '../wire/cbor.js';
+
+const TIMEOUT_MS = 5000;
+
+export interface Outcome {
+  ok: boolean;
+  text: string;
+}
+
+function describe(
+  api: string,
+  status: number,
+  body: unknown,
+  retryAfter: string | undefined,
+): Outcome {
+  const pretty = JSON.stringify(body, null, 2);
+  if (status === 200 || status === 201) return { ok: true, text: pretty };
+  const said = isMap(body) && typeof body['error'] === 'string' ? body['error'] : 'no reason given';
+  const again = retryAfter === undefined ? '' : `; try again in ${retryAfter} s`;
+  return { ok: false, text: `${api} answered ${status}: ${said}${again}` };
+}
+
+/** One request of an operator to a running service. */
+export function ask(
+  api: string,
+  method: 'GET' | 'POST',
+  path: string,
+  body: unknown,
+): Promise<Outcome> {
+  const client = new HttpClient({ perHost: 1, idleMs: 10, maxBodyBytes: 1024 * 1024 });
+  const bytes = body === undefined ? null : encodeBody(body);
+  return new Promise((resolve) => {
+    client.request(api, method, path, bytes, TIMEOUT_MS, (m) => {
+      if (m === null) {
+        resolve({ ok: false, text: `no answer from ${api}: is a controller running there?` });
+        return;
+      }
+      try {
+        const value = m.body.length > 0 ? decodeBody(m.body) : null;
+        resolve(describe(api, m.status, value, m.headers.get('retry-after')));
+      } catch {
+        resolve({ ok: false, text: `${api} gave an answer that is not of this service` });
+      }
+    });
+  });
+}
--- a/src/controller/peers/peers.ts
+++ b/src/controller/peers/peers.ts
@@ -272,15 +272,8 @@
     this.core.env.sendPeer(host, encodePeer({ ...empty, ...part }));
   }
 
-  /** Has the peer answer that the state service served last. False: there is none. */
-  forward(
-    method: string,
-    path: string,
-    body: Buffer,
-    timeoutMs: number,
-    freshMs: number,
-    done: (r: ForwardedReply | null) => void,
-  ): boolean {
+  /** The peer that the state service served last, if within `freshMs`. */
+  served(freshMs: number): string | null {
     const now = this.core.now();
     let best: string | null = null;
     let bestAge = freshMs;
@@ -291,7 +284,18 @@
         bestAge = age;
       }
     }
-    if (best === null) return false;
+    return best;
+  }
+
+  /** Has a peer answer a request. */
+  forward(
+    host: string,
+    method: string,
+    path: string,
+    body: Buffer,
+    timeoutMs: number,
+    done: (r: ForwardedReply | null) => void,
+  ): void {
     const id = ++this.lastId;
     const timer = this.core.after(timeoutMs, 'forward-timeout', () => settle(null));
     const settle = (r: ForwardedReply | null): void => {
@@ -300,15 +304,11 @@
       done(r);
     };
     this.asked.set(id, settle);
-    this.sendOne(best, { request: { from: this.own().host, id, method, path, body } });
-    return true;
+    this.sendOne(host, { request: { from: this.own().host, id, method, path, body } });
   }
 
   /** Some peer was served by the state service within `ms`, by what it said lately. */
   stateServedElsewhere(ms: number): boolean {
-    const now = this.core.now();
-    for (const { status, at } of this.known.values())
-      if (status.stateOkAgeMs >= 0 && status.stateOkAgeMs + (now - at) < ms) return true;
-    return false;
+    return this.served(ms) !== null;
   }
 }
--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -60,6 +60,8 @@
  */
 export class Placement {
   lacking: Lack[] = [];
+  /** Tasks stopped to make room, in this term. */
+  preemptions = 0;
   private attempts = 0;
   /** Classes of which something found no room in the last pass. */
   private lackingClasses = new Set<string>();
@@ -491,6 +493,7 @@
     const victim = a.job;
     if (victim === null) return;
     victim.preemptions++;
+    this.preemptions++;
     this.core.log.info(
       { job: a.jobId, task: a.task, machine: a.machine.id, by: by.spec.id },
       'preempted',
--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -51,7 +51,8 @@
       controller.request(request.method, request.path, request.body, (a) => {
         respond({
           status: a.status,
-          body: a.body === undefined ? NONE : encodeBody(a.body),
+          body: a.raw ?? (a.body === undefined ? NONE : encodeBody(a.body)),
+          ...(a.type === undefined ? {} : { type: a.type }),
           ...(a.retryAfterS === undefined ? {} : { retryAfterS: a.retryAfterS }),
           ...(a.allow === undefined ? {} : { allow: a.allow }),
         });
@@ -77,4 +78,9 @@
   internal.listen(at.port, at.host);
 
   controller.start();
+  setTimeout(() => {
+    void import('./operators/metrics.js').then(({ Metrics }) => {
+      controller.metrics = new Metrics();
+    });
+  }, settings.reportMs * 3);
 }
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,5 +1,6 @@
 import { readFileSync } from 'node:fs';
 import { Command } from 'commander';
+import { ask } from './controller/operators/client.js';
 import { run } from './controller/run.js';
 import { readPlatform, SettingsError } from './controller/settings/platform.js';
 import {
@@ -77,4 +78,52 @@
     process.stdout.write(formatProperties());
   });
 
-program.parse();
+function operator(
+  name: string,
+  about: string,
+  call: (api: string, argument: string) => { method: 'GET' | 'POST'; path: string; body?: unknown },
+): Command {
+  return program
+    .command(name)
+    .description(about)
+    .requiredOption('--api <host:port>', 'API address of any controller')
+    .action(async (...given: unknown[]) => {
+      const command = given.at(-1) as Command;
+      const { api } = command.opts<{ api: string }>();
+      if (!/^[^:\s]+:\d{1,5}$/.test(api)) fail(`--api ${api}: expected HOST:PORT`);
+      const { method, path, body } = call(api, command.args[0] ?? '');
+      const outcome = await ask(api, method, path, body);
+      if (!outcome.ok) fail(outcome.text);
+      process.stdout.write(`${outcome.text}\n`);
+    });
+}
+
+function readJson(file: string): unknown {
+  return load(file, (source): unknown => {
+    try {
+      return JSON.parse(source);
+    } catch {
+      throw new SettingsError('not JSON');
+    }
+  });
+}
+
+operator('submit', 'submits the job described in a JSON file', (_, file) => ({
+  method: 'POST',
+  path: '/submissions',
+  body: readJson(file),
+})).argument('<file>', 'fields as in a submission to the API');
+operator('status', 'prints the state of a job', (_, id) => ({
+  method: 'GET',
+  path: `/submissions/${id}`,
+})).argument('<id>');
+operator('cancel', 'cancels a job', (_, id) => ({
+  method: 'POST',
+  path: `/submissions/${id}/abort`,
+})).argument('<id>');
+operator('cluster', 'prints the cluster as its leader sees it', () => ({
+  method: 'GET',
+  path: '/cluster',
+}));
+
+void program.parseAsync();
