--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -21,8 +21,11 @@
 import { Workers } from './workers/workers.js';
 
 const CATALOGUE_KEY = 'catalogue';
+const LEARNED_KEY = 'learned';
 const NONE = Buffer.alloc(0);
 
+type ReadAll = (prefix: string, then: (items: Item[], revision: number) => void) => void;
+
 export type MetricsSink = Pick<Metrics, 'request' | 'pass' | 'preemptions' | 'gauge' | 'text'>;
 
 function fromPeer(r: ForwardedReply): Answer {
@@ -40,6 +43,7 @@
   passAt = -Infinity;
   passDue = true;
   passTimer = false;
+  learnedAt = -Infinity;
   constructor(
     readonly term: number,
     readonly records: Records,
@@ -208,7 +212,11 @@
         if (records.has(holdKey(job.spec.id))) records.set(holdKey(job.spec.id), undefined, false);
         this.progress.delete(job.spec.id);
       },
-      added: (job) => this.reserve.arrived(job, core.now()),
+      // What the leader before knew it has counted itself.
+      added: (job) => {
+        if (this.reign?.ready === true || !this.reserve.knows(job.spec.class))
+          this.reserve.arrived(job, core.now());
+      },
       changed: () => this.placeSoon(),
       recorded: (job, task) => workers.doneRecorded(job, task),
       ended: (id, state) => {
@@ -262,7 +270,7 @@
 
   /** Reads what the leaders before have left. From the election on none of them can change it. */
   private load(reign: Reign): void {
-    const read = (prefix: string, then: (items: Item[], revision: number) => void): void => {
+    const read: ReadAll = (prefix, then) => {
       this.client.range(prefix, 3000, (got) => {
         if (reign.closed) return;
         if (got.kind === 'failed') {
@@ -274,6 +282,19 @@
         then(got.value.items, got.value.revision);
       });
     };
+    read(LEARNED_KEY, (learned) => {
+      const now = this.core.now();
+      for (const i of learned) {
+        reign.records.adopt(i.key, i.version);
+        if (!isMap(i.value)) continue;
+        this.estimates.import(i.value['ratios']);
+        this.reserve.import(i.value['arrivals'], now, this.core.env.wall());
+      }
+      this.loadJobs(reign, read);
+    });
+  }
+
+  private loadJobs(reign: Reign, read: ReadAll): void {
     read('live/', (jobs, revision) => {
       for (const i of jobs) reign.table.add(i.key.slice('live/'.length), i.value, i.version);
       read('prog/', (progress) => {
@@ -293,6 +314,7 @@
             }
             read(CATALOGUE_KEY, (items) => {
               for (const i of items) reign.records.adopt(i.key, i.version);
+              if (this.types === null && items[0] !== undefined) this.takeTypes(items[0].value);
               reign.table.settle();
               reign.ready = true;
               this.core.log.info(
@@ -401,6 +423,17 @@
     reign.workers.sweep();
     reign.fleet.step();
     reign.passDue = true;
+    if (this.core.now() - reign.learnedAt > this.settings.workerLeaseMs / 4) {
+      reign.learnedAt = this.core.now();
+      reign.records.set(
+        LEARNED_KEY,
+        {
+          ratios: this.estimates.export(),
+          arrivals: this.reserve.export(this.core.now(), this.core.env.wall()),
+        },
+        false,
+      );
+    }
     this.tellProgress(reign);
   }
 
--- a/src/controller/placement/estimates.ts
+++ b/src/controller/placement/estimates.ts
@@ -1,3 +1,4 @@
+import { isMap } from '../wire/cbor.js';
 import type { JobSpec } from '../wire/jobs.js';
 import type { Assignment } from '../workers/assignment.js';
 import type { Machine } from '../workers/machine.js';
@@ -20,6 +21,17 @@
     this.logRatio.set(spec.class, old + LEARN * (seen - old));
   }
 
+  /** What has been learned, for the leader after this one. */
+  export(): Record<string, number> {
+    return Object.fromEntries(this.logRatio);
+  }
+
+  import(learned: unknown): void {
+    if (!isMap(learned)) return;
+    for (const [cls, ratio] of Object.entries(learned))
+      if (typeof ratio === 'number') this.logRatio.set(cls, ratio);
+  }
+
   ratio(cls: string): number {
     return Math.exp(this.logRatio.get(cls) ?? 0);
   }
--- a/src/controller/placement/reserve.ts
+++ b/src/controller/placement/reserve.ts
@@ -1,5 +1,6 @@
-import type { Job } from '../jobs/table.js';
-import type { JobSpec } from '../wire/jobs.js';
+import { levels, type Job } from '../jobs/table.js';
+import { isMap } from '../wire/cbor.js';
+import { readJob, writeJob, type JobSpec } from '../wire/jobs.js';
 import type { Estimates } from './estimates.js';
 import { allowed, needOf, times, type Room } from './room.js';
 
@@ -26,6 +27,9 @@
   spare: number;
 }
 
+/** Classes that are passed on; they have to fit one value. */
+const EXPORTED = 12;
+
 /** A class whose tasks are this much larger on a machine than another's is kept room against it. */
 const LARGER = 1.5;
 
@@ -36,7 +40,7 @@
  */
 export class Reserve {
   private readonly classes = new Map<string, ClassStats>();
-  private readonly startedAt: number;
+  private startedAt: number;
 
   constructor(
     private readonly settings: ReserveSettings,
@@ -65,12 +69,56 @@
     });
   }
 
+  knows(cls: string): boolean {
+    return this.classes.has(cls);
+  }
+
   ended(spec: JobSpec, occupancyMs: number): void {
     const c = this.classes.get(spec.class);
     if (c === undefined) return;
     c.occupancyMs = c.occupancyMs === 0 ? occupancyMs : 0.85 * c.occupancyMs + 0.15 * occupancyMs;
   }
 
+  /** What has been seen of the classes that came last, for the leader after this one. */
+  export(now: number, wall: number): unknown {
+    const recent = [...this.classes.values()].sort((a, b) => b.at - a.at).slice(0, EXPORTED);
+    return {
+      since: wall - (now - this.startedAt),
+      classes: recent.map((c) => ({
+        job: writeJob(c.spec),
+        weight: c.weight,
+        at: wall - (now - c.at),
+        together: c.together,
+        images: Object.fromEntries(c.images),
+        stay: c.occupancyMs,
+      })),
+    };
+  }
+
+  /** A leader that comes without this would let small work flood the room of large classes. */
+  import(value: unknown, now: number, wall: number): void {
+    if (!isMap(value) || !Array.isArray(value['classes'])) return;
+    const onClock = (at: unknown): number => now - Math.max(0, wall - Number(at));
+    this.startedAt = Math.min(this.startedAt, onClock(value['since']));
+    for (const c of value['classes'] as unknown[]) {
+      if (!isMap(c) || !isMap(c['images'])) continue;
+      try {
+        const spec = readJob(c['job']);
+        this.classes.set(spec.class, {
+          spec,
+          level: levels[spec.priority],
+          weight: Number(c['weight']),
+          at: onClock(c['at']),
+          together: Number(c['together']),
+          images: new Map(Object.entries(c['images']).map(([i, n]) => [i, Number(n)])),
+          occupancyMs: Number(c['stay']),
+        });
+      } catch {
+        // Of another version: it will be learned again.
+      }
+    }
+  }
+
   private decayed(c: ClassStats, now: number): number {
     return c.weight * Math.exp((c.at - now) / this.settings.memoryMs);
   }
--- a/src/controller/workers/workers.ts
+++ b/src/controller/workers/workers.ts
@@ -71,6 +71,8 @@
   // ---- records
 
   private value(m: Machine): unknown {
+    const now = this.core.now();
+    const wall = this.core.env.wall();
     const jobs: Record<string, unknown[]> = {};
     for (const a of m.assignments.values()) {
       const entry = (jobs[a.jobId] ??= [
@@ -82,7 +84,8 @@
         {},
       ]);
       const attempts = entry[5] as Record<string, number[]>;
-      (attempts[String(a.attempt)] ??= []).push(a.task);
+      // The first number is when, by time of day; the tasks follow.
+      (attempts[String(a.attempt)] ??= [Math.round(wall - (now - a.since))]).push(a.task);
     }
     return {
       type: m.typeName,
@@ -117,6 +120,7 @@
       for (const [name, gb] of Object.entries(images))
         if (typeof gb === 'number') m.images.set(name, gb);
     if (!isMap(jobs)) return;
+    const wall = this.core.env.wall();
     for (const [jobId, entry] of Object.entries(jobs)) {
       if (!Array.isArray(entry)) continue;
       const [team, cpus, gpus, memoryGb, saveS, attempts] = entry as unknown[];
@@ -124,7 +128,8 @@
       const need: Need = { cpus: Number(cpus), gpus: Number(gpus), memoryGb: Number(memoryGb) };
       for (const [attempt, tasks] of Object.entries(attempts)) {
         if (!Array.isArray(tasks)) continue;
-        for (const task of tasks as number[]) {
+        const [at = wall, ...numbers] = tasks as number[];
+        for (const task of numbers) {
           const job = this.table.jobs.get(jobId) ?? null;
           const a: Assignment = {
             jobId,
@@ -136,7 +141,7 @@
             session: m.session,
             need,
             saveS: Number(saveS),
-            since: this.core.now(),
+            since: this.core.now() - Math.max(0, wall - at),
             phase: 'sent',
             state: null,
             sentSeq: null,
