--- a/src/controller/settings/properties.ts
+++ b/src/controller/settings/properties.ts
@@ -98,7 +98,7 @@
     text: "Arrivals of a class are remembered over this ratio of the workers' lease.",
   },
   'placement.reserve.share': {
-    value: 0.5,
+    value: 0.75,
     min: 0,
     max: 1,
     text: 'Largest share of the places of a class that is kept free of smaller work for it.',
