--- a/src/controller/settings/properties.ts
+++ b/src/controller/settings/properties.ts
@@ -68,7 +68,7 @@
     text: 'What a job that cannot be done in time any more yields, as a ratio to a priority class.',
   },
   'placement.victim.age.s': {
-    value: 30,
+    value: 10,
     min: 0,
     max: 86400,
     text: 'A task younger than this is never stopped to make room (seconds).',
@@ -98,7 +98,7 @@
     text: "Arrivals of a class are remembered over this ratio of the workers' lease.",
   },
   'placement.reserve.share': {
-    value: 0.75,
+    value: 0.6,
     min: 0,
     max: 1,
     text: 'Largest share of the places of a class that is kept free of smaller work for it.',
