--- a/src/controller/jobs/table.ts
+++ b/src/controller/jobs/table.ts
@@ -79,6 +79,11 @@
   regrouping = false;
   exits: Record<string, number> = {};
   preemptions = 0;
+  /**
+   * Work was stopped for it, until then: it goes before all others, or those who were stopped, who
+   * rank higher for it, would take the room back.
+   */
+  grantedUntil = -Infinity;
   /** How many of its aims it can no longer meet. */
   aimsLost = 0;
   /** Nothing is placed before then, after errors. */
--- a/src/controller/placement/placement.test.ts
+++ b/src/controller/placement/placement.test.ts
@@ -5,7 +5,7 @@
 import type { JobSpec, Priority } from '../wire/jobs.js';
 import type { MachineType } from '../wire/cloud.js';
 import { Machine } from '../workers/machine.js';
-import { compareRank, loseAims, rankTime, type RankSettings } from './rank.js';
+import { compareRank, compareTurn, loseAims, rankTime, type RankSettings } from './rank.js';
 import { needOf, Room } from './room.js';
 import { Teams, withinGuarantee } from './teams.js';
 
@@ -84,6 +84,18 @@
   });
 });
 
+describe('turns', () => {
+  // Rough day, caroni: gangs of two teams stopped each other in turn, the victim always first again.
+  it('room that was made for a gang goes to it, not back to its victim', () => {
+    const victim = job({}, 0);
+    victim.preemptions = 1;
+    const gang = job({}, 5000);
+    gang.grantedUntil = 30_000;
+    assert.ok(compareTurn(gang, victim, settings, 20_000) < 0);
+    assert.ok(compareTurn(gang, victim, settings, 40_000) > 0);
+  });
+});
+
 describe('room and holds', () => {
   const room = (): Room => {
     const m = new Machine('n-1', 0);
--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -6,7 +6,7 @@
 import type { Machine } from '../workers/machine.js';
 import type { Workers } from '../workers/workers.js';
 import type { Estimates } from './estimates.js';
-import { compareRank, loseAims, type RankSettings } from './rank.js';
+import { compareTurn, loseAims, type RankSettings } from './rank.js';
 import type { Reserve } from './reserve.js';
 import { allowed, needOf, Room, times } from './room.js';
 import { Teams, withinGuarantee } from './teams.js';
@@ -98,7 +98,7 @@
       (j) => j.pending.length > 0 && !j.regrouping && !j.ending && j.notBefore <= now,
     );
     for (const job of waiting) loseAims(job, this.rank, now);
-    waiting.sort((a, b) => compareRank(a, b, this.rank));
+    waiting.sort((a, b) => compareTurn(a, b, this.rank, now));
     this.lacking = [];
     this.reserve.plan(pass.rooms, this.lackingClasses, now);
     for (const job of waiting) {
@@ -243,6 +243,7 @@
       const attempt = this.nextAttempt();
       for (const { room, count } of picked) this.put(pass, job, room, count, attempt);
       job.blocked = '';
+      job.grantedUntil = -Infinity;
       this.dropHold(job);
       return;
     }
@@ -493,6 +494,7 @@
     const victim = a.job;
     if (victim === null) return;
     victim.preemptions++;
+    by.grantedUntil = this.core.now() + this.settings.workerLeaseMs;
     this.preemptions++;
     this.core.log.info(
       { job: a.jobId, task: a.task, machine: a.machine.id, by: by.spec.id },
--- a/src/controller/placement/rank.ts
+++ b/src/controller/placement/rank.ts
@@ -42,3 +42,11 @@
     (a.spec.id < b.spec.id ? -1 : a.spec.id > b.spec.id ? 1 : 0)
   );
 }
+
+/**
+ * Whose turn it is: first those for whom work was just stopped. Its victims may well rank higher,
+ * by their submission or by having been stopped, and would take the room back in the next pass.
+ */
+export function compareTurn(a: Job, b: Job, s: RankSettings, now: number): number {
+  return Number(b.grantedUntil > now) - Number(a.grantedUntil > now) || compareRank(a, b, s);
+}
