--- a/src/controller/jobs/table.ts
+++ b/src/controller/jobs/table.ts
@@ -84,8 +84,8 @@
    * rank higher for it, would take the room back.
    */
   grantedUntil = -Infinity;
-  /** How many of its aims it can no longer meet. */
-  aimsLost = 0;
+  /** It fits into its team's guarantee, by the last placement pass. */
+  guaranteed = false;
   /** Nothing is placed before then, after errors. */
   notBefore = 0;
   errors = 0;
--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -6,7 +6,7 @@
 import type { Machine } from '../workers/machine.js';
 import type { Workers } from '../workers/workers.js';
 import type { Estimates } from './estimates.js';
-import { compareTurn, loseAims, type RankSettings } from './rank.js';
+import { compareTurn, type RankSettings } from './rank.js';
 import type { Reserve } from './reserve.js';
 import { allowed, needOf, Room, times } from './room.js';
 import { Teams, withinGuarantee } from './teams.js';
@@ -97,7 +97,7 @@
     const waiting = [...this.table.jobs.values()].filter(
       (j) => j.pending.length > 0 && !j.regrouping && !j.ending && j.notBefore <= now,
     );
-    for (const job of waiting) loseAims(job, this.rank, now);
+    for (const job of waiting) job.guaranteed = pass.guaranteed.has(job);
     waiting.sort((a, b) => compareTurn(a, b, this.rank, now));
     this.lacking = [];
     this.reserve.plan(pass.rooms, this.lackingClasses, now);
@@ -114,6 +114,8 @@
     // Estimates err; a start at the last moment would as likely as not be late.
     const run = this.estimates.runMs(spec) * RUN_MARGIN + this.settings.reportMs;
     const { starts, ends } = this.settings.aims(spec.class, spec.deadlineS);
+    const inside = job.guaranteed ? this.settings.guaranteeWithinMs : null;
+    if (inside !== null) starts.push(inside);
     return [...starts, ...ends.map((e) => Math.max(0, e - run))].sort((x, y) => x - y);
   }
 
--- a/src/controller/placement/rank.ts
+++ b/src/controller/placement/rank.ts
@@ -20,24 +20,18 @@
  * by its next one, and after its last yields by a fixed amount: each step is taken once and is
  * bounded, and makes way for work that can still be in time.
  */
-export function rankTime(job: Job, s: RankSettings): number {
+export function rankTime(job: Job, s: RankSettings, now: number): number {
   const aims = s.aims(job);
+  const next = aims.find((aim) => job.submittedAt + aim >= now);
   const last = aims.at(-1) ?? 0;
-  const slack = aims[job.aimsLost] ?? last + (aims.length > 0 ? s.late * s.agingMs : 0);
+  const slack = next ?? last + (aims.length > 0 ? s.late * s.agingMs : 0);
   return job.submittedAt + slack - (job.level + job.preemptions * s.bonus) * s.agingMs;
 }
 
-/** Counts the aims that have gone out of reach; the count never falls. */
-export function loseAims(job: Job, s: RankSettings, now: number): void {
-  const aims = s.aims(job);
-  while (job.aimsLost < aims.length && job.submittedAt + (aims[job.aimsLost] ?? 0) < now)
-    job.aimsLost++;
-}
-
 /** Total order of holds and of everything that waits: rank, submission, id. Lower goes first. */
-export function compareRank(a: Job, b: Job, s: RankSettings): number {
+export function compareRank(a: Job, b: Job, s: RankSettings, now: number): number {
   return (
-    rankTime(a, s) - rankTime(b, s) ||
+    rankTime(a, s, now) - rankTime(b, s, now) ||
     a.submittedAt - b.submittedAt ||
     (a.spec.id < b.spec.id ? -1 : a.spec.id > b.spec.id ? 1 : 0)
   );
@@ -48,5 +42,5 @@
  * by their submission or by having been stopped, and would take the room back in the next pass.
  */
 export function compareTurn(a: Job, b: Job, s: RankSettings, now: number): number {
-  return Number(b.grantedUntil > now) - Number(a.grantedUntil > now) || compareRank(a, b, s);
+  return Number(b.grantedUntil > now) - Number(a.grantedUntil > now) || compareRank(a, b, s, now);
 }
--- a/src/controller/placement/reserve.ts
+++ b/src/controller/placement/reserve.ts
@@ -11,7 +11,7 @@
   /** Decaying count of tasks submitted, and when it was last brought up to date. */
   weight: number;
   at: number;
-  /** Largest gang seen lately; 1 for arrays. */
+  /** Tasks of the largest job seen lately, up to a bound. */
   together: number;
   images: Map<string, number>;
   /** Mean time from assignment to end; 0 until one has ended. */
@@ -27,6 +27,9 @@
   spare: number;
 }
 
+/** Places kept for the tasks of one job that may come next. */
+const TOGETHER = 4;
+
 /** Classes that are passed on; they have to fit one value. */
 const EXPORTED = 12;
 
@@ -63,7 +66,7 @@
       level: job.level,
       weight: (c === undefined ? 0 : this.decayed(c, now)) + spec.tasks,
       at: now,
-      together: spec.kind === 'gang' ? Math.max(spec.tasks, (c?.together ?? 1) * 0.98) : 1,
+      together: Math.min(TOGETHER, Math.max(spec.tasks, (c?.together ?? 1) * 0.95)),
       images,
       occupancyMs: c?.occupancyMs ?? 0,
     });
--- a/src/controller/settings/settings.ts
+++ b/src/controller/settings/settings.ts
@@ -41,6 +41,12 @@
     return o?.withinS == null ? null : o.withinS * 1000;
   }
 
+  /** Wait within which work inside a team's guarantee should start. */
+  get guaranteeWithinMs(): number | null {
+    const o = this.platform.objectives.find((x) => x.kind === 'guarantee');
+    return o?.withinS == null ? null : o.withinS * 1000;
+  }
+
   /** What is expected of a job of the class, in milliseconds since its submission. */
   aims(cls: string, deadlineS: number | null): { starts: number[]; ends: number[] } {
     const starts: number[] = [];
