--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -25,6 +25,8 @@
   victims: Assignment[];
   /** Work that stopping the victims would lose. */
   lostMs: number;
+  /** Room is being made already. */
+  stopping: boolean;
 }
 
 interface Pick {
@@ -42,6 +44,9 @@
 /** Share of its estimate by which a run is allowed to take longer when its latest start is set. */
 const RUN_MARGIN = 1.3;
 
+/** Tasks of one array that room is made for in one pass. */
+const ROOM_A_PASS = 8;
+
 /** How much sooner a gang has to start for each second of work that is lost for it. */
 const LOST_WEIGHT = 0.15;
 
@@ -60,6 +65,9 @@
  */
 export class Placement {
   lacking: Lack[] = [];
+  /** When tasks were stopped to make room, over the last lease. */
+  private stopped: number[] = [];
+  private throttledAt = -Infinity;
   /** Tasks stopped to make room, in this term. */
   preemptions = 0;
   private attempts = 0;
@@ -229,7 +237,68 @@
       left -= n;
       if (left === 0) break;
     }
-    if (left > 0) this.lacking.push({ job, tasks: left });
+    if (left === 0) job.grantedUntil = -Infinity;
+    else {
+      this.lacking.push({ job, tasks: left });
+      if (pass.guaranteed.has(job) || job.level > 0) this.makeRoom(pass, job, left);
+    }
+  }
+
+  /**
+   * Room for an array's tasks one by one, where work may be stopped for them: so that work inside a
+   * guarantee need not wait for what others run on borrowed room.
+   */
+  private makeRoom(pass: Pass, job: Job, tasks: number): void {
+    const all = this.candidates(pass, job);
+    const used = new Set<Assignment>();
+    for (let i = 0; i < Math.min(tasks, ROOM_A_PASS); i++) {
+      let best: Target | null = null;
+      let bestCost = Infinity;
+      for (const { room } of all) {
+        const t = this.fill(pass, job, room, 0, used);
+        if (t === null || (t.victims.length === 0 && !t.stopping)) continue;
+        const fetch = this.estimates.fetchMs(job.spec, room.machine);
+        const cost = t.fillAt + fetch + LOST_WEIGHT * t.lostMs;
+        if (cost < bestCost) {
+          best = t;
+          bestCost = cost;
+        }
+      }
+      if (best === null) return;
+      if (!this.stopAll(best.victims, job)) return;
+      for (const v of best.victims) used.add(v);
+      best.room.claim(needOf(job.spec), best.fillAt);
+    }
+  }
+
+  /** Stops all of the victims or, where that is too much at a time, none. */
+  private stopAll(victims: Assignment[], by: Job): boolean {
+    const now = this.core.now();
+    const { workerLeaseMs } = this.settings;
+    this.stopped = this.stopped.filter((at) => now - at < workerLeaseMs);
+    let assigned = 0;
+    for (const m of this.workers.machines.values()) assigned += m.assignments.size;
+    const most = Math.max(4, this.settings.get('placement.preempt.share') * assigned);
+    if (this.stopped.length + victims.length > most && victims.length > 0) {
+      if (now - this.throttledAt > workerLeaseMs) {
+        this.throttledAt = now;
+        const lostS = Math.round(victims.reduce((n, a) => n + this.lostMs(a, now), 0) / 1000);
+        this.core.log.warn(
+          {
+            job: by.spec.id,
+            team: by.spec.team,
+            stopped: this.stopped.length,
+            most: Math.floor(most),
+            wouldStop: victims.map((a) => a.jobId),
+            wouldLoseTaskSeconds: lostS,
+          },
+          'preemption throttled: the job waits; raise placement.preempt.share to let it through',
+        );
+      }
+      return false;
+    }
+    for (const v of victims) this.preempt(v, by);
+    return true;
   }
 
   private gang(pass: Pass, job: Job): void {
@@ -347,7 +416,10 @@
       : '';
     // Stopping work pays only if the whole gang can start then.
     if (best.length === job.spec.tasks)
-      for (const t of best) for (const v of t.victims) this.preempt(v, job);
+      this.stopAll(
+        best.flatMap((t) => t.victims),
+        job,
+      );
   }
 
   /** One machine for each task, with the time at which it should have room. */
@@ -412,7 +484,7 @@
       gpus += a.need.gpus;
       memoryGb += a.need.memoryGb;
     };
-    if (enough()) return { room, fillAt: pass.now, victims: [], lostMs: 0 };
+    if (enough()) return { room, fillAt: pass.now, victims: [], lostMs: 0, stopping: false };
     const there = [...room.machine.assignments.values()].filter((a) => a.phase !== 'ended');
     const ends = there
       .map((a) => ({ a, at: pass.now + this.estimates.remainingMs(a, pass.now) }))
@@ -429,7 +501,7 @@
     if (natural === Infinity) return null;
     // Soon free by itself: nothing needs stopping.
     if (natural - pass.now < this.settings.reportMs)
-      return { room, fillAt: natural, victims: [], lostMs: 0 };
+      return { room, fillAt: natural, victims: [], lostMs: 0, stopping: false };
     ({ cpus, gpus, memoryGb } = before);
     const victims: Assignment[] = [];
     let fillAt = pass.now + this.settings.reportMs;
@@ -438,7 +510,7 @@
       free(a);
       fillAt = Math.max(fillAt, pass.now + this.estimates.remainingMs(a, pass.now));
     }
-    if (enough()) return { room, fillAt, victims: [], lostMs: 0 };
+    if (enough()) return { room, fillAt, victims: [], lostMs: 0, stopping: true };
     const choice = there.filter(
       (a) => a.stop === null && !used.has(a) && this.mayStop(pass, job, a),
     );
@@ -451,7 +523,7 @@
       free(a);
       fillAt = Math.max(fillAt, pass.now + this.settings.reportMs + a.saveS * 1000);
     }
-    if (!enough()) return { room, fillAt: natural, victims: [], lostMs: 0 };
+    if (!enough()) return { room, fillAt: natural, victims: [], lostMs: 0, stopping: false };
     // Victims that the rest made needless are spared.
     for (const a of [...victims]) {
       cpus -= a.need.cpus;
@@ -463,8 +535,8 @@
     const lostMs = victims.reduce((sum, a) => sum + this.lostMs(a, pass.now), 0);
     // Waiting may cost less than stopping.
     return natural < fillAt + LOST_WEIGHT * lostMs
-      ? { room, fillAt: natural, victims: [], lostMs: 0 }
-      : { room, fillAt, victims, lostMs };
+      ? { room, fillAt: natural, victims: [], lostMs: 0, stopping: false }
+      : { room, fillAt, victims, lostMs, stopping: false };
   }
 
   /** What stopping a task costs: its run so far, or its save, and starting it again. */
@@ -498,6 +570,7 @@
     victim.preemptions++;
     by.grantedUntil = this.core.now() + this.settings.workerLeaseMs;
     this.preemptions++;
+    this.stopped.push(this.core.now());
     this.core.log.info(
       { job: a.jobId, task: a.task, machine: a.machine.id, by: by.spec.id },
       'preempted',
--- a/src/controller/settings/properties.ts
+++ b/src/controller/settings/properties.ts
@@ -73,6 +73,12 @@
     max: 86400,
     text: 'A task younger than this is never stopped to make room (seconds).',
   },
+  'placement.preempt.share': {
+    value: 0.25,
+    min: 0,
+    max: 1,
+    text: 'Share of all tasks that may be stopped to make room within one lease of a worker.',
+  },
   'placement.cannot.fill.s': {
     value: 120,
     min: 1,
