Work inside a guarantee yields to no borrower; room being freed counts as coming

Found by a property test of guarantees: a borrowing team's higher priority stopped guaranteed work, and a second victim was stopped while the first was still going.

--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -499,9 +499,10 @@
       }
     }
     if (natural === Infinity) return null;
-    // Soon free by itself: nothing needs stopping.
+    // Soon free, by itself or because it was stopped: nothing more needs stopping.
+    const stopping = there.some((a) => a.stop !== null);
     if (natural - pass.now < this.settings.reportMs)
-      return { room, fillAt: natural, victims: [], lostMs: 0, stopping: false };
+      return { room, fillAt: natural, victims: [], lostMs: 0, stopping };
     ({ cpus, gpus, memoryGb } = before);
     const victims: Assignment[] = [];
     let fillAt = pass.now + this.settings.reportMs;
@@ -554,7 +555,9 @@
   private mayStop(pass: Pass, job: Job, a: Assignment): boolean {
     if (a.job === null || a.job.regrouping || a.job.closed !== null) return false;
     if (pass.now - a.since < this.settings.get('placement.victim.age.s') * 1000) return false;
-    if (a.job.level < job.level) return true;
+    // Work inside its team's guarantee never yields to what another team borrows (m03 §7).
+    const inside = pass.guaranteed.has(a.job) && a.team !== job.spec.team;
+    if (a.job.level < job.level) return !inside || pass.guaranteed.has(job);
     return (
       pass.guaranteed.has(job) &&
       a.team !== job.spec.team &&
