--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -430,7 +430,11 @@
         LEARNED_KEY,
         {
           ratios: this.estimates.export(),
-          arrivals: this.reserve.export(this.core.now(), this.core.env.wall()),
+          arrivals: this.reserve.export(
+            this.core.now(),
+            this.core.env.wall(),
+            this.settings.platform.stateLimits.valueKb * 512,
+          ),
         },
         false,
       );
--- a/src/controller/fleet/fleet.ts
+++ b/src/controller/fleet/fleet.ts
@@ -1,7 +1,7 @@
 import type { Core } from '../core/core.js';
 import { Tokens } from '../core/tokens.js';
-import type { Job, JobTable } from '../jobs/table.js';
-import type { Lack, Placement } from '../placement/placement.js';
+import type { JobTable } from '../jobs/table.js';
+import type { Placement } from '../placement/placement.js';
 import { allowed, needOf, Room, times } from '../placement/room.js';
 import type { Settings } from '../settings/settings.js';
 import {
@@ -329,7 +329,10 @@
       .filter((m) => m.type !== null && !m.leaving && m.noticeAt === null && this.workers.alive(m))
       .map((m) => new Room(m, Infinity));
     for (const { spec, at } of this.classes.values()) {
-      if (now - at > recent) continue;
+      if (now - at > recent) {
+        this.classes.delete(spec.class);
+        continue;
+      }
       let running = 0;
       for (const m of this.workers.machines.values())
         for (const a of m.assignments.values()) if (a.job?.spec.class === spec.class) running++;
@@ -453,12 +456,4 @@
   get booting(): number {
     return this.coming.size;
   }
-
-  lacks(): readonly Lack[] {
-    return this.placement.lacking;
-  }
-
-  waitingFor(job: Job): boolean {
-    return this.placement.lacking.some((l) => l.job === job);
-  }
 }
--- a/src/controller/placement/estimates.ts
+++ b/src/controller/placement/estimates.ts
@@ -6,6 +6,8 @@
 /** Weight of the newest run in a class's correction. */
 const LEARN = 0.15;
 const BOUND = 4;
+/** Classes remembered; users name them, so they could be many. */
+const CLASSES = 40;
 
 /**
  * How long things take. Owners err by half, and on some days all one way, so their estimates are
@@ -18,12 +20,17 @@
     if (spec.estimateS <= 0 || tookMs <= 0) return;
     const seen = Math.log(Math.min(BOUND, Math.max(1 / BOUND, tookMs / (spec.estimateS * 1000))));
     const old = this.logRatio.get(spec.class) ?? 0;
+    this.logRatio.delete(spec.class);
     this.logRatio.set(spec.class, old + LEARN * (seen - old));
+    if (this.logRatio.size > CLASSES) {
+      const oldest = this.logRatio.keys().next();
+      if (oldest.done !== true) this.logRatio.delete(oldest.value);
+    }
   }
 
   /** What has been learned, for the leader after this one. */
   export(): Record<string, number> {
-    return Object.fromEntries(this.logRatio);
+    return Object.fromEntries([...this.logRatio].filter(([cls]) => cls.length <= 64));
   }
 
   import(learned: unknown): void {
--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -555,9 +555,9 @@
   private mayStop(pass: Pass, job: Job, a: Assignment): boolean {
     if (a.job === null || a.job.regrouping || a.job.closed !== null) return false;
     if (pass.now - a.since < this.settings.get('placement.victim.age.s') * 1000) return false;
-    // Work inside its team's guarantee never yields to what another team borrows (m03 §7).
-    const inside = pass.guaranteed.has(a.job) && a.team !== job.spec.team;
-    if (a.job.level < job.level) return !inside || pass.guaranteed.has(job);
+    // Work inside its team's guarantee never yields to another team (m03 §7).
+    if (pass.guaranteed.has(a.job) && a.team !== job.spec.team) return false;
+    if (a.job.level < job.level) return true;
     return (
       pass.guaranteed.has(job) &&
       a.team !== job.spec.team &&
--- a/src/controller/placement/rank.ts
+++ b/src/controller/placement/rank.ts
@@ -38,9 +38,15 @@
 }
 
 /**
- * Whose turn it is: first those for whom work was just stopped. Its victims may well rank higher,
- * by their submission or by having been stopped, and would take the room back in the next pass.
+ * Whose turn it is. First those for whom work was just stopped: its victims may well rank higher, by
+ * their submission or by having been stopped, and would take the room back in the next pass. Then
+ * work inside its team's guarantee, which must not wait for what other teams borrow, nor for their
+ * holds. Then rank.
  */
 export function compareTurn(a: Job, b: Job, s: RankSettings, now: number): number {
-  return Number(b.grantedUntil > now) - Number(a.grantedUntil > now) || compareRank(a, b, s, now);
+  return (
+    Number(b.grantedUntil > now) - Number(a.grantedUntil > now) ||
+    Number(b.guaranteed) - Number(a.guaranteed) ||
+    compareRank(a, b, s, now)
+  );
 }
--- a/src/controller/placement/reserve.ts
+++ b/src/controller/placement/reserve.ts
@@ -1,4 +1,5 @@
 import { levels, type Job } from '../jobs/table.js';
+import { sizeOf } from '../store/batcher.js';
 import { isMap } from '../wire/cbor.js';
 import { readJob, writeJob, type JobSpec } from '../wire/jobs.js';
 import type { Estimates } from './estimates.js';
@@ -30,6 +31,9 @@
 /** Places kept for the tasks of one job that may come next. */
 const TOGETHER = 4;
 
+/** Weight at which a class is forgotten: several times the memory after its last job. */
+const FORGOTTEN = 0.005;
+
 /** Classes that are passed on; they have to fit one value. */
 const EXPORTED = 12;
 
@@ -83,19 +87,20 @@
   }
 
   /** What has been seen of the classes that came last, for the leader after this one. */
-  export(now: number, wall: number): unknown {
+  export(now: number, wall: number, maxBytes: number): unknown {
     const recent = [...this.classes.values()].sort((a, b) => b.at - a.at).slice(0, EXPORTED);
-    return {
-      since: wall - (now - this.startedAt),
-      classes: recent.map((c) => ({
+    let bytes = 0;
+    const classes = recent
+      .map((c) => ({
         job: writeJob(c.spec),
         weight: c.weight,
         at: wall - (now - c.at),
         together: c.together,
         images: Object.fromEntries(c.images),
         stay: c.occupancyMs,
-      })),
-    };
+      }))
+      .filter((c) => (bytes += sizeOf(c)) <= maxBytes);
+    return { since: wall - (now - this.startedAt), classes };
   }
 
   /** A leader that comes without this would let small work flood the room of large classes. */
@@ -137,6 +142,9 @@
 
   /** Adds the claims of all classes to the rooms. */
   plan(rooms: Room[], waiting: Set<string>, now: number): void {
+    // Classes are named by users: those long unseen are forgotten.
+    for (const [name, c] of this.classes)
+      if (this.decayed(c, now) < FORGOTTEN) this.classes.delete(name);
     const classes = [...this.classes.values()]
       .filter((c) => c.spec.kind === 'gang' || c.spec.gpus > 0)
       .map((c) => ({ c, rooms: rooms.filter((r) => allowed(c.spec, r.machine)) }))
--- a/src/controller/store/batcher.ts
+++ b/src/controller/store/batcher.ts
@@ -98,6 +98,12 @@
   }
 
   private settle(batch: Entry[], result: TxnResult): void {
+    if (result.kind === 'no-lease' && batch.length > 1) {
+      // Refused as malformed: one entry's fault must not be that of all in its batch.
+      this.single = true;
+      this.queue.unshift(...batch);
+      return;
+    }
     if (result.kind !== 'conflict' || batch.length === 1) {
       this.single = false;
       for (const e of batch) e.done(result);
--- a/src/controller/wire/jobs.ts
+++ b/src/controller/wire/jobs.ts
@@ -5,7 +5,6 @@
   isMap,
   smallInt,
   text,
-  textOrNull,
   textsOrNull,
   WireError,
   type Fields,
@@ -82,6 +81,17 @@
   return v;
 }
 
+/** Bounds that keep a job's record well below the size of a value at the state service. */
+const TYPES_MAX = 64;
+const TYPE_NAME_MAX = 64;
+
+function typeNames(map: Fields): string[] | null {
+  const names = textsOrNull(map, 'models');
+  if (names !== null && (names.length > TYPES_MAX || names.some((n) => n.length > TYPE_NAME_MAX)))
+    throw new WireError('models: too many or too long');
+  return names;
+}
+
 export function readJob(body: unknown): JobSpec {
   if (!isMap(body)) throw new WireError('body: expected a map');
   const id = text(body, 'id');
@@ -98,8 +108,8 @@
     memoryGb: amount(body, 'mem_gb'),
     image: name(body, 'recipe'),
     imageGb: amount(body, 'pull_gb'),
-    types: textsOrNull(body, 'models'),
-    zone: textOrNull(body, 'hall'),
+    types: typeNames(body),
+    zone: body['hall'] == null ? null : name(body, 'hall'),
     oneZone: flagOrFalse(body, 'same_place'),
     spread: flagOrFalse(body, 'scatter'),
     spot: flagOrFalse(body, 'loaners'),
--- a/src/controller/wire/wire.test.ts
+++ b/src/controller/wire/wire.test.ts
@@ -56,6 +56,8 @@
       ['urgency', 'urgent'],
       ['models', 'g8'],
       ['models', [1]],
+      ['models', Array.from({ length: 5000 }, () => 'g8')],
+      ['hall', 'x'.repeat(300)],
       ['same_place', 'yes'],
       ['expect_s', null],
       ['crew', ''],
