--- a/src/controller/fleet/fleet.ts
+++ b/src/controller/fleet/fleet.ts
@@ -57,6 +57,8 @@
   private renting = 0;
   private listedAt = -Infinity;
   private listedOnce = false;
+  /** When there last was any unfinished job. */
+  private workAt: number;
 
   constructor(
     private readonly core: Core,
@@ -69,6 +71,7 @@
   ) {
     const { rps } = settings.platform.cloudLimits;
     // The other controllers need a call now and then for the catalogue.
+    this.workAt = core.now();
     this.tokens = new Tokens(() => core.now(), rps * 0.8, Math.max(1, rps));
   }
 
@@ -81,6 +84,7 @@
       this.settings.reportMs * 2,
     );
     if (!this.listing && now - this.listedAt >= every) this.list();
+    if (this.table.jobs.size > 0) this.workAt = now;
     for (const job of this.table.jobs.values())
       this.classes.set(job.spec.class, { spec: job.spec, at: now });
     const types = this.types();
@@ -179,7 +183,7 @@
     const refused = [...this.backoff.values()].some((b) => b.until > now);
     const long = this.settings.get('placement.cannot.fill.s') * 1000;
     const stuck = this.placement.lacking.some(({ job }) => now - job.waitingSince > long);
-    const idleMs = refused && stuck ? idle / 8 : idle;
+    const idleMs = this.empty(now) ? 0 : refused && stuck ? idle / 8 : idle;
     for (const m of [...this.workers.machines.values()]) {
       if (this.releasing.has(m.id)) continue;
       const silent = now - Math.max(m.lastReportAt, m.firstSeen) > silentMs;
@@ -190,7 +194,7 @@
       } else if (silent) {
         this.core.log.info({ machine: m.id }, 'silent machine is returned');
         names.push(m.id);
-      } else if (!m.busy && now - m.idleSince > idleMs && this.spare(m)) {
+      } else if (!m.busy && now - m.idleSince > idleMs && (this.empty(now) || this.spare(m))) {
         m.leaving = true;
         names.push(m.id);
         this.core.log.info({ machine: m.id }, 'idle machine is returned');
@@ -199,6 +203,11 @@
     if (names.length > 0) this.release(names, 'no use');
   }
 
+  /** Nothing at all to do for long: nobody should pay for readiness. */
+  private empty(now: number): boolean {
+    return now - this.workAt > this.settings.workerLeaseMs * this.settings.get('fleet.empty.ratio');
+  }
+
   /** Enough others like it are idle: returning it won't have it rented again at once. */
   private spare(m: Machine): boolean {
     let idle = 0;
@@ -324,7 +333,7 @@
     const wants: { spec: JobSpec; tasks: number }[] = [];
     const recent = this.settings.workerLeaseMs * this.settings.get('fleet.idle.ratio');
     const ratio = this.settings.get('fleet.headroom.ratio');
-    if (ratio <= 0) return wants;
+    if (ratio <= 0 || this.empty(now)) return wants;
     const rooms = [...this.workers.machines.values()]
       .filter((m) => m.type !== null && !m.leaving && m.noticeAt === null && this.workers.alive(m))
       .map((m) => new Room(m, Infinity));
--- a/src/controller/jobs/frontend.ts
+++ b/src/controller/jobs/frontend.ts
@@ -132,6 +132,7 @@
       spec = readJob(body);
     } catch (err) {
       if (!(err instanceof WireError)) throw err;
+      this.core.log.debug({ reason: err.message, body }, 'malformed submission');
       return respond({ status: 400, body: { error: err.message } });
     }
     const ended = this.finals.get(spec.id);
--- a/src/controller/placement/estimates.ts
+++ b/src/controller/placement/estimates.ts
@@ -44,6 +44,7 @@
   }
 
   runMs(spec: JobSpec): number {
+    if (spec.kind === 'service') return Infinity;
     return spec.estimateS * 1000 * this.ratio(spec.class);
   }
 
--- a/src/controller/placement/placement.test.ts
+++ b/src/controller/placement/placement.test.ts
@@ -112,6 +112,7 @@
     r.claim({ cpus: 8, gpus: 3, memoryGb: 8 }, 100_000);
     assert.equal(r.fits(one, 1, 95_000, 0.9, 0), 1);
     assert.equal(r.fits(one, 1, 80_000, 0.9, 0), 4);
+    assert.equal(r.fits(one, 1, Infinity, 0.9, 0), 1, 'a service never ends');
   });
 
   it('keeps room ahead against small arrays, not against gangs or higher priorities', () => {
--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -554,6 +554,8 @@
   /** PROTOCOL, "Preemption": for higher priority, or for a guarantee against borrowed room. */
   private mayStop(pass: Pass, job: Job, a: Assignment): boolean {
     if (a.job === null || a.job.regrouping || a.job.closed !== null) return false;
+    // All replicas of a service are needed: nothing says otherwise.
+    if (a.job.spec.kind === 'service') return false;
     if (pass.now - a.since < this.settings.get('placement.victim.age.s') * 1000) return false;
     // Work inside its team's guarantee never yields to another team (m03 §7).
     if (pass.guaranteed.has(a.job) && a.team !== job.spec.team) return false;
--- a/src/controller/placement/reserve.ts
+++ b/src/controller/placement/reserve.ts
@@ -146,7 +146,7 @@
     for (const [name, c] of this.classes)
       if (this.decayed(c, now) < FORGOTTEN) this.classes.delete(name);
     const classes = [...this.classes.values()]
-      .filter((c) => c.spec.kind === 'gang' || c.spec.gpus > 0)
+      .filter((c) => c.spec.kind === 'gang' || (c.spec.kind === 'array' && c.spec.gpus > 0))
       .map((c) => ({ c, rooms: rooms.filter((r) => allowed(c.spec, r.machine)) }))
       .filter((x) => x.rooms.length > 0)
       // Who has the least choice chooses first.
--- a/src/controller/placement/room.ts
+++ b/src/controller/placement/room.ts
@@ -37,7 +37,7 @@
   fits(spec: JobSpec, level: number, endsAt: number, backfill: number, now: number): number {
     let { cpus, gpus, memoryGb } = this;
     for (const c of this.claims) {
-      if (endsAt - now <= backfill * (c.fillAt - now)) continue;
+      if (Number.isFinite(endsAt) && endsAt - now <= backfill * (c.fillAt - now)) continue;
       if (c.ahead !== null && !this.binds(c.ahead, spec, level)) continue;
       cpus -= c.cpus;
       gpus -= c.gpus;
--- a/src/controller/settings/properties.ts
+++ b/src/controller/settings/properties.ts
@@ -133,6 +133,12 @@
     max: 10000,
     text: "A machine idle for this ratio of the workers' lease is returned.",
   },
+  'fleet.empty.ratio': {
+    value: 1.5,
+    min: 0.1,
+    max: 10000,
+    text: "With no unfinished job for this ratio of the workers' lease, all machines are returned.",
+  },
   'fleet.boot.ratio': {
     value: 4,
     min: 1.5,
--- a/src/controller/wire/jobs.ts
+++ b/src/controller/wire/jobs.ts
@@ -10,7 +10,8 @@
   type Fields,
 } from './cbor.js';
 
-export type Kind = 'array' | 'gang';
+/** `service`: tasks that run until their job is cancelled; each is replaced when it is lost. */
+export type Kind = 'array' | 'gang' | 'service';
 export type Priority = 'production' | 'high' | 'normal' | 'low';
 export type JobState = 'queued' | 'running' | 'done' | 'cancelled';
 export type FinalState = 'done' | 'cancelled';
@@ -43,14 +44,14 @@
 const ID = /^req-[0-9A-Za-z._-]{1,64}$/;
 const NAME_MAX = 200;
 
-const kinds: Record<string, Kind> = { batch: 'array', gang: 'gang' };
+const kinds: Record<string, Kind> = { batch: 'array', gang: 'gang', standing: 'service' };
 const priorities: Record<string, Priority> = {
   critical: 'production',
   high: 'high',
   normal: 'normal',
   best_effort: 'low',
 };
-const kindNames: Record<Kind, string> = { array: 'batch', gang: 'gang' };
+const kindNames: Record<Kind, string> = { array: 'batch', gang: 'gang', service: 'standing' };
 const priorityNames: Record<Priority, string> = {
   production: 'critical',
   high: 'high',
--- a/src/controller/wire/wire.test.ts
+++ b/src/controller/wire/wire.test.ts
@@ -32,6 +32,8 @@
 describe('wire', () => {
   it('reads a submission and writes it back unchanged', () => {
     assert.deepEqual(writeJob(readJob(submission)), submission);
+    for (const shape of ['batch', 'gang', 'standing'])
+      assert.equal(writeJob(readJob({ ...submission, shape }))['shape'], shape);
     const short = { ...submission, hall: undefined, due_s: undefined, models: undefined };
     const spec = readJob({ ...short, unknown_field: 1 });
     assert.equal(spec.zone, null);
