--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -135,7 +135,6 @@
         this.progress.delete(id);
         this.reign?.table.cancelled(id);
       },
-      accepted: () => undefined,
     });
   }
 
--- a/src/controller/jobs/frontend.ts
+++ b/src/controller/jobs/frontend.ts
@@ -40,8 +40,6 @@
   progress(id: string): JobAnswer | null;
   /** This node has just ended a job by cancelling it. */
   cancelled(id: string): void;
-  /** A job was accepted here. */
-  accepted(spec: JobSpec, at: number, version: number): void;
 }
 
 const CALL_MS = 1500;
@@ -117,10 +115,6 @@
     this.live.delete(id);
   }
 
-  isFinal(id: string): FinalState | undefined {
-    return this.finals.get(id);
-  }
-
   private retryLater(respond: Respond): void {
     const s = Math.max(this.writes.waitMs, this.client.down ? 1000 : 0) / 1000;
     respond({ status: 503, body: { error: 'not now' }, retryAfterS: Math.max(1, Math.ceil(s)) });
@@ -164,7 +158,6 @@
       done: (r) => {
         if (r.kind === 'ok') {
           this.live.set(spec.id, r.revision);
-          this.hooks.accepted(spec, at, r.revision);
           respond({ status: 201, body: writeAnswer({ id: spec.id, state: 'queued' }) });
         } else if (r.kind === 'conflict') {
           this.standing(spec.id, new Set(r.failed), (s) => this.reply(spec.id, s, respond));
--- a/src/controller/placement/guarantee.test.ts
+++ b/src/controller/placement/guarantee.test.ts
@@ -4,7 +4,7 @@
 import { Core } from '../core/core.js';
 import type { Env, Logger } from '../core/env.js';
 import { JobTable } from '../jobs/table.js';
-import { readPlatform } from '../settings/platform.js';
+import { alone } from '../../../test/platform.js';
 import { defaultProperties } from '../settings/properties.js';
 import { Settings } from '../settings/settings.js';
 import type { StateClient } from '../store/client.js';
@@ -19,39 +19,18 @@
 import { Reserve } from './reserve.js';
 
 const TERM = 3;
-const settings = new Settings(
-  readPlatform(`
-host_name = "k"
-site = "a"
-api_addr = "10.0.0.1:1"
-internal_addr = "10.0.0.1:2"
-[services]
-cloud = "10.0.0.2:1"
-state = "10.0.0.2:2"
+const teams = `
 [[params.teams]]
 name = "owner"
 gpus = 4.0
 [[params.teams]]
 name = "guest"
 gpus = 1.0
-[params.workers]
-report_s = 3.0
-lease_s = 20.0
-gang_wait_s = 30.0
-gang_peer_s = 6.0
-cancel_s = 45.0
-[params.state]
-rps = 100.0
-write_rps = 50.0
-value_kb = 16.0
-txn_ops = 16
-[params.cloud]
-rps = 5.0
-[params.quota]
-cores = 0.2
-`),
-  { ...defaultProperties(), 'placement.preempt.share': 1 },
-);
+`;
+const settings = new Settings(alone(teams), {
+  ...defaultProperties(),
+  'placement.preempt.share': 1,
+});
 const type: MachineType = {
   ...{ name: 'g', cpus: 8, gpus: 4, memoryGb: 64, cacheGb: 50, fetchGbPerS: 1 },
   ...{ price: 1, spotPrice: 1, bootS: 10, zones: ['a'] },
--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -161,7 +161,6 @@
     if (spec.spot && !m.spot) score += 15;
     if (job.failedOn.has(m.id)) score += 60;
     if (spec.kind === 'gang' && room.intrudes(spec)) score += 25;
-    score += 20 * (m.slowness - 1);
     const left =
       spec.gpus > 0 ? (room.gpus - spec.gpus) / t.gpus : (room.cpus - spec.cpus) / t.cpus;
     return score + 10 * left;
--- a/src/controller/workers/machine.ts
+++ b/src/controller/workers/machine.ts
@@ -42,9 +42,6 @@
   idleSince: number;
   listed: 'booting' | 'running' | 'failed' | 'absent' | null = null;
   listedAt = -Infinity;
-  /** Observed speed: mean of actual to expected run times, 1 if nothing is known. */
-  slowness = 1;
-  recordDirty = false;
 
   constructor(
     readonly id: string,
--- a/src/controller/workers/workers.test.ts
+++ b/src/controller/workers/workers.test.ts
@@ -3,7 +3,7 @@
 import { Core } from '../core/core.js';
 import type { Call, Env, Logger, Reply } from '../core/env.js';
 import { JobTable, type Job } from '../jobs/table.js';
-import { readPlatform } from '../settings/platform.js';
+import { alone } from '../../../test/platform.js';
 import { defaultProperties } from '../settings/properties.js';
 import { Settings } from '../settings/settings.js';
 import type { StateClient } from '../store/client.js';
@@ -14,33 +14,7 @@
 import { Workers } from './workers.js';
 
 const TERM = 50;
-const settings = new Settings(
-  readPlatform(`
-host_name = "k"
-site = "a"
-api_addr = "10.0.0.1:1"
-internal_addr = "10.0.0.1:2"
-[services]
-cloud = "10.0.0.2:1"
-state = "10.0.0.2:2"
-[params.workers]
-report_s = 3.0
-lease_s = 20.0
-gang_wait_s = 30.0
-gang_peer_s = 6.0
-cancel_s = 45.0
-[params.state]
-rps = 100.0
-write_rps = 50.0
-value_kb = 16.0
-txn_ops = 16
-[params.cloud]
-rps = 5.0
-[params.quota]
-cores = 0.2
-`),
-  defaultProperties(),
-);
+const settings = new Settings(alone(), defaultProperties());
 const nothing = (): void => undefined;
 const silent: Logger = { info: nothing, debug: nothing, warn: nothing, error: nothing };
 
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -1,11 +1,12 @@
 import { Controller } from '../../src/controller/controller.js';
 import type { Logger } from '../../src/controller/core/env.js';
-import { readPlatform, type Team } from '../../src/controller/settings/platform.js';
+import { readPlatform, type Platform, type Team } from '../../src/controller/settings/platform.js';
 import { defaultProperties } from '../../src/controller/settings/properties.js';
 import { Settings } from '../../src/controller/settings/settings.js';
 import { decodeBody, encodeBody } from '../../src/controller/wire/cbor.js';
 import type { MachineType } from '../../src/controller/wire/cloud.js';
 import { writeJob, type JobSpec } from '../../src/controller/wire/jobs.js';
+import { platformToml } from '../platform.js';
 import { Cloud, Gangs, type Shared, type Worker } from './machines.js';
 import { Rules } from './rules.js';
 import { Network, ProcessEnv, Sim } from './sim.js';
@@ -40,26 +41,7 @@
   },
 ];
 
-function platformToml(host: string): string {
-  const peers = hosts
-    .filter((h) => h !== host)
-    .map(
-      (h) =>
-        `[[peers]]\nhost_name = "${h}"\nsite = "a"\naddr = "10.0.0.${hosts.indexOf(h) + 1}:8081"\n`,
-    );
-  return `
-host_name = "${host}"
-site = "a"
-api_addr = "10.0.0.${hosts.indexOf(host) + 1}:8080"
-internal_addr = "10.0.0.${hosts.indexOf(host) + 1}:8081"
-${peers.join('\n')}
-[services]
-cloud = "10.2.0.2:8443"
-state = "10.2.0.1:2379"
-[params]
-count = 3
-zones = ["a", "b"]
-time_bound_ms = 100.0
+const teams = `
 [[params.teams]]
 name = "red"
 cpus = 0.0
@@ -72,25 +54,21 @@
 cpus_max = 40.0
 gpus = 4.0
 gpus_max = 16.0
-[params.workers]
-report_s = 3.0
-lease_s = 20.0
-gang_wait_s = 30.0
-gang_peer_s = 6.0
-cancel_s = 45.0
-[params.state]
-rps = 100.0
-write_rps = 60.0
-value_kb = 16.0
-txn_ops = 16
-[params.cloud]
-rps = 5.0
-list_lag_s = 4.0
-[params.quota]
-cores = 0.2
-ram_mb = 256.0
-fd_limit = 1000
 `;
+
+function platformOf(host: string): Platform {
+  const addr = (h: string, port: number): string => `10.0.0.${hosts.indexOf(h) + 1}:${port}`;
+  const peers = hosts
+    .filter((h) => h !== host)
+    .map((h) => `[[peers]]\nhost_name = "${h}"\nsite = "a"\naddr = "${addr(h, 8081)}"\n`);
+  const head = [
+    `host_name = "${host}"`,
+    'site = "a"',
+    `api_addr = "${addr(host, 8080)}"`,
+    `internal_addr = "${addr(host, 8081)}"`,
+    ...peers,
+  ];
+  return readPlatform(platformToml(head.join('\n'), teams));
 }
 
 const quiet: Logger = {
@@ -139,7 +117,7 @@
     this.sim = new Sim(seed);
     this.net = new Network(this.sim);
     this.net.doubled = faults.doubled;
-    const platform = readPlatform(platformToml('kiln-0'));
+    const platform = platformOf('kiln-0');
     this.teams = platform.teams;
     const { workers } = platform;
     this.rules = new Rules(this.teams, workers.cancelS * 1000, () => this.sim.now);
@@ -188,7 +166,7 @@
   private startProcess(host: string): void {
     if (this.processes.has(host)) return;
     const env = new ProcessEnv(this.sim, this.net, host, this.peers);
-    const settings = new Settings(readPlatform(platformToml(host)), defaultProperties());
+    const settings = new Settings(platformOf(host), defaultProperties());
     const log: Logger = {
       ...this.log,
       error: (fields, text) => {
