--- a/src/controller/placement/estimates.ts
+++ b/src/controller/placement/estimates.ts
@@ -51,7 +51,19 @@
   fetchMs(spec: JobSpec, m: Machine): number {
     if (m.images.has(spec.image)) return 0;
     const rate = m.type?.fetchGbPerS ?? 0;
-    return rate > 0 ? (spec.imageGb / rate) * 1000 : 0;
+    if (rate <= 0) return 0;
+    // Images that are fetched at the same time share the rate; each delays by at most its own size.
+    let gb = spec.imageGb;
+    const others = new Set<string>();
+    for (const { job, state, phase } of m.assignments.values()) {
+      if (job === null || phase === 'ended' || (state !== null && state !== 'fetching')) continue;
+      const other = job.spec;
+      if (other.image === spec.image || others.has(other.image) || m.images.has(other.image))
+        continue;
+      others.add(other.image);
+      gb += Math.min(other.imageGb, spec.imageGb);
+    }
+    return (gb / rate) * 1000;
   }
 
   /** Until the task has left its machine by itself. */
--- a/src/controller/placement/placement.test.ts
+++ b/src/controller/placement/placement.test.ts
@@ -4,7 +4,9 @@
 import { Job } from '../jobs/table.js';
 import type { JobSpec, Priority } from '../wire/jobs.js';
 import type { MachineType } from '../wire/cloud.js';
+import type { Assignment } from '../workers/assignment.js';
 import { Machine } from '../workers/machine.js';
+import { Estimates } from './estimates.js';
 import { compareRank, compareTurn, rankTime, type RankSettings } from './rank.js';
 import { needOf, Room } from './room.js';
 import { Teams, withinGuarantee } from './teams.js';
@@ -128,6 +130,27 @@
   });
 });
 
+describe('estimates', () => {
+  // Rough day, caroni: two gangs with different images on one machine fetched for 50 s instead of 25.
+  it('count what is fetched at the same time', () => {
+    const m = new Machine('n-1', 0);
+    m.type = type;
+    const e = new Estimates();
+    const first = spec({ image: 'x', imageGb: 10 });
+    assert.equal(e.fetchMs(first, m), 10_000);
+    m.assignments.set('req-x/0', {
+      ...{
+        job: new Job(spec({ image: 'y', imageGb: 4 }), 0, 1, 0),
+        state: 'fetching',
+        phase: 'seen',
+      },
+    } as Assignment);
+    assert.equal(e.fetchMs(first, m), 14_000);
+    m.sawImage('x', 10);
+    assert.equal(e.fetchMs(first, m), 0);
+  });
+});
+
 describe('teams', () => {
   const team = { name: 'red', cpus: 0, gpus: 4, cpusMax: 0, gpusMax: 6 };
   it('counts every task that is not surely gone against the limit', () => {
