--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -12,6 +12,7 @@
 import { holdKey, Placement } from './placement/placement.js';
 import type { Settings } from './settings/settings.js';
 import { StateClient } from './store/client.js';
+import { PAGES } from './store/pages.js';
 import { Records } from './store/records.js';
 import { decodeBody, encodeBody, isMap, WireError } from './wire/cbor.js';
 import { readCatalogue, writeCatalogue, type MachineType } from './wire/cloud.js';
@@ -23,6 +24,8 @@
 const CATALOGUE_KEY = 'catalogue';
 const LEARNED_KEY = 'learned';
 const NONE = Buffer.alloc(0);
+/** Time without a placement pass after one, in times of what it took. */
+const PASS_REST = 3;
 
 type ReadAll = (prefix: string, then: (items: Item[], revision: number) => void) => void;
 
@@ -43,6 +46,9 @@
   passAt = -Infinity;
   passDue = true;
   passTimer = false;
+  /** When the last slice of a pass ended, and what its slices took together. */
+  passEnd = -Infinity;
+  passTook = 0;
   learnedAt = -Infinity;
   constructor(
     readonly term: number,
@@ -180,7 +186,7 @@
               this.loadCatalogue(),
             );
           else if (this.reign?.ready === true && JSON.stringify(this.types) !== before)
-            this.reign.records.set(CATALOGUE_KEY, writeCatalogue(this.types), false);
+            this.shareCatalogue(this.reign);
         });
       },
     );
@@ -195,6 +201,24 @@
     }
   }
 
+  /** The machine types for nodes that start while the cloud does not answer. */
+  private shareCatalogue(reign: Reign): void {
+    this.client.tokens.force();
+    this.client.get(CATALOGUE_KEY, 1500, (got) => {
+      if (got.kind === 'failed' || reign.closed) return;
+      if (got.value !== null && this.types === null) this.takeTypes(got.value.value);
+      if (this.types === null) return;
+      const value = writeCatalogue(this.types);
+      if (JSON.stringify(got.value?.value) === JSON.stringify(value)) return;
+      const version = got.value?.version ?? 0;
+      reign.records.transact(
+        [{ key: CATALOGUE_KEY, version }],
+        [{ put: CATALOGUE_KEY, value }],
+        () => undefined,
+      );
+    });
+  }
+
   // ---- leading
 
   private elected(term: number): void {
@@ -282,64 +306,31 @@
         then(got.value.items, got.value.revision);
       });
     };
-    read(LEARNED_KEY, (learned) => {
-      const now = this.core.now();
-      for (const i of learned) {
-        reign.records.adopt(i.key, i.version);
-        if (!isMap(i.value)) continue;
-        this.estimates.import(i.value['ratios']);
-        this.reserve.import(i.value['arrivals'], now, this.core.env.wall());
-      }
-      this.loadJobs(reign, read);
-    });
-  }
-
-  private loadJobs(reign: Reign, read: ReadAll): void {
     read('live/', (jobs, revision) => {
       for (const i of jobs) reign.table.add(i.key.slice('live/'.length), i.value, i.version);
-      read('prog/', (progress) => {
-        for (const i of progress) {
-          reign.records.adopt(i.key, i.version);
-          if (!reign.table.addProgress(i.key, i.value)) reign.records.set(i.key, undefined, false);
-        }
-        read('machine/', (machines) => {
-          for (const i of machines) {
-            reign.records.adopt(i.key, i.version);
-            reign.workers.load(i.key.slice('machine/'.length), i.value);
-          }
-          read('hold/', (holds) => {
-            for (const i of holds) {
-              reign.records.adopt(i.key, i.version);
-              this.loadHold(reign, i);
-            }
-            read(CATALOGUE_KEY, (items) => {
-              for (const i of items) reign.records.adopt(i.key, i.version);
-              if (this.types === null && items[0] !== undefined) this.takeTypes(items[0].value);
-              reign.table.settle();
-              reign.ready = true;
-              this.core.log.info(
-                { term: reign.term, jobs: jobs.length, machines: machines.length },
-                'leading',
-              );
-              if (this.types !== null && items.length === 0)
-                reign.records.set(CATALOGUE_KEY, writeCatalogue(this.types), false);
-              this.followJobs(reign, revision);
-              this.placeSoon();
-            });
-          });
-        });
+      read(PAGES, (pages) => {
+        reign.records.load(pages);
+        for (const { value } of reign.records.list(LEARNED_KEY)) this.learn(value);
+        reign.table.load();
+        reign.workers.load();
+        reign.placement.load();
+        reign.table.settle();
+        reign.ready = true;
+        this.core.log.info(
+          { term: reign.term, jobs: jobs.length, machines: reign.workers.machines.size },
+          'leading',
+        );
+        this.followJobs(reign, revision);
+        this.placeSoon();
+        this.shareCatalogue(reign);
       });
     });
   }
 
-  private loadHold(reign: Reign, item: Item): void {
-    const job = reign.table.jobs.get(item.key.slice('hold/'.length));
-    if (job === undefined || !isMap(item.value) || !Array.isArray(item.value['machines'])) {
-      reign.records.set(item.key, undefined, false);
-      return;
-    }
-    const machines = item.value['machines'].filter((m): m is string => typeof m === 'string');
-    job.hold = { machines, since: this.core.now(), fillAt: Infinity };
+  private learn(value: unknown): void {
+    if (!isMap(value)) return;
+    this.estimates.import(value['ratios']);
+    this.reserve.import(value['arrivals'], this.core.now(), this.core.env.wall());
   }
 
   /** Submissions and cancellations of all nodes, as the state service tells them. */
@@ -358,7 +349,7 @@
         else reign.table.removed(id);
       }
       // Changes that come together are taken together.
-      this.core.after(this.settings.reportMs / 60, 'follow-jobs', () =>
+      this.core.after(this.settings.reportMs / 20, 'follow-jobs', () =>
         this.followJobs(reign, got.value.revision),
       );
     });
@@ -391,28 +382,49 @@
     const { reign } = this;
     if (reign === null || !reign.ready || reign.closed) return;
     if (!this.leadership.acting) return;
-    if (reign.passDue && this.types !== null) {
-      const wait =
-        reign.passAt +
-        this.settings.reportMs * this.settings.get('placement.interval.ratio') -
-        this.core.now();
-      if (wait <= 0) {
-        reign.passDue = false;
-        reign.passAt = this.core.now();
-        reign.placement.pass();
-        this.metrics?.pass(this.core.now() - reign.passAt);
-      } else if (!reign.passTimer) {
-        reign.passTimer = true;
-        this.core.after(wait, 'pass', () => {
-          reign.passTimer = false;
-        });
-      }
-    }
+    if (this.types !== null) this.place(reign);
     reign.table.flush();
     reign.workers.flush();
     reign.records.flush();
   }
 
+  /**
+   * Goes on with the placement pass, or begins one when it is due. Between its slices reports and
+   * users are served; and passes together take only a part of the time, however much is waiting.
+   */
+  private place(reign: Reign): void {
+    const { placement } = reign;
+    const from = this.core.now();
+    if (!placement.passing) {
+      if (!reign.passDue) return;
+      const every = this.settings.reportMs * this.settings.get('placement.interval.ratio');
+      const wait = Math.max(
+        reign.passAt + every - from,
+        reign.passEnd + reign.passTook * PASS_REST - from,
+      );
+      if (wait > 0) return this.passLater(reign, wait);
+      reign.passDue = false;
+      reign.passAt = from;
+      reign.passTook = 0;
+      placement.begin();
+    }
+    const slice = this.settings.reportMs * this.settings.get('placement.slice.ratio');
+    const over = placement.advance(from + slice);
+    const now = this.core.now();
+    reign.passTook += now - from;
+    reign.passEnd = now;
+    if (over) this.metrics?.pass(reign.passTook);
+    else this.passLater(reign, 0);
+  }
+
+  private passLater(reign: Reign, ms: number): void {
+    if (reign.passTimer) return;
+    reign.passTimer = true;
+    this.core.after(ms, 'pass', () => {
+      reign.passTimer = false;
+    });
+  }
+
   private tick(): void {
     if (this.core.now() - this.typesAt > this.settings.workerLeaseMs * 3 && this.types !== null) {
       this.typesAt = this.core.now();
@@ -441,15 +453,13 @@
     this.tellProgress(reign);
   }
 
-  private readonly told = new Map<string, string>();
+  /** Counts for display, of the jobs that have changed. */
   private tellProgress(reign: Reign): void {
     const changed: JobProgress[] = [];
-    for (const id of this.told.keys()) if (!reign.table.jobs.has(id)) this.told.delete(id);
     for (const job of reign.table.jobs.values()) {
+      if (!job.changed) continue;
+      job.changed = false;
       const a = job.answer();
-      const mark = `${a.state} ${a.done} ${a.running} ${a.blocked ?? ''}`;
-      if (this.told.get(job.spec.id) === mark) continue;
-      this.told.set(job.spec.id, mark);
       changed.push({
         id: a.id,
         state: a.state,
--- a/src/controller/core/tokens.ts
+++ b/src/controller/core/tokens.ts
@@ -24,6 +24,10 @@
     this.level = Math.min(this.level, burst);
   }
 
+  get perSecond(): number {
+    return this.ratePerS;
+  }
+
   /** Takes `count` tokens if that leaves `reserve` (a share of the burst) behind. */
   take(count = 1, reserve = 0): boolean {
     this.refill();
--- a/src/controller/fleet/fleet.ts
+++ b/src/controller/fleet/fleet.ts
@@ -2,7 +2,7 @@
 import { Tokens } from '../core/tokens.js';
 import type { JobTable } from '../jobs/table.js';
 import type { Placement } from '../placement/placement.js';
-import { allowed, needOf, Room, times } from '../placement/room.js';
+import { allowed, needOf, whole, type Kind } from '../placement/room.js';
 import type { Settings } from '../settings/settings.js';
 import {
   readMachines,
@@ -13,22 +13,46 @@
   type MachineType,
 } from '../wire/cloud.js';
 import type { JobSpec } from '../wire/jobs.js';
+import type { Need } from '../workers/assignment.js';
 import type { Machine } from '../workers/machine.js';
 import type { Workers } from '../workers/workers.js';
 
 const CALL_MS = 5000;
 const MAX_RENT = 50;
 const MAX_RELEASE = 100;
+/** Rentals asked for at one time. */
+const MAX_ORDERS = 4;
 
-/** A type, zone and kind that can be rented. */
-interface Offer {
-  type: MachineType;
-  zone: string;
-  spot: boolean;
+interface Coming extends Kind {
+  at: number;
 }
 
-interface Coming extends Offer {
-  at: number;
+/** Room on a machine that is on its way or to be rented. */
+interface Space {
+  kind: Kind;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+function emptySpace(kind: Kind): Space {
+  const { cpus, gpus, memoryGb } = kind.type;
+  return { kind, cpus, gpus, memoryGb };
+}
+
+/** Takes as many of the tasks as fit; returns how many. */
+function take(space: Space, need: Need, tasks: number): number {
+  const n = Math.min(tasks, whole(need, space.cpus, space.gpus, space.memoryGb));
+  space.cpus -= need.cpus * n;
+  space.gpus -= need.gpus * n;
+  space.memoryGb -= need.memoryGb * n;
+  return n;
+}
+
+/** What can be rented, and how many machines its zone has. */
+interface Offer {
+  kind: Kind;
+  crowd: number;
 }
 
 interface Backoff {
@@ -41,7 +65,9 @@
   at: number;
 }
 
-const offerKey = (o: Offer): string => `${o.type.name}/${o.zone}/${o.spot ? 'spot' : 'ordinary'}`;
+const likeness = (m: Machine): string => `${m.typeName} ${m.spot ? 1 : 0}`;
+
+const offerKey = (o: Kind): string => `${o.type.name}/${o.zone}/${o.spot ? 'spot' : 'ordinary'}`;
 
 /** Which machines there are: rents what waiting work lacks, returns what is of no use. */
 export class Fleet {
@@ -182,8 +208,17 @@
     // Not sooner: a returned machine takes its images along.
     const refused = [...this.backoff.values()].some((b) => b.until > now);
     const long = this.settings.get('placement.cannot.fill.s') * 1000;
+    const nothingToDo = this.empty(now);
     const stuck = this.placement.lacking.some(({ job }) => now - job.waitingSince > long);
-    const idleMs = this.empty(now) ? 0 : refused && stuck ? idle / 8 : idle;
+    const idleMs = nothingToDo ? 0 : refused && stuck ? idle / 8 : idle;
+    const idleAlike = this.idle();
+    // Where enough others like it are idle, returning one won't have it rented again at once.
+    const spare = (m: Machine): boolean => {
+      const n = idleAlike.get(likeness(m)) ?? 0;
+      if (n < 2 && !nothingToDo) return false;
+      idleAlike.set(likeness(m), n - 1);
+      return true;
+    };
     for (const m of [...this.workers.machines.values()]) {
       if (this.releasing.has(m.id)) continue;
       const silent = now - Math.max(m.lastReportAt, m.firstSeen) > silentMs;
@@ -194,7 +229,7 @@
       } else if (silent) {
         this.core.log.info({ machine: m.id }, 'silent machine is returned');
         names.push(m.id);
-      } else if (!m.busy && now - m.idleSince > idleMs && (this.empty(now) || this.spare(m))) {
+      } else if (!m.busy && now - m.idleSince > idleMs && spare(m)) {
         m.leaving = true;
         names.push(m.id);
         this.core.log.info({ machine: m.id }, 'idle machine is returned');
@@ -208,20 +243,13 @@
     return now - this.workAt > this.settings.workerLeaseMs * this.settings.get('fleet.empty.ratio');
   }
 
-  /** Enough others like it are idle: returning it won't have it rented again at once. */
-  private spare(m: Machine): boolean {
-    let idle = 0;
-    for (const o of this.workers.machines.values())
-      if (
-        o !== m &&
-        o.typeName === m.typeName &&
-        o.spot === m.spot &&
-        !o.busy &&
-        !o.leaving &&
-        this.workers.alive(o)
-      )
-        idle++;
-    return idle >= 1;
+  /** Idle machines by type and kind. */
+  private idle(): Map<string, number> {
+    const idle = new Map<string, number>();
+    for (const m of this.workers.machines.values())
+      if (!m.busy && !m.leaving && this.workers.alive(m))
+        idle.set(likeness(m), (idle.get(likeness(m)) ?? 0) + 1);
+    return idle;
   }
 
   private release(ids: string[], reason: string): void {
@@ -281,118 +309,108 @@
     for (const { job, tasks } of this.placement.lacking)
       if (now - job.waitingSince >= patience) wants.push({ spec: job.spec, tasks });
     for (const w of this.ahead(now)) wants.push(w);
+    if (wants.length === 0) return;
+    const offers = this.offers(types, now);
     // What is coming is there for the first who want it.
-    const rooms = [...this.coming.values()].map((c) => this.emptyRoom(c));
-    const orders = new Map<string, { offer: Offer; count: number }>();
+    const spaces = [...this.coming.values()].map(emptySpace);
+    const orders: { offer: Kind; count: number }[] = [];
+    const open = new Map<Kind, { offer: Kind; count: number }>();
     for (const want of wants) {
       let left = want.tasks;
       const need = needOf(want.spec);
-      for (const room of rooms) {
+      for (const space of spaces) {
         if (left === 0) break;
-        if (!allowed(want.spec, room.machine)) continue;
-        const n = Math.min(left, room.fitsEmpty(need));
-        room.use(need, n);
-        left -= n;
+        if (allowed(want.spec, space.kind)) left -= take(space, need, left);
       }
       while (left > 0) {
-        const offer = this.choose(want.spec, left, types, now);
+        const offer = this.choose(want.spec, left, offers);
         if (offer === null) break;
-        const key = offerKey(offer);
-        const order = orders.get(key) ?? { offer, count: 0 };
-        if (order.count >= MAX_RENT) break;
+        let order = open.get(offer.kind);
+        if (order === undefined || order.count >= MAX_RENT) {
+          if (orders.length >= MAX_ORDERS) break;
+          order = { offer: offer.kind, count: 0 };
+          orders.push(order);
+          open.set(offer.kind, order);
+        }
         order.count++;
-        orders.set(key, order);
-        const room = this.emptyRoom(offer);
-        rooms.push(room);
-        const n = Math.min(left, room.fitsEmpty(need));
-        if (n <= 0) break;
-        room.use(need, n);
-        left -= n;
+        offer.crowd++;
+        const space = emptySpace(offer.kind);
+        spaces.push(space);
+        left -= take(space, need, left);
       }
     }
-    for (const { offer, count } of orders.values()) this.rent(offer, count, now);
+    for (const { offer, count } of orders) this.rent(offer, count, now);
   }
 
-  private emptyRoom(o: Offer): Room {
-    const m: Machine = Object.assign(Object.create(null) as Machine, {
-      id: '',
-      type: o.type,
-      typeName: o.type.name,
-      zone: o.zone,
-      spot: o.spot,
-      cpus: 0,
-      gpus: 0,
-      memoryGb: 0,
-      assignments: new Map(),
-    });
-    return new Room(m, Infinity);
+  /** What can be rented just now, each with the machines that its zone has already. */
+  private offers(types: MachineType[], now: number): Offer[] {
+    const zones = new Map<string, number>();
+    const count = (zone: string): unknown => zones.set(zone, (zones.get(zone) ?? 0) + 1);
+    for (const c of this.coming.values()) count(c.zone);
+    for (const m of this.workers.machines.values()) count(m.zone);
+    const offers: Offer[] = [];
+    for (const type of types)
+      for (const zone of type.zones)
+        for (const spot of [true, false]) {
+          const kind = { type, zone, spot };
+          const back = this.backoff.get(offerKey(kind));
+          if (back === undefined || back.until <= now)
+            offers.push({ kind, crowd: zones.get(zone) ?? 0 });
+        }
+    return offers;
   }
 
-  /** Classes seen lately that would find no room for one more task: rent ahead of the next. */
+  /** Classes seen lately that would find no room for some more tasks: rent ahead of the next. */
   private ahead(now: number): { spec: JobSpec; tasks: number }[] {
     const wants: { spec: JobSpec; tasks: number }[] = [];
     const recent = this.settings.workerLeaseMs * this.settings.get('fleet.idle.ratio');
     const ratio = this.settings.get('fleet.headroom.ratio');
     if (ratio <= 0 || this.empty(now)) return wants;
-    const rooms = [...this.workers.machines.values()]
-      .filter((m) => m.type !== null && !m.leaving && m.noticeAt === null && this.workers.alive(m))
-      .map((m) => new Room(m, Infinity));
+    const there = [...this.workers.machines.values()].filter(
+      (m) => m.type !== null && !m.leaving && m.noticeAt === null && this.workers.alive(m),
+    );
     for (const { spec, at } of this.classes.values()) {
       if (now - at > recent) {
         this.classes.delete(spec.class);
         continue;
       }
-      let running = 0;
-      for (const m of this.workers.machines.values())
-        for (const a of m.assignments.values()) if (a.job?.spec.class === spec.class) running++;
-      const want = Math.max(1, Math.ceil(running * ratio));
+      const want = Math.max(1, Math.ceil((this.workers.running.get(spec.class) ?? 0) * ratio));
       const need = needOf(spec);
       let free = 0;
-      for (const r of rooms)
-        if (allowed(spec, r.machine)) free += Math.min(want, r.fitsEmpty(need));
+      for (const m of there) {
+        const { type, zone, spot } = m;
+        if (type === null || !allowed(spec, { type, zone, spot })) continue;
+        free += whole(need, type.cpus - m.cpus, type.gpus - m.gpus, type.memoryGb - m.memoryGb);
+        if (free >= want) break;
+      }
       if (free < want) wants.push({ spec, tasks: want - free });
     }
     return wants;
   }
 
-  private choose(spec: JobSpec, tasks: number, types: MachineType[], now: number): Offer | null {
+  private choose(spec: JobSpec, tasks: number, offers: Offer[]): Offer | null {
     let best: Offer | null = null;
     let bestPrice = Infinity;
     const need = needOf(spec);
-    const zones = new Map<string, number>();
-    const count = (zone: string): unknown => zones.set(zone, (zones.get(zone) ?? 0) + 1);
-    for (const c of this.coming.values()) count(c.zone);
-    for (const m of this.workers.machines.values()) if (allowed(spec, m)) count(m.zone);
-    for (const type of types)
-      for (const zone of type.zones)
-        for (const spot of spec.spot ? [true, false] : [false]) {
-          const offer = { type, zone, spot };
-          const back = this.backoff.get(offerKey(offer));
-          if (back !== undefined && back.until > now) continue;
-          const room = this.emptyRoom(offer);
-          if (!allowed(spec, room.machine)) continue;
-          const holds = Math.min(
-            tasks,
-            times(type.cpus, need.cpus),
-            times(type.gpus, need.gpus),
-            times(type.memoryGb, need.memoryGb),
-          );
-          if (holds < 1) continue;
-          // Work without GPUs on a GPU machine pays for what it cannot use, and blocks others.
-          const price =
-            ((spot ? type.spotPrice : type.price) / holds) *
-            (need.gpus === 0 && type.gpus > 0 ? 3 : 1);
-          // Equal offers: the zone with the fewest machines, as scattered work needs several.
-          const crowd = (zones.get(zone) ?? 0) * (spec.spread ? 1 : 1e-3);
-          if (price * (1 + crowd) < bestPrice) {
-            best = offer;
-            bestPrice = price * (1 + crowd);
-          }
-        }
+    for (const offer of offers) {
+      const { type, spot } = offer.kind;
+      if (!allowed(spec, offer.kind)) continue;
+      const holds = Math.min(tasks, whole(need, type.cpus, type.gpus, type.memoryGb));
+      if (holds < 1) continue;
+      // Work without GPUs on a GPU machine pays for what it cannot use, and blocks others.
+      const price =
+        ((spot ? type.spotPrice : type.price) / holds) * (need.gpus === 0 && type.gpus > 0 ? 3 : 1);
+      // Equal offers: the zone with the fewest machines, as scattered work needs several.
+      const crowded = price * (1 + offer.crowd * (spec.spread ? 1 : 1e-3));
+      if (crowded < bestPrice) {
+        best = offer;
+        bestPrice = crowded;
+      }
+    }
     return best;
   }
 
-  private rent(offer: Offer, count: number, now: number): void {
+  private rent(offer: Kind, count: number, now: number): void {
     if (!this.tokens.take(1, 0.2)) return;
     this.counter++;
     // Unique over all time: no other leader has this term.
@@ -401,7 +419,7 @@
     this.sendRent(name, offer, count, now, 3);
   }
 
-  private sendRent(name: string, offer: Offer, count: number, at: number, tries: number): void {
+  private sendRent(name: string, offer: Kind, count: number, at: number, tries: number): void {
     const body = writeRent(name, offer.type.name, offer.zone, offer.spot, count);
     this.core.env.call(
       {
@@ -421,7 +439,7 @@
 
   private rented(
     name: string,
-    offer: Offer,
+    offer: Kind,
     count: number,
     at: number,
     tries: number,
--- a/src/controller/jobs/table.ts
+++ b/src/controller/jobs/table.ts
@@ -70,6 +70,10 @@
   /** Tasks that are neither done nor assigned, lowest number last. */
   readonly pending: Pending;
   readonly assigned = new Map<number, Assignment>();
+  /** Every assignment of its tasks that is not forgotten, older attempts and ended ones too. */
+  readonly all = new Set<Assignment>();
+  /** Its answer may differ from what was last told. */
+  changed = true;
   /** Cancelled, or its end is being written: nothing of it may be placed. */
   closed: FinalState | null = null;
   ending = false;
@@ -154,7 +158,8 @@
   ended(id: string, state: FinalState): void;
 }
 
-const progressKey = (id: string, chunk: number): string => `prog/${id}/${chunk}`;
+const PROGRESS = 'p/';
+const progressKey = (id: string, chunk: number): string => `${PROGRESS}${id}/${chunk}`;
 
 /** The leader's jobs: all that have not ended. */
 export class JobTable {
@@ -201,13 +206,19 @@
     this.hooks.changed();
   }
 
-  /** A progress record, read at takeover. Returns false if its job has ended. */
-  addProgress(key: string, value: unknown): boolean {
-    const parts = key.split('/');
-    const job = this.jobs.get(parts[1] ?? '');
-    const chunk = Number(parts[2]);
-    if (job === undefined || !isMap(value) || typeof value['done'] !== 'string') return false;
-    const bits = Buffer.from(value['done'], 'base64');
+  /** What the leaders before have recorded as done, read at takeover. */
+  load(): void {
+    for (const { key, value } of this.records.list(PROGRESS)) {
+      const [id = '', chunk] = key.slice(PROGRESS.length).split('/');
+      const job = this.jobs.get(id);
+      // Its job has ended.
+      if (job === undefined) this.records.set(key, undefined, false);
+      else if (typeof value === 'string') this.loadChunk(job, Number(chunk), value);
+    }
+  }
+
+  private loadChunk(job: Job, chunk: number, value: string): void {
+    const bits = Buffer.from(value, 'base64');
     for (let i = 0; i < CHUNK; i++) {
       const task = chunk * CHUNK + i;
       if (task >= job.spec.tasks) break;
@@ -217,7 +228,6 @@
       job.doneCount++;
       job.recordedCount++;
     }
-    return true;
   }
 
   /** After all has been read: what is left to place, and jobs that only lack their end. */
@@ -280,6 +290,7 @@
     if (job.closed !== null || job.done[task] === 1) return;
     job.done[task] = 1;
     job.doneCount++;
+    job.changed = true;
     job.pending.drop(task);
     if (job.complete) {
       this.dirtyDone.delete(job);
@@ -320,13 +331,13 @@
     this.dirtyDone.clear();
   }
 
-  private chunkValue(job: Job, chunk: number): unknown {
+  private chunkValue(job: Job, chunk: number): string {
     const from = chunk * CHUNK;
     const size = Math.min(CHUNK, job.spec.tasks - from);
     const bits = Buffer.alloc(Math.ceil(size / 8));
     for (let i = 0; i < size; i++)
       if (job.done[from + i] === 1) bits[i >> 3] = (bits[i >> 3] ?? 0) | (1 << (i & 7));
-    return { done: bits.toString('base64') };
+    return bits.toString('base64');
   }
 
   /** Replaces the live record by the final one, in one step, unless a cancellation came first. */
--- a/src/controller/operators/view.ts
+++ b/src/controller/operators/view.ts
@@ -2,7 +2,6 @@
 import type { JobTable } from '../jobs/table.js';
 import type { Placement } from '../placement/placement.js';
 import { times } from '../placement/room.js';
-import { Teams } from '../placement/teams.js';
 import type { Settings } from '../settings/settings.js';
 import type { Workers } from '../workers/workers.js';
 import type { MachineType } from '../wire/cloud.js';
@@ -25,18 +24,16 @@
 /** The cluster as its leader sees it, for a person. */
 export function clusterView(s: ViewSource): unknown {
   const machines = [...s.workers.machines.values()];
-  const assignments = machines.flatMap((m) => [...m.assignments.values()]);
   const seconds = (ms: number): number | null =>
     Number.isFinite(ms) ? Math.round((ms - s.now) / 100) / 10 : null;
   const jobs = [...s.table.jobs.values()];
-  const teams = new Teams(s.settings.platform.teams, assignments);
   return {
     leader: s.settings.platform.host,
     term: s.term,
     acting: s.acting,
     jobs: jobs.length,
     pending_tasks: jobs.reduce((n, j) => n + j.pending.length, 0),
-    assigned_tasks: assignments.length,
+    assigned_tasks: s.workers.assigned,
     booting: s.fleet.booting,
     machines: machines.slice(0, LISTED).map((m) => ({
       id: m.id,
@@ -57,7 +54,7 @@
               ? 'quarantined'
               : 'up',
     })),
-    teams: teams.state().map((t) => ({
+    teams: s.workers.teams.state().map((t) => ({
       name: t.name,
       cpus: t.cpus,
       gpus: t.gpus,
--- a/src/controller/placement/estimates.ts
+++ b/src/controller/placement/estimates.ts
@@ -54,12 +54,13 @@
     if (rate <= 0) return 0;
     // Images that are fetched at the same time share the rate; each delays by at most its own size.
     let gb = spec.imageGb;
-    const others = new Set<string>();
+    let others: Set<string> | null = null;
     for (const { job, state, phase } of m.assignments.values()) {
       if (job === null || phase === 'ended' || (state !== null && state !== 'fetching')) continue;
       const other = job.spec;
-      if (other.image === spec.image || others.has(other.image) || m.images.has(other.image))
-        continue;
+      if (other.image === spec.image || m.images.has(other.image)) continue;
+      others ??= new Set();
+      if (others.has(other.image)) continue;
       others.add(other.image);
       gb += Math.min(other.imageGb, spec.imageGb);
     }
--- a/src/controller/placement/guarantee.test.ts
+++ b/src/controller/placement/guarantee.test.ts
@@ -5,10 +5,10 @@
 import type { Env, Logger } from '../core/env.js';
 import { JobTable } from '../jobs/table.js';
 import { alone } from '../../../test/platform.js';
+import { storedAtOnce } from '../../../test/stored.js';
 import { defaultProperties } from '../settings/properties.js';
 import { Settings } from '../settings/settings.js';
 import type { StateClient } from '../store/client.js';
-import type { Records } from '../store/records.js';
 import type { MachineType } from '../wire/cloud.js';
 import { writeJob, type JobSpec } from '../wire/jobs.js';
 import type { TaskReport } from '../wire/workers.js';
@@ -60,11 +60,7 @@
       sendPeer: nothing,
     };
     const core = new Core(env, silent);
-    const records = {
-      has: () => false,
-      set: (_k: string, _v: unknown, _u: boolean, done?: () => void) => done?.(),
-      transact: nothing,
-    } as unknown as Records;
+    const records = storedAtOnce();
     this.table = new JobTable(core, settings, {} as unknown as StateClient, records, {
       ...{ torn: nothing, added: nothing, changed: nothing, vanished: nothing },
       ...{ closed: nothing, recorded: nothing, ended: nothing },
--- a/src/controller/placement/placement.test.ts
+++ b/src/controller/placement/placement.test.ts
@@ -7,9 +7,9 @@
 import type { Assignment } from '../workers/assignment.js';
 import { Machine } from '../workers/machine.js';
 import { Estimates } from './estimates.js';
-import { compareRank, compareTurn, rankTime, type RankSettings } from './rank.js';
+import { compareRank, compareTurn, rankTime, turnOf, type RankSettings } from './rank.js';
 import { needOf, Room } from './room.js';
-import { Teams, withinGuarantee } from './teams.js';
+import { Guarantees, Teams } from './teams.js';
 
 const type: MachineType = {
   ...{ name: 'big', cpus: 16, gpus: 4, memoryGb: 64, cacheGb: 10 },
@@ -27,6 +27,10 @@
 }
 const settings: RankSettings = { agingMs: 400_000, bonus: 0.25, late: 0.5, aims: () => [] };
 const job = (part: Partial<JobSpec>, at: number): Job => new Job(spec(part), at, 1, at);
+const rank = (a: Job, b: Job, s: RankSettings, now: number): number =>
+  compareRank(turnOf(a, s, now), turnOf(b, s, now));
+const turn = (a: Job, b: Job, now: number): number =>
+  compareTurn(turnOf(a, settings, now), turnOf(b, settings, now));
 
 describe('rank', () => {
   it('is priority, then submission, then id', () => {
@@ -34,7 +38,7 @@
     const high = job({ priority: 'high' }, 5000);
     const later = job({ priority: 'high' }, 6000);
     const twin = job({ priority: 'high' }, 6000);
-    const sorted = [twin, later, low, high].sort((a, b) => compareRank(a, b, settings, 0));
+    const sorted = [twin, later, low, high].sort((a, b) => rank(a, b, settings, 0));
     assert.deepEqual(sorted, [high, later, twin, low]);
   });
 
@@ -52,13 +56,10 @@
           return j;
         });
         if (a === undefined || b === undefined || c === undefined) return;
-        assert.notEqual(compareRank(a, b, settings, 0), 0);
-        assert.equal(
-          Math.sign(compareRank(a, b, settings, 0)),
-          -Math.sign(compareRank(b, a, settings, 0)),
-        );
-        if (compareRank(a, b, settings, 0) < 0 && compareRank(b, c, settings, 0) < 0)
-          assert.ok(compareRank(a, c, settings, 0) < 0);
+        assert.notEqual(rank(a, b, settings, 0), 0);
+        assert.equal(Math.sign(rank(a, b, settings, 0)), -Math.sign(rank(b, a, settings, 0)));
+        if (rank(a, b, settings, 0) < 0 && rank(b, c, settings, 0) < 0)
+          assert.ok(rank(a, c, settings, 0) < 0);
       }),
       { seed: 4 },
     );
@@ -75,11 +76,11 @@
   it('rank a job by the next aim that it can meet, then behind those that can', () => {
     const old = job({}, 0);
     const young = job({}, 5000);
-    assert.ok(compareRank(old, young, aimed, 0) < 0);
-    assert.ok(compareRank(old, young, aimed, 10_001) > 0);
-    assert.ok(compareRank(old, young, aimed, 100_000) < 0, 'both late: submission decides');
+    assert.ok(rank(old, young, aimed, 0) < 0);
+    assert.ok(rank(old, young, aimed, 10_001) > 0);
+    assert.ok(rank(old, young, aimed, 100_000) < 0, 'both late: submission decides');
     const muchLater = job({}, 400_000);
-    assert.ok(compareRank(old, muchLater, aimed, 400_000) < 0, 'late work does not starve');
+    assert.ok(rank(old, muchLater, aimed, 400_000) < 0, 'late work does not starve');
   });
 });
 
@@ -90,8 +91,8 @@
     victim.preemptions = 1;
     const gang = job({}, 5000);
     gang.grantedUntil = 30_000;
-    assert.ok(compareTurn(gang, victim, settings, 20_000) < 0);
-    assert.ok(compareTurn(gang, victim, settings, 40_000) > 0);
+    assert.ok(turn(gang, victim, 20_000) < 0);
+    assert.ok(turn(gang, victim, 40_000) > 0);
   });
 });
 
@@ -154,7 +155,7 @@
 describe('teams', () => {
   const team = { name: 'red', cpus: 0, gpus: 4, cpusMax: 0, gpusMax: 6 };
   it('counts every task that is not surely gone against the limit', () => {
-    const teams = new Teams([team], []);
+    const teams = new Teams([team]);
     assert.equal(teams.allowance(spec({ gpus: 2 })), 3);
     teams.add('red', { cpus: 1, gpus: 5, memoryGb: 1 }, 1);
     assert.equal(teams.allowance(spec({ gpus: 2 })), 0);
@@ -166,9 +167,9 @@
     const first = job({ gpus: 3 }, 0);
     const second = job({ gpus: 2 }, 1);
     const third = job({ gpus: 1, tasks: 1 }, 2);
-    const inside = withinGuarantee([team], [third, second, first]);
-    assert.ok(inside.has(first));
-    assert.ok(!inside.has(second));
-    assert.ok(!inside.has(third), 'the guarantee is used up by the one before');
+    new Guarantees([team]).mark([third, second, first]);
+    assert.ok(first.guaranteed);
+    assert.ok(!second.guaranteed);
+    assert.ok(!third.guaranteed, 'the guarantee is used up by the one before');
   });
 });
--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -2,16 +2,18 @@
 import type { Job, JobTable } from '../jobs/table.js';
 import type { Settings } from '../settings/settings.js';
 import type { Records } from '../store/records.js';
-import type { Assignment } from '../workers/assignment.js';
+import type { Assignment, Need } from '../workers/assignment.js';
 import type { Machine } from '../workers/machine.js';
-import type { Workers } from '../workers/workers.js';
+import { recordBytes, type Workers } from '../workers/workers.js';
 import type { Estimates } from './estimates.js';
-import { compareTurn, type RankSettings } from './rank.js';
+import { compareTurn, turnOf, type RankSettings, type Turn } from './rank.js';
 import type { Reserve } from './reserve.js';
-import { allowed, needOf, Room, times } from './room.js';
-import { Teams, withinGuarantee } from './teams.js';
+import { needOf, Rooms, type Room } from './room.js';
+import { Targets, type Target } from './targets.js';
+import { Guarantees } from './teams.js';
 
-export const holdKey = (id: string): string => `hold/${id}`;
+const HOLDS = 'h/';
+export const holdKey = (id: string): string => `${HOLDS}${id}`;
 
 /** Work that found no room in the last pass. */
 export interface Lack {
@@ -19,26 +21,45 @@
   tasks: number;
 }
 
-interface Target {
+/** Room where tasks of a job can start now. */
+interface Candidate {
   room: Room;
-  fillAt: number;
-  victims: Assignment[];
-  /** Work that stopping the victims would lose. */
-  lostMs: number;
-  /** Room is being made already. */
-  stopping: boolean;
+  /** How many of its tasks. */
+  count: number;
+  score: number;
 }
 
-interface Pick {
-  room: Room;
-  count: number;
+/** A need that no room had place for, even if nothing were held. */
+interface Failed extends Need {
+  kinds: string;
+}
+
+/** A need that no work could be stopped for. */
+interface Fruitless extends Failed {
+  team: string;
+  guaranteed: boolean;
+  level: number;
+}
+
+/** Whether all that is needed is at least as much: where the less was too much, so is this. */
+function atLeast(need: Need, less: Need): boolean {
+  return need.cpus >= less.cpus && need.gpus >= less.gpus && need.memoryGb >= less.memoryGb;
+}
+
+/** Names a choice of kinds of rooms within a pass. */
+function nameOf(kinds: Room[][]): string {
+  return kinds.map((k) => k[0]?.order ?? -1).join();
 }
 
+/** One walk over all that waits, by rank. It may take several turns of the command queue. */
 interface Pass {
   now: number;
-  rooms: Room[];
-  teams: Teams;
-  guaranteed: Set<Job>;
+  rooms: Rooms;
+  turns: Turn[];
+  next: number;
+  lacking: Lack[];
+  failed: Failed[];
+  fruitless: Fruitless[];
 }
 
 /** Share of its estimate by which a run is allowed to take longer when its latest start is set. */
@@ -47,9 +68,6 @@
 /** Tasks of one array that room is made for in one pass. */
 const ROOM_A_PASS = 8;
 
-/** How much sooner a gang has to start for each second of work that is lost for it. */
-const LOST_WEIGHT = 0.15;
-
 /** Attempts of one leader; with the term they are unique over all time. */
 const ATTEMPTS = 2 ** 22;
 
@@ -71,9 +89,10 @@
   /** Tasks stopped to make room, in this term. */
   preemptions = 0;
   private attempts = 0;
-  /** Classes of which something found no room in the last pass. */
-  private lackingClasses = new Set<string>();
+  private current: Pass | null = null;
   private readonly rank: RankSettings;
+  private readonly targets: Targets;
+  private readonly guarantees: Guarantees;
 
   constructor(
     private readonly core: Core,
@@ -85,6 +104,8 @@
     private readonly reserve: Reserve,
     private readonly hooks: PlacementHooks,
   ) {
+    this.targets = new Targets(settings, estimates, workers.teams);
+    this.guarantees = new Guarantees(settings.platform.teams);
     this.rank = {
       agingMs: settings.workerLeaseMs * settings.get('placement.aging.ratio'),
       bonus: settings.get('placement.preempted.bonus.ratio'),
@@ -93,27 +114,71 @@
     };
   }
 
+  /** The holds of the leaders before, read at takeover. */
+  load(): void {
+    for (const { key, value } of this.records.list(HOLDS)) {
+      const job = this.table.jobs.get(key.slice(HOLDS.length));
+      if (job === undefined || !Array.isArray(value)) this.records.set(key, undefined, false);
+      else job.hold = { machines: value.map(String), since: this.core.now(), fillAt: Infinity };
+    }
+  }
+
+  /** A pass has begun and not come to its end. */
+  get passing(): boolean {
+    return this.current !== null;
+  }
+
+  /** A whole pass. */
   pass(): void {
+    this.begin();
+    this.advance(Infinity);
+  }
+
+  begin(): void {
     const now = this.core.now();
-    const pass: Pass = {
-      now,
-      rooms: this.rooms(now),
-      teams: new Teams(this.settings.platform.teams, this.assignments()),
-      guaranteed: withinGuarantee(this.settings.platform.teams, this.table.jobs.values()),
-    };
+    this.guarantees.mark(this.table.jobs.values());
+    const rooms = new Rooms(this.workers.machines.values(), this.workers.recordLimit);
+    for (const r of rooms.all) r.closed = !this.usable(r.machine, now);
     this.drain(now);
-    const waiting = [...this.table.jobs.values()].filter(
-      (j) => j.pending.length > 0 && !j.regrouping && !j.ending && j.notBefore <= now,
-    );
-    for (const job of waiting) job.guaranteed = pass.guaranteed.has(job);
-    waiting.sort((a, b) => compareTurn(a, b, this.rank, now));
-    this.lacking = [];
-    this.reserve.plan(pass.rooms, this.lackingClasses, now);
-    for (const job of waiting) {
+    const turns: Turn[] = [];
+    for (const job of this.table.jobs.values())
+      if (this.waits(job, now)) turns.push(turnOf(job, this.rank, now));
+    turns.sort(compareTurn);
+    const lackingClasses = new Set(this.lacking.map((l) => l.job.spec.class));
+    this.reserve.plan(rooms, lackingClasses, now);
+    this.current = { now, rooms, turns, next: 0, lacking: [], failed: [], fruitless: [] };
+  }
+
+  /** Goes on with the pass until `deadline`; true once it is over. */
+  advance(deadline: number): boolean {
+    const pass = this.current;
+    if (pass === null) return true;
+    const now = this.core.now();
+    if (pass.next > 0) {
+      // Reports have come since: what is free is read anew, what must not be used is left out.
+      pass.now = now;
+      pass.failed = [];
+      pass.fruitless = [];
+      for (const r of pass.rooms.all) {
+        r.closed = !this.usable(r.machine, now);
+        r.ends = null;
+      }
+    }
+    while (pass.next < pass.turns.length) {
+      const job = pass.turns[pass.next]?.job;
+      pass.next++;
+      if (job === undefined || job.closed !== null || !this.waits(job, pass.now)) continue;
       if (job.spec.kind === 'gang') this.gang(pass, job);
       else this.array(pass, job);
+      if (this.core.now() >= deadline && pass.next < pass.turns.length) return false;
     }
-    this.lackingClasses = new Set(this.lacking.map((l) => l.job.spec.class));
+    this.lacking = pass.lacking;
+    this.current = null;
+    return true;
+  }
+
+  private waits(job: Job, now: number): boolean {
+    return job.pending.length > 0 && !job.regrouping && !job.ending && job.notBefore <= now;
   }
 
   /** Latest starts for what is expected of the job: its class's wait, its ends, its due time. */
@@ -122,13 +187,11 @@
     // Estimates err; a start at the last moment would as likely as not be late.
     const run = this.estimates.runMs(spec) * RUN_MARGIN + this.settings.reportMs;
     const { starts, ends } = this.settings.aims(spec.class, spec.deadlineS);
+    const aims = starts.slice();
     const inside = job.guaranteed ? this.settings.guaranteeWithinMs : null;
-    if (inside !== null) starts.push(inside);
-    return [...starts, ...ends.map((e) => Math.max(0, e - run))].sort((x, y) => x - y);
-  }
-
-  private *assignments(): Iterable<Assignment> {
-    for (const m of this.workers.machines.values()) yield* m.assignments.values();
+    if (inside !== null) aims.push(inside);
+    for (const e of ends) aims.push(Math.max(0, e - run));
+    return aims;
   }
 
   private usable(m: Machine, now: number): boolean {
@@ -142,21 +205,13 @@
     );
   }
 
-  private rooms(now: number): Room[] {
-    const { slots } = this.workers;
-    const rooms: Room[] = [];
-    for (const m of this.workers.machines.values())
-      if (this.usable(m, now)) rooms.push(new Room(m, slots));
-    return rooms;
-  }
-
-  /** Lower is better: the image at hand, room that others can't use, the tightest fit (m03 §6, R1). */
-  private score(job: Job, room: Room): number {
+  /** What speaks against a machine for the job, beside its image. */
+  private penalty(job: Job, room: Room): number {
     const { spec } = job;
     const m = room.machine;
     const t = m.type;
     if (t === null) return Infinity;
-    let score = this.estimates.fetchMs(spec, m) / 1000;
+    let score = 0;
     if (spec.gpus === 0 && t.gpus > 0) score += 30;
     if (spec.spot && !m.spot) score += 15;
     if (job.failedOn.has(m.id)) score += 60;
@@ -166,33 +221,38 @@
     return score + 10 * left;
   }
 
-  private candidates(pass: Pass, job: Job): { room: Room; score: number }[] {
-    return pass.rooms
-      .filter((r) => allowed(job.spec, r.machine))
-      .map((room) => ({ room, score: this.score(job, room) }))
-      .sort((a, b) => a.score - b.score || (a.room.machine.id < b.room.machine.id ? -1 : 1));
-  }
-
-  private endsAt(pass: Pass, job: Job, room: Room): number {
+  /**
+   * Rooms where tasks of the job can start now, the best first: the image at hand, room that others
+   * can't use, the tightest fit (m03 §6, R1).
+   */
+  private candidates(pass: Pass, job: Job): Candidate[] {
     const { spec } = job;
-    return (
-      pass.now +
-      this.settings.reportMs / 2 +
-      this.estimates.fetchMs(spec, room.machine) +
-      this.estimates.runMs(spec)
-    );
-  }
-
-  private fits(pass: Pass, job: Job, room: Room): number {
+    const found: Candidate[] = [];
+    const need = needOf(spec);
+    const kinds = pass.rooms.of(spec);
+    const name = nameOf(kinds);
+    if (pass.failed.some((f) => f.kinds === name && atLeast(need, f))) return found;
     const backfill = this.settings.get('placement.backfill.ratio');
-    return room.fits(job.spec, job.level, this.endsAt(pass, job, room), backfill, pass.now);
+    const record = recordBytes(spec.id, spec.team);
+    const soonest = pass.now + this.settings.reportMs / 2 + this.estimates.runMs(spec);
+    let any = false;
+    for (const rooms of kinds)
+      for (const room of rooms) {
+        if (!room.admits(need)) continue;
+        any = true;
+        const fetch = this.estimates.fetchMs(spec, room.machine);
+        const count = room.fits(spec, job.level, soonest + fetch, backfill, pass.now, record);
+        if (count > 0) found.push({ room, count, score: fetch / 1000 + this.penalty(job, room) });
+      }
+    if (!any) pass.failed.push({ ...need, kinds: name });
+    return found.sort((a, b) => a.score - b.score || a.room.order - b.room.order);
   }
 
   /** Tasks of the job by zone, wherever any may still be. */
   private zones(job: Job): Map<string, number> {
     const zones = new Map<string, number>();
-    for (const a of this.assignments()) {
-      if (a.jobId !== job.spec.id || a.phase === 'ended') continue;
+    for (const a of job.all) {
+      if (a.phase === 'ended') continue;
       zones.set(a.machine.zone, (zones.get(a.machine.zone) ?? 0) + 1);
     }
     return zones;
@@ -211,35 +271,35 @@
     return this.workers.term * ATTEMPTS + this.attempts;
   }
 
-  private put(pass: Pass, job: Job, room: Room, count: number, attempt: number): void {
+  private put(job: Job, room: Room, count: number, attempt: number): void {
     for (let i = 0; i < count; i++) {
       const task = job.pending.pop();
       if (task === undefined) return;
       this.workers.assign(job, task, attempt, room.machine);
     }
-    room.use(needOf(job.spec), count);
-    pass.teams.add(job.spec.team, needOf(job.spec), count);
+    room.ends = null;
   }
 
   private array(pass: Pass, job: Job): void {
-    let left = Math.min(job.pending.length, pass.teams.allowance(job.spec));
+    let left = Math.min(job.pending.length, this.workers.teams.allowance(job.spec));
     if (left === 0) return;
-    const attempt = this.nextAttempt();
     const limited = job.spec.oneZone || job.spec.spread;
     const zones = limited ? this.zones(job) : new Map<string, number>();
-    for (const { room } of this.candidates(pass, job)) {
+    let attempt = -1;
+    for (const { room, count } of this.candidates(pass, job)) {
       const { zone } = room.machine;
-      const n = Math.min(left, this.fits(pass, job, room), this.zoneRoom(job, zone, zones));
+      const n = Math.min(left, count, limited ? this.zoneRoom(job, zone, zones) : Infinity);
       if (n <= 0) continue;
-      this.put(pass, job, room, n, attempt);
+      if (attempt < 0) attempt = this.nextAttempt();
+      this.put(job, room, n, attempt);
       zones.set(zone, (zones.get(zone) ?? 0) + n);
       left -= n;
       if (left === 0) break;
     }
     if (left === 0) job.grantedUntil = -Infinity;
     else {
-      this.lacking.push({ job, tasks: left });
-      if (pass.guaranteed.has(job) || job.level > 0) this.makeRoom(pass, job, left);
+      pass.lacking.push({ job, tasks: left });
+      if (job.guaranteed || job.level > 0) this.makeRoom(pass, job, left);
     }
   }
 
@@ -248,40 +308,43 @@
    * guarantee need not wait for what others run on borrowed room.
    */
   private makeRoom(pass: Pass, job: Job, tasks: number): void {
-    const all = this.candidates(pass, job);
-    const used = new Set<Assignment>();
-    for (let i = 0; i < Math.min(tasks, ROOM_A_PASS); i++) {
-      let best: Target | null = null;
-      let bestCost = Infinity;
-      for (const { room } of all) {
-        const t = this.fill(pass, job, room, 0, used);
-        if (t === null || (t.victims.length === 0 && !t.stopping)) continue;
-        const fetch = this.estimates.fetchMs(job.spec, room.machine);
-        const cost = t.fillAt + fetch + LOST_WEIGHT * t.lostMs;
-        if (cost < bestCost) {
-          best = t;
-          bestCost = cost;
-        }
-      }
-      if (best === null) return;
-      if (!this.stopAll(best.victims, job)) return;
-      for (const v of best.victims) used.add(v);
-      best.room.claim(needOf(job.spec), best.fillAt);
+    const rooms = pass.rooms.of(job.spec);
+    const need = needOf(job.spec);
+    const { team } = job.spec;
+    const { guaranteed, level } = job;
+    const kinds = nameOf(rooms);
+    const fruitless = pass.fruitless.some(
+      (f) =>
+        f.kinds === kinds &&
+        f.team === team &&
+        f.guaranteed === guaranteed &&
+        f.level >= level &&
+        atLeast(need, f),
+    );
+    if (fruitless) return;
+    const found = this.targets.find({
+      ...{ now: pass.now, job, rooms: rooms.flat() },
+      ...{ count: Math.min(tasks, ROOM_A_PASS), made: true },
+      prefer: (room) => this.penalty(job, room),
+    });
+    if (found.length === 0) pass.fruitless.push({ ...need, kinds, team, guaranteed, level });
+    for (const t of found) {
+      if (!this.stopAll(t.victims, job)) return;
+      t.room.claim(needOf(job.spec), t.fillAt);
     }
   }
 
   /** Stops all of the victims or, where that is too much at a time, none. */
   private stopAll(victims: Assignment[], by: Job): boolean {
+    if (victims.length === 0) return true;
     const now = this.core.now();
     const { workerLeaseMs } = this.settings;
     this.stopped = this.stopped.filter((at) => now - at < workerLeaseMs);
-    let assigned = 0;
-    for (const m of this.workers.machines.values()) assigned += m.assignments.size;
-    const most = Math.max(4, this.settings.get('placement.preempt.share') * assigned);
-    if (this.stopped.length + victims.length > most && victims.length > 0) {
+    const most = Math.max(4, this.settings.get('placement.preempt.share') * this.workers.assigned);
+    if (this.stopped.length + victims.length > most) {
       if (now - this.throttledAt > workerLeaseMs) {
         this.throttledAt = now;
-        const lostS = Math.round(victims.reduce((n, a) => n + this.lostMs(a, now), 0) / 1000);
+        const lostMs = victims.reduce((n, a) => n + this.targets.lostMs(a, now), 0);
         this.core.log.warn(
           {
             job: by.spec.id,
@@ -289,7 +352,7 @@
             stopped: this.stopped.length,
             most: Math.floor(most),
             wouldStop: victims.map((a) => a.jobId),
-            wouldLoseTaskSeconds: lostS,
+            wouldLoseTaskSeconds: Math.round(lostMs / 1000),
           },
           'preemption throttled: the job waits; raise placement.preempt.share to let it through',
         );
@@ -302,34 +365,34 @@
 
   private gang(pass: Pass, job: Job): void {
     const n = job.spec.tasks;
-    if (pass.teams.allowance(job.spec) < n) {
-      job.blocked = "its team's limit is used up";
+    if (this.workers.teams.allowance(job.spec) < n) {
+      this.block(job, "its team's limit is used up");
       this.dropHold(job);
       return;
     }
-    const all = this.candidates(pass, job);
-    const picked = this.pickAny(pass, job, all);
-    if (picked !== null && !this.worthWaiting(pass, job, all, picked)) {
+    const picked = this.pickAny(pass, job);
+    if (picked !== null && !this.worthWaiting(pass, job, picked)) {
       const attempt = this.nextAttempt();
-      for (const { room, count } of picked) this.put(pass, job, room, count, attempt);
-      job.blocked = '';
+      for (const { room, count } of picked) this.put(job, room, count, attempt);
+      this.block(job, '');
       job.grantedUntil = -Infinity;
       this.dropHold(job);
       return;
     }
-    this.lacking.push({ job, tasks: n });
-    this.hold(pass, job, all);
+    pass.lacking.push({ job, tasks: n });
+    this.hold(pass, job);
   }
 
   /** Zones to try one by one for a gang that wants one; otherwise all at once. */
-  private zoneChoices(job: Job, all: { room: Room }[]): (string | null)[] {
-    if (!job.spec.oneZone) return [null];
-    return [...new Set(all.map((c) => c.room.machine.zone))];
+  private zoneChoices(pass: Pass, job: Job): (string | null)[] {
+    return job.spec.oneZone ? pass.rooms.zones(job.spec) : [null];
   }
 
-  private pickAny(pass: Pass, job: Job, all: { room: Room }[]): Pick[] | null {
-    for (const zone of this.zoneChoices(job, all)) {
-      const picked = this.pick(pass, job, all, zone);
+  private pickAny(pass: Pass, job: Job): Candidate[] | null {
+    const all = this.candidates(pass, job);
+    if (all.length === 0) return null;
+    for (const zone of this.zoneChoices(pass, job)) {
+      const picked = this.pick(job, all, zone);
       if (picked !== null) return picked;
     }
     return null;
@@ -339,10 +402,10 @@
    * Room is there, but without the image: machines that have it may be free before a fetch would
    * end. Fetches take their nominal time give or take a third.
    */
-  private worthWaiting(pass: Pass, job: Job, all: { room: Room }[], picked: Pick[]): boolean {
+  private worthWaiting(pass: Pass, job: Job, picked: Candidate[]): boolean {
     const fetch = Math.max(...picked.map((p) => this.estimates.fetchMs(job.spec, p.room.machine)));
     if (fetch <= this.settings.reportMs * 2) return false;
-    const { targets, fillAt } = this.bestTargets(pass, job, all);
+    const { targets, fillAt } = this.bestTargets(pass, job);
     if (targets.length < job.spec.tasks) return false;
     const ready = Math.max(
       ...targets.map((t) => fillAt + this.estimates.fetchMs(job.spec, t.room.machine)),
@@ -354,16 +417,16 @@
     return ready - pass.now < fetch * 0.7;
   }
 
-  private pick(pass: Pass, job: Job, all: { room: Room }[], zone: string | null): Pick[] | null {
+  private pick(job: Job, all: Candidate[], zone: string | null): Candidate[] | null {
     let left = job.spec.tasks;
     const zones = new Map<string, number>();
-    const picked: Pick[] = [];
-    for (const { room } of all) {
-      const z = room.machine.zone;
+    const picked: Candidate[] = [];
+    for (const c of all) {
+      const z = c.room.machine.zone;
       if (zone !== null && z !== zone) continue;
-      const count = Math.min(left, this.fits(pass, job, room), this.zoneRoom(job, z, zones));
+      const count = Math.min(left, c.count, this.zoneRoom(job, z, zones));
       if (count <= 0) continue;
-      picked.push({ room, count });
+      picked.push({ ...c, count });
       zones.set(z, (zones.get(z) ?? 0) + count);
       left -= count;
       if (left === 0) return picked;
@@ -379,19 +442,21 @@
     this.records.set(holdKey(job.spec.id), undefined, false);
   }
 
-  private bestTargets(
-    pass: Pass,
-    job: Job,
-    all: { room: Room }[],
-  ): { targets: Target[]; fillAt: number } {
+  private bestTargets(pass: Pass, job: Job): { targets: Target[]; fillAt: number } {
+    const { spec } = job;
     let best: Target[] = [];
     let bestAt = Infinity;
-    for (const zone of this.zoneChoices(job, all)) {
-      const targets = this.targets(pass, job, all, zone);
-      const at = Math.max(
-        ...targets.map((t) => t.fillAt),
-        targets.length < job.spec.tasks ? Infinity : 0,
-      );
+    for (const zone of this.zoneChoices(pass, job)) {
+      const targets = this.targets.find({
+        ...{ now: pass.now, job, rooms: pass.rooms.of(spec, zone).flat() },
+        ...{ count: spec.tasks, made: false },
+        ...(spec.spread
+          ? { zoneRoom: (_: string, there: number) => Math.ceil(spec.tasks / 2) - there }
+          : {}),
+        prefer: (room) => this.penalty(job, room),
+      });
+      const whole = targets.length === spec.tasks;
+      const at = whole ? Math.max(...targets.map((t) => t.fillAt)) : Infinity;
       if (best.length < targets.length || (best.length === targets.length && at < bestAt)) {
         best = targets;
         bestAt = at;
@@ -400,19 +465,18 @@
     return { targets: best, fillAt: bestAt };
   }
 
-  private hold(pass: Pass, job: Job, all: { room: Room }[]): void {
-    const { targets: best, fillAt } = this.bestTargets(pass, job, all);
+  private hold(pass: Pass, job: Job): void {
+    const { targets: best, fillAt } = this.bestTargets(pass, job);
     for (const t of best) t.room.claim(needOf(job.spec), fillAt);
     const machines = best.map((t) => t.room.machine.id);
     const since = job.hold?.since ?? pass.now;
     const changed = job.hold?.machines.join() !== machines.join();
     job.hold = { machines, since, fillAt };
-    if (changed) this.records.set(holdKey(job.spec.id), { machines, fill: 1 }, false);
+    if (changed) this.records.set(holdKey(job.spec.id), machines, false);
     const waited =
       pass.now - job.waitingSince > this.settings.get('placement.cannot.fill.s') * 1000;
-    job.blocked = waited
-      ? `cannot fill yet: holds ${best.length} of ${job.spec.tasks} places on ${new Set(machines).size} machines`
-      : '';
+    const there = `${best.length} of ${job.spec.tasks} places on ${new Set(machines).size} machines`;
+    this.block(job, waited ? `cannot fill yet: holds ${there}` : '');
     // Stopping work pays only if the whole gang can start then.
     if (best.length === job.spec.tasks)
       this.stopAll(
@@ -421,150 +485,10 @@
       );
   }
 
-  /** One machine for each task, with the time at which it should have room. */
-  private targets(pass: Pass, job: Job, all: { room: Room }[], zone: string | null): Target[] {
-    const zones = new Map<string, number>();
-    const targets: Target[] = [];
-    const taken = new Map<Room, number>();
-    const used = new Set<Assignment>();
-    for (let i = 0; i < job.spec.tasks; i++) {
-      let best: Target | null = null;
-      let bestCost = Infinity;
-      for (const { room } of all) {
-        const z = room.machine.zone;
-        if (zone !== null && z !== zone) continue;
-        if (this.zoneRoom(job, z, zones) <= 0) continue;
-        const t = this.fill(pass, job, room, taken.get(room) ?? 0, used);
-        if (t === null) continue;
-        // Holds last: a machine already held is left only for one clearly better.
-        const kept =
-          job.hold?.machines.includes(room.machine.id) === true ? this.settings.reportMs : 0;
-        const fetch = this.estimates.fetchMs(job.spec, room.machine);
-        const cost = t.fillAt + fetch - kept + LOST_WEIGHT * t.lostMs;
-        if (cost < bestCost) {
-          best = t;
-          bestCost = cost;
-        }
-      }
-      if (best === null) break;
-      targets.push(best);
-      for (const v of best.victims) used.add(v);
-      taken.set(best.room, (taken.get(best.room) ?? 0) + 1);
-      const z = best.room.machine.zone;
-      zones.set(z, (zones.get(z) ?? 0) + 1);
-    }
-    return targets;
-  }
-
-  /** When a machine should have room for one more of the gang's tasks, by itself or by stopping work. */
-  private fill(
-    pass: Pass,
-    job: Job,
-    room: Room,
-    taken: number,
-    used: Set<Assignment>,
-  ): Target | null {
-    const need = needOf(job.spec);
-    let cpus = room.cpus - need.cpus * taken;
-    let gpus = room.gpus - need.gpus * taken;
-    let memoryGb = room.memoryGb - need.memoryGb * taken;
-    for (const c of room.claims) {
-      if (c.ahead !== null) continue;
-      cpus -= c.cpus;
-      gpus -= c.gpus;
-      memoryGb -= c.memoryGb;
-    }
-    const enough = (): boolean =>
-      times(cpus, need.cpus) >= 1 &&
-      times(gpus, need.gpus) >= 1 &&
-      times(memoryGb, need.memoryGb) >= 1;
-    const free = (a: Assignment): void => {
-      cpus += a.need.cpus;
-      gpus += a.need.gpus;
-      memoryGb += a.need.memoryGb;
-    };
-    if (enough()) return { room, fillAt: pass.now, victims: [], lostMs: 0, stopping: false };
-    const there = [...room.machine.assignments.values()].filter((a) => a.phase !== 'ended');
-    const ends = there
-      .map((a) => ({ a, at: pass.now + this.estimates.remainingMs(a, pass.now) }))
-      .sort((x, y) => x.at - y.at);
-    const before = { cpus, gpus, memoryGb };
-    let natural = Infinity;
-    for (const { a, at } of ends) {
-      free(a);
-      if (enough()) {
-        natural = at;
-        break;
-      }
-    }
-    if (natural === Infinity) return null;
-    // Soon free, by itself or because it was stopped: nothing more needs stopping.
-    const stopping = there.some((a) => a.stop !== null);
-    if (natural - pass.now < this.settings.reportMs)
-      return { room, fillAt: natural, victims: [], lostMs: 0, stopping };
-    ({ cpus, gpus, memoryGb } = before);
-    const victims: Assignment[] = [];
-    let fillAt = pass.now + this.settings.reportMs;
-    for (const a of there) {
-      if (a.stop === null && !used.has(a)) continue;
-      free(a);
-      fillAt = Math.max(fillAt, pass.now + this.estimates.remainingMs(a, pass.now));
-    }
-    if (enough()) return { room, fillAt, victims: [], lostMs: 0, stopping: true };
-    const choice = there.filter(
-      (a) => a.stop === null && !used.has(a) && this.mayStop(pass, job, a),
-    );
-    choice.sort(
-      (x, y) => Number(pass.teams.borrows(y)) - Number(pass.teams.borrows(x)) || y.since - x.since,
-    );
-    for (const a of choice) {
-      if (enough()) break;
-      victims.push(a);
-      free(a);
-      fillAt = Math.max(fillAt, pass.now + this.settings.reportMs + a.saveS * 1000);
-    }
-    if (!enough()) return { room, fillAt: natural, victims: [], lostMs: 0, stopping: false };
-    // Victims that the rest made needless are spared.
-    for (const a of [...victims]) {
-      cpus -= a.need.cpus;
-      gpus -= a.need.gpus;
-      memoryGb -= a.need.memoryGb;
-      if (enough()) victims.splice(victims.indexOf(a), 1);
-      else free(a);
-    }
-    const lostMs = victims.reduce((sum, a) => sum + this.lostMs(a, pass.now), 0);
-    // Waiting may cost less than stopping.
-    return natural < fillAt + LOST_WEIGHT * lostMs
-      ? { room, fillAt: natural, victims: [], lostMs: 0, stopping: false }
-      : { room, fillAt, victims, lostMs, stopping: false };
-  }
-
-  /** What stopping a task costs: its run so far, or its save, and starting it again. */
-  private lostMs(a: Assignment, now: number): number {
-    if (a.job === null || a.state === 'fetching' || a.state === null) return 0;
-    const { spec } = a.job;
-    const ran = now - (a.runningAt ?? a.since);
-    const again = this.settings.reportMs + this.estimates.fetchMs(spec, a.machine);
-    const lost = spec.checkpointS > 0 ? Math.min(ran, spec.saveS * 2000) : ran;
-    // A gang has to find its places once more.
-    return lost + again + (spec.kind === 'gang' ? this.estimates.runMs(spec) : 0);
-  }
-
-  /** PROTOCOL, "Preemption": for higher priority, or for a guarantee against borrowed room. */
-  private mayStop(pass: Pass, job: Job, a: Assignment): boolean {
-    if (a.job === null || a.job.regrouping || a.job.closed !== null) return false;
-    // All replicas of a service are needed: nothing says otherwise.
-    if (a.job.spec.kind === 'service') return false;
-    if (pass.now - a.since < this.settings.get('placement.victim.age.s') * 1000) return false;
-    // Work inside its team's guarantee never yields to another team (m03 §7).
-    if (pass.guaranteed.has(a.job) && a.team !== job.spec.team) return false;
-    if (a.job.level < job.level) return true;
-    return (
-      pass.guaranteed.has(job) &&
-      a.team !== job.spec.team &&
-      !pass.guaranteed.has(a.job) &&
-      pass.teams.borrows(a)
-    );
+  private block(job: Job, why: string): void {
+    if (job.blocked === why) return;
+    job.blocked = why;
+    job.changed = true;
   }
 
   private preempt(a: Assignment, by: Job): void {
--- a/src/controller/placement/rank.ts
+++ b/src/controller/placement/rank.ts
@@ -7,8 +7,8 @@
   bonus: number;
   /** What a job that can no longer meet any aim yields, as a share of a class. */
   late: number;
-  /** Latest starts by which the job still meets its aims, since submission, ascending. */
-  aims(job: Job): number[];
+  /** Latest starts by which the job still meets its aims, since submission, in any order. */
+  aims(job: Job): readonly number[];
 }
 
 /**
@@ -22,18 +22,34 @@
  */
 export function rankTime(job: Job, s: RankSettings, now: number): number {
   const aims = s.aims(job);
-  const next = aims.find((aim) => job.submittedAt + aim >= now);
-  const last = aims.at(-1) ?? 0;
-  const slack = next ?? last + (aims.length > 0 ? s.late * s.agingMs : 0);
-  return job.submittedAt + slack - (job.level + job.preemptions * s.bonus) * s.agingMs;
+  const waited = now - job.submittedAt;
+  let next = Infinity;
+  let last = 0;
+  for (const aim of aims) {
+    if (aim >= waited && aim < next) next = aim;
+    if (aim > last) last = aim;
+  }
+  if (next === Infinity) next = last + (aims.length > 0 ? s.late * s.agingMs : 0);
+  return job.submittedAt + next - (job.level + job.preemptions * s.bonus) * s.agingMs;
+}
+
+/** A job with what decides its turn in one pass. */
+export interface Turn {
+  job: Job;
+  rank: number;
+  granted: boolean;
+}
+
+export function turnOf(job: Job, s: RankSettings, now: number): Turn {
+  return { job, rank: rankTime(job, s, now), granted: job.grantedUntil > now };
 }
 
 /** Total order of holds and of everything that waits: rank, submission, id. Lower goes first. */
-export function compareRank(a: Job, b: Job, s: RankSettings, now: number): number {
+export function compareRank(a: Turn, b: Turn): number {
   return (
-    rankTime(a, s, now) - rankTime(b, s, now) ||
-    a.submittedAt - b.submittedAt ||
-    (a.spec.id < b.spec.id ? -1 : a.spec.id > b.spec.id ? 1 : 0)
+    a.rank - b.rank ||
+    a.job.submittedAt - b.job.submittedAt ||
+    (a.job.spec.id < b.job.spec.id ? -1 : a.job.spec.id > b.job.spec.id ? 1 : 0)
   );
 }
 
@@ -43,10 +59,10 @@
  * work inside its team's guarantee, which must not wait for what other teams borrow, nor for their
  * holds. Then rank.
  */
-export function compareTurn(a: Job, b: Job, s: RankSettings, now: number): number {
+export function compareTurn(a: Turn, b: Turn): number {
   return (
-    Number(b.grantedUntil > now) - Number(a.grantedUntil > now) ||
-    Number(b.guaranteed) - Number(a.guaranteed) ||
-    compareRank(a, b, s, now)
+    Number(b.granted) - Number(a.granted) ||
+    Number(b.job.guaranteed) - Number(a.job.guaranteed) ||
+    compareRank(a, b)
   );
 }
--- a/src/controller/placement/reserve.ts
+++ b/src/controller/placement/reserve.ts
@@ -1,9 +1,9 @@
 import { levels, type Job } from '../jobs/table.js';
-import { sizeOf } from '../store/batcher.js';
+import { sizeOf } from '../store/pages.js';
 import { isMap } from '../wire/cbor.js';
 import { readJob, writeJob, type JobSpec } from '../wire/jobs.js';
 import type { Estimates } from './estimates.js';
-import { allowed, needOf, times, type Room } from './room.js';
+import { needOf, whole, type Room, type Rooms } from './room.js';
 
 /** What has been seen of a class of jobs. */
 interface ClassStats {
@@ -141,13 +141,13 @@
   }
 
   /** Adds the claims of all classes to the rooms. */
-  plan(rooms: Room[], waiting: Set<string>, now: number): void {
+  plan(rooms: Rooms, waiting: Set<string>, now: number): void {
     // Classes are named by users: those long unseen are forgotten.
     for (const [name, c] of this.classes)
       if (this.decayed(c, now) < FORGOTTEN) this.classes.delete(name);
     const classes = [...this.classes.values()]
       .filter((c) => c.spec.kind === 'gang' || (c.spec.kind === 'array' && c.spec.gpus > 0))
-      .map((c) => ({ c, rooms: rooms.filter((r) => allowed(c.spec, r.machine)) }))
+      .map((c) => ({ c, rooms: rooms.of(c.spec).flat() }))
       .filter((x) => x.rooms.length > 0)
       // Who has the least choice chooses first.
       .sort((a, b) => a.rooms.length - b.rooms.length || b.c.level - a.c.level);
@@ -159,27 +159,20 @@
     const expected = this.expected(c, now);
     let total = 0;
     let running = 0;
-    const choices = rooms.map((room) => {
+    const choices: { room: Room; places: number; score: number }[] = [];
+    for (const room of rooms) {
       const t = room.machine.type;
-      const all =
-        t === null
-          ? 0
-          : Math.min(
-              times(t.cpus, need.cpus),
-              times(t.gpus, need.gpus),
-              times(t.memoryGb, need.memoryGb),
-            );
-      let own = 0;
-      for (const a of room.machine.assignments.values())
-        if (a.phase !== 'ended' && a.job?.spec.class === c.spec.class) own++;
+      if (t === null || room.closed) continue;
+      const all = whole(need, t.cpus, t.gpus, t.memoryGb);
+      const own = room.machine.classes.get(c.spec.class) ?? 0;
       total += all;
       running += own;
-      return { room, places: Math.max(0, all - own), score: this.score(c, room) };
-    });
+      if (all > own) choices.push({ room, places: all - own, score: this.score(c, room) });
+    }
     const wanted = expected + this.settings.spare * Math.sqrt(expected) + Math.ceil(c.together);
     let left = Math.ceil(Math.min(wanted, total * this.settings.share) - running);
     if (left <= 0) return;
-    choices.sort((a, b) => b.score - a.score || (a.room.machine.id < b.room.machine.id ? -1 : 1));
+    choices.sort((a, b) => b.score - a.score || a.room.order - b.room.order);
     const wait = this.waitMs(c.spec.class);
     for (const { room, places } of choices) {
       if (left <= 0) break;
--- a/src/controller/placement/room.ts
+++ b/src/controller/placement/room.ts
@@ -1,5 +1,6 @@
 import type { JobSpec } from '../wire/jobs.js';
-import type { Need } from '../workers/assignment.js';
+import type { MachineType } from '../wire/cloud.js';
+import type { Assignment, Need } from '../workers/assignment.js';
 import type { Machine } from '../workers/machine.js';
 
 const EPS = 1e-6;
@@ -11,30 +12,66 @@
   ahead: { spec: JobSpec; level: number; larger: number } | null;
 }
 
-/** A machine as one placement pass sees it, higher ranks first. */
+/** A task and when it should have left its machine by itself. */
+export interface End {
+  a: Assignment;
+  at: number;
+}
+
+/** A machine as one placement pass sees it. What is free is always what the machine now has free. */
 export class Room {
-  cpus: number;
-  gpus: number;
-  memoryGb: number;
-  slots: number;
+  /** Nothing may be placed on it, for now. */
+  closed = false;
   readonly claims: Claim[] = [];
+  /** Its tasks by when they end; made when first asked for in a pass. */
+  ends: End[] | null = null;
 
   constructor(
     readonly machine: Machine,
-    slots: number,
-  ) {
-    const t = machine.type;
-    this.cpus = (t?.cpus ?? 0) - machine.cpus;
-    this.gpus = (t?.gpus ?? 0) - machine.gpus;
-    this.memoryGb = (t?.memoryGb ?? 0) - machine.memoryGb;
-    this.slots = slots - machine.assignments.size;
+    /** Bytes that the tasks of a machine may take in its record. */
+    private readonly recordLimit: number,
+    /** Place among the rooms of the pass: decides between equals. */
+    readonly order = 0,
+  ) {}
+
+  get cpus(): number {
+    return (this.machine.type?.cpus ?? 0) - this.machine.cpus;
+  }
+
+  get gpus(): number {
+    return (this.machine.type?.gpus ?? 0) - this.machine.gpus;
+  }
+
+  get memoryGb(): number {
+    return (this.machine.type?.memoryGb ?? 0) - this.machine.memoryGb;
+  }
+
+  /** Whether at least one task fits if nothing were held. Cheap: it is asked of every machine. */
+  admits(need: Need): boolean {
+    const m = this.machine;
+    const t = m.type;
+    return (
+      t !== null &&
+      !this.closed &&
+      need.gpus <= t.gpus - m.gpus + EPS &&
+      need.cpus <= t.cpus - m.cpus + EPS &&
+      need.memoryGb <= t.memoryGb - m.memoryGb + EPS
+    );
   }
 
   /**
    * Tasks that fit now beside what higher ranks hold. A hold's room counts as free for a task that
-   * should be gone before the hold fills.
+   * should be gone before the hold fills. `record`: bytes of a task in the machine's record.
    */
-  fits(spec: JobSpec, level: number, endsAt: number, backfill: number, now: number): number {
+  fits(
+    spec: JobSpec,
+    level: number,
+    endsAt: number,
+    backfill: number,
+    now: number,
+    record = 1,
+  ): number {
+    if (this.closed) return 0;
     let { cpus, gpus, memoryGb } = this;
     for (const c of this.claims) {
       if (Number.isFinite(endsAt) && endsAt - now <= backfill * (c.fillAt - now)) continue;
@@ -43,24 +80,13 @@
       gpus -= c.gpus;
       memoryGb -= c.memoryGb;
     }
-    return this.count(spec, cpus, gpus, memoryGb);
+    const slots = Math.floor((this.recordLimit - this.machine.recordBytes) / record);
+    return Math.max(0, Math.min(slots, whole(spec, cpus, gpus, memoryGb)));
   }
 
   /** Tasks that fit now if nothing were held. */
   fitsEmpty(need: Need): number {
-    return this.count(need, this.cpus, this.gpus, this.memoryGb);
-  }
-
-  private count(need: Need, cpus: number, gpus: number, memoryGb: number): number {
-    return Math.max(
-      0,
-      Math.min(
-        this.slots,
-        times(cpus, need.cpus),
-        times(gpus, need.gpus),
-        times(memoryGb, need.memoryGb),
-      ),
-    );
+    return whole(need, this.cpus, this.gpus, this.memoryGb);
   }
 
   private binds(ahead: NonNullable<Claim['ahead']>, spec: JobSpec, level: number): boolean {
@@ -70,7 +96,8 @@
 
   /** Whether room kept for other classes would go to this smaller task, if it were let. */
   intrudes(spec: JobSpec): boolean {
-    return this.claims.some((c) => c.ahead !== null && this.eats(c.ahead, spec));
+    for (const c of this.claims) if (c.ahead !== null && this.eats(c.ahead, spec)) return true;
+    return false;
   }
 
   private eats(ahead: NonNullable<Claim['ahead']>, spec: JobSpec): boolean {
@@ -92,6 +119,7 @@
 
   /** Places of this machine that holds in advance have taken from the class. */
   reserved(spec: JobSpec): number {
+    if (this.claims.length === 0) return 0;
     let cpus = 0;
     let gpus = 0;
     let memoryGb = 0;
@@ -114,13 +142,6 @@
     });
   }
 
-  use(need: Need, count: number): void {
-    this.cpus -= need.cpus * count;
-    this.gpus -= need.gpus * count;
-    this.memoryGb -= need.memoryGb * count;
-    this.slots -= count;
-  }
-
   claim(need: Need, fillAt: number): void {
     this.claims.push({
       cpus: need.cpus,
@@ -137,20 +158,73 @@
   return need <= 0 ? Infinity : Math.floor((room + EPS) / need);
 }
 
+/** Whole tasks that go into room of all three kinds. */
+export function whole(need: Need, cpus: number, gpus: number, memoryGb: number): number {
+  const fit = Math.min(
+    times(cpus, need.cpus),
+    times(gpus, need.gpus),
+    times(memoryGb, need.memoryGb),
+  );
+  return Math.max(0, fit);
+}
+
 export function needOf(spec: JobSpec): Need {
   return { cpus: spec.cpus, gpus: spec.gpus, memoryGb: spec.memoryGb };
 }
 
-/** Whether the job's tasks may be on this machine at all. */
-export function allowed(spec: JobSpec, m: Machine): boolean {
-  const t = m.type;
+/** What machines that are alike to a job's wishes have in common. */
+export interface Kind {
+  type: MachineType;
+  zone: string;
+  spot: boolean;
+}
+
+/** Whether the job's tasks may be on machines of this kind at all. */
+export function allowed(spec: JobSpec, { type, zone, spot }: Kind): boolean {
   return (
-    t !== null &&
-    (spec.types === null || spec.types.includes(t.name)) &&
-    (spec.zone === null || spec.zone === m.zone) &&
-    (spec.spot || !m.spot) &&
-    spec.cpus <= t.cpus &&
-    spec.gpus <= t.gpus &&
-    spec.memoryGb <= t.memoryGb
+    (spec.types === null || spec.types.includes(type.name)) &&
+    (spec.zone === null || spec.zone === zone) &&
+    (spec.spot || !spot) &&
+    spec.cpus <= type.cpus &&
+    spec.gpus <= type.gpus &&
+    spec.memoryGb <= type.memoryGb
   );
 }
+
+/** The rooms of one pass, those of a kind together. */
+export class Rooms {
+  readonly all: Room[] = [];
+  private readonly kinds: { kind: Kind; rooms: Room[] }[] = [];
+
+  constructor(machines: Iterable<Machine>, recordLimit: number) {
+    const byName = new Map<string, Room[]>();
+    for (const m of machines) {
+      const { type, zone, spot } = m;
+      if (type === null) continue;
+      const name = `${type.name} ${zone} ${spot ? 1 : 0}`;
+      let rooms = byName.get(name);
+      if (rooms === undefined) {
+        rooms = [];
+        byName.set(name, rooms);
+        this.kinds.push({ kind: { type, zone, spot }, rooms });
+      }
+      const room = new Room(m, recordLimit, this.all.length);
+      rooms.push(room);
+      this.all.push(room);
+    }
+  }
+
+  /** Rooms that the job's tasks may be in, by kind of machine; in one zone where one is named. */
+  of(spec: JobSpec, zone: string | null = null): Room[][] {
+    const found: Room[][] = [];
+    for (const k of this.kinds)
+      if ((zone === null || k.kind.zone === zone) && allowed(spec, k.kind)) found.push(k.rooms);
+    return found;
+  }
+
+  zones(spec: JobSpec): string[] {
+    const zones = new Set<string>();
+    for (const k of this.kinds) if (allowed(spec, k.kind)) zones.add(k.kind.zone);
+    return [...zones];
+  }
+}
--- a/src/controller/placement/teams.ts
+++ b/src/controller/placement/teams.ts
@@ -7,24 +7,28 @@
 
 interface Use {
   team: Team;
+  tasks: number;
   cpus: number;
   gpus: number;
 }
 
-/** What each team's tasks take, over every task that is not surely gone. */
+/** What each team's tasks take; kept as tasks come and go. */
 export class Teams {
   private readonly uses = new Map<string, Use>();
 
-  constructor(teams: readonly Team[], assignments: Iterable<Assignment>) {
-    for (const team of teams) this.uses.set(team.name, { team, cpus: 0, gpus: 0 });
-    for (const a of assignments) if (a.phase !== 'ended') this.add(a.team, a.need, 1);
+  constructor(teams: readonly Team[]) {
+    for (const team of teams) this.uses.set(team.name, { team, tasks: 0, cpus: 0, gpus: 0 });
   }
 
+  /** Negative counts are tasks that are gone. */
   add(team: string, need: Need, count: number): void {
     const u = this.uses.get(team);
     if (u === undefined) return;
+    u.tasks += count;
     u.cpus += need.cpus * count;
     u.gpus += need.gpus * count;
+    // Sums of decimals drift; a team without tasks has none.
+    if (u.tasks === 0) u.cpus = u.gpus = 0;
   }
 
   /** How many more tasks the team's limit lets in. */
@@ -63,22 +67,24 @@
 }
 
 /**
- * The jobs that fit into their team's guarantee together with the team's earlier unfinished ones
- * (PROTOCOL, "How aims are counted"). A guarantee of 0 states nothing for that kind of room.
+ * Marks the jobs that fit into their team's guarantee together with the team's earlier unfinished
+ * ones (PROTOCOL, "How aims are counted"). A guarantee of 0 states nothing for that kind of room.
  */
-export function withinGuarantee(teams: readonly Team[], jobs: Iterable<Job>): Set<Job> {
-  const left = new Map(teams.map((t) => [t.name, { cpus: t.cpus, gpus: t.gpus, team: t }]));
-  const inside = new Set<Job>();
-  const sorted = [...jobs].sort((a, b) => a.submittedAt - b.submittedAt);
-  for (const job of sorted) {
-    const g = left.get(job.spec.team);
-    if (g === undefined) continue;
-    const n = job.spec.tasks - job.doneCount;
-    const cpus = g.team.cpus > 0 ? job.spec.cpus * n : 0;
-    const gpus = g.team.gpus > 0 ? job.spec.gpus * n : 0;
-    if (cpus + gpus > 0 && cpus <= g.cpus + 1e-6 && gpus <= g.gpus + 1e-6) inside.add(job);
-    g.cpus -= cpus;
-    g.gpus -= gpus;
+export class Guarantees {
+  constructor(private readonly teams: readonly Team[]) {}
+
+  mark(jobs: Iterable<Job>): void {
+    const left = new Map(this.teams.map((t) => [t.name, { cpus: t.cpus, gpus: t.gpus, team: t }]));
+    for (const job of [...jobs].sort((a, b) => a.submittedAt - b.submittedAt)) {
+      job.guaranteed = false;
+      const g = left.get(job.spec.team);
+      if (g === undefined) continue;
+      const n = job.spec.tasks - job.doneCount;
+      const cpus = g.team.cpus > 0 ? job.spec.cpus * n : 0;
+      const gpus = g.team.gpus > 0 ? job.spec.gpus * n : 0;
+      job.guaranteed = cpus + gpus > 0 && cpus <= g.cpus + 1e-6 && gpus <= g.gpus + 1e-6;
+      g.cpus -= cpus;
+      g.gpus -= gpus;
+    }
   }
-  return inside;
 }
--- a/src/controller/settings/properties.ts
+++ b/src/controller/settings/properties.ts
@@ -49,6 +49,12 @@
     max: 1,
     text: 'Least time between two placement passes, as a ratio to the report interval.',
   },
+  'placement.slice.ratio': {
+    value: 0.008,
+    min: 0.001,
+    max: 1,
+    text: 'A pass makes way for requests after this time, as a ratio to the report interval.',
+  },
   'placement.aging.ratio': {
     value: 20,
     min: 0.5,
@@ -169,11 +175,17 @@
     max: 0.95,
     text: 'Sockets for users and workers, as a ratio to the platform limit.',
   },
-  'state.follower.ratio': {
-    value: 0.2,
-    min: 0.01,
-    max: 0.5,
-    text: "Share of the state service's limits that each controller but the leader may use.",
+  'state.followers.requests.ratio': {
+    value: 0.5,
+    min: 0.05,
+    max: 0.9,
+    text: "Share of the state service's requests that all controllers but the leader may use together.",
+  },
+  'state.followers.writes.ratio': {
+    value: 0.3,
+    min: 0.05,
+    max: 0.9,
+    text: "Share of the state service's puts that all controllers but the leader may use together.",
   },
   'state.headroom.ratio': {
     value: 0.92,
--- a/src/controller/settings/settings.ts
+++ b/src/controller/settings/settings.ts
@@ -10,6 +10,11 @@
   readonly workerLeaseMs: number;
   readonly leaderLeaseMs: number;
   readonly renewMs: number;
+  /** Objectives by class: latest starts and ends in milliseconds, and multiples of due times. */
+  private readonly objectives = new Map<
+    string,
+    { starts: number[]; ends: number[]; deadlines: number[] }
+  >();
 
   constructor(
     readonly platform: Platform,
@@ -19,6 +24,14 @@
     this.workerLeaseMs = platform.workers.leaseS * 1000;
     this.leaderLeaseMs = Math.round(this.workerLeaseMs * this.get('leadership.lease.ratio'));
     this.renewMs = this.leaderLeaseMs * this.get('leadership.renew.ratio');
+    for (const o of platform.objectives) {
+      if (o.class === null) continue;
+      const of = this.objectives.get(o.class) ?? { starts: [], ends: [], deadlines: [] };
+      this.objectives.set(o.class, of);
+      if (o.kind === 'wait' && o.withinS !== null) of.starts.push(o.withinS * 1000);
+      if (o.kind === 'finished' && o.withinS !== null) of.ends.push(o.withinS * 1000);
+      if (o.kind === 'deadline') of.deadlines.push(o.times);
+    }
   }
 
   get(name: PropertyName): number {
@@ -48,17 +61,14 @@
   }
 
   /** What is expected of a job of the class, in milliseconds since its submission. */
-  aims(cls: string, deadlineS: number | null): { starts: number[]; ends: number[] } {
-    const starts: number[] = [];
-    const ends: number[] = [];
-    for (const o of this.platform.objectives) {
-      if (o.class !== cls) continue;
-      if (o.kind === 'wait' && o.withinS !== null) starts.push(o.withinS * 1000);
-      if (o.kind === 'finished' && o.withinS !== null) ends.push(o.withinS * 1000);
-      if (o.kind === 'deadline' && deadlineS !== null) ends.push(deadlineS * o.times * 1000);
+  aims(cls: string, deadlineS: number | null): { starts: readonly number[]; ends: number[] } {
+    const of = this.objectives.get(cls);
+    const ends = of === undefined ? [] : of.ends.slice();
+    if (deadlineS !== null) {
+      for (const times of of?.deadlines ?? []) ends.push(deadlineS * times * 1000);
+      if (ends.length === 0) ends.push(deadlineS * 1000);
     }
-    if (deadlineS !== null && ends.length === 0) ends.push(deadlineS * 1000);
-    return { starts, ends };
+    return { starts: of?.starts ?? [], ends };
   }
 
   /** Cap of a team, where 0 in the settings means none. */
--- a/src/controller/store/batcher.ts
+++ b/src/controller/store/batcher.ts
@@ -2,6 +2,7 @@
 import type { Settings } from '../settings/settings.js';
 import type { Condition, Write } from '../wire/state.js';
 import type { StateClient, TxnResult } from './client.js';
+import { sizeOf } from './pages.js';
 
 export interface Entry {
   conditions: Condition[];
@@ -11,11 +12,6 @@
   done: (r: TxnResult) => void;
 }
 
-/** Size of a value as the state service counts it. */
-export function sizeOf(value: unknown): number {
-  return JSON.stringify(value).length;
-}
-
 const TXN_BYTES = 60 * 1024;
 
 /**
--- a/src/controller/store/client.ts
+++ b/src/controller/store/client.ts
@@ -52,14 +52,16 @@
     this.setRole(false);
   }
 
-  /** The leader's share of the limits is what the others leave. */
+  /** The followers share a part of the limits among them; the leader has what they leave. */
   setRole(leader: boolean): void {
     const { stateLimits, peers } = this.settings.platform;
-    const each = this.settings.get('state.follower.ratio');
-    const others = Math.min(0.8, each * peers.length);
-    const share = (leader ? 1 - others : each) * this.settings.get('state.headroom.ratio');
-    const rps = stateLimits.rps * share;
-    const writes = stateLimits.writeRps * share;
+    const headroom = this.settings.get('state.headroom.ratio');
+    const rate = (limit: number, followers: number): number => {
+      const theirs = peers.length > 0 ? followers : 0;
+      return limit * headroom * (leader ? 1 - theirs : theirs / Math.max(1, peers.length));
+    };
+    const rps = rate(stateLimits.rps, this.settings.get('state.followers.requests.ratio'));
+    const writes = rate(stateLimits.writeRps, this.settings.get('state.followers.writes.ratio'));
     this.tokens.setRate(rps, rps);
     // A transaction takes all its writes at once, so the burst must hold a useful one.
     this.writeTokens.setRate(writes, Math.max(writes, 4));
--- a/src/controller/store/records.ts
+++ b/src/controller/store/records.ts
@@ -1,21 +1,8 @@
 import type { Core } from '../core/core.js';
 import type { Settings } from '../settings/settings.js';
-import type { Condition, Write } from '../wire/state.js';
-import { sizeOf } from './batcher.js';
+import type { Condition, Item, Write } from '../wire/state.js';
 import { reserve, type StateClient } from './client.js';
-
-interface RecordState {
-  /** Version at the service as far as known; 0: absent. */
-  version: number;
-  /** Newest value; undefined: to be deleted. */
-  value: unknown;
-  dirty: boolean;
-  inFlight: boolean;
-  /** An earlier answer was lost or failed on this key: read it before the next write. */
-  unsure: boolean;
-  urgent: boolean;
-  waiters: (() => void)[];
-}
+import { Pages, sizeOf, type Entry, type Page } from './pages.js';
 
 interface Extra {
   conditions: Condition[];
@@ -30,70 +17,82 @@
   onFenced: () => void;
 }
 
+/** Bytes of a transaction, with room for its frame below the service's 64 KiB. */
+const TXN_BYTES = 56 * 1024;
+
+/**
+ * Share of the leader's puts that pages take while something urgent is always waiting; the rest is
+ * for jobs' ends, so that neither starves the other.
+ */
+const PAGES_SHARE = 0.45;
+
 /**
  * The leader's records at the state service. Callers set the newest value of a key and are called
- * back once it, or a newer one, is stored. One transaction is in flight at a time.
+ * back once it, or a newer one, is stored. Records are packed into pages (pages.ts). One transaction
+ * is in flight at a time.
  *
- * Every write is conditional on the leader's key and on the version of the key that it replaces.
+ * Every write is conditional on the leader's key and on the version of the page that it replaces.
  * So a copy that the network delivers late finds either another leader or a newer version, and
  * cannot put an old list of assignments over a newer one.
  */
 export class Records {
-  private readonly records = new Map<string, RecordState>();
+  private readonly pages: Pages;
   private readonly extras: Extra[] = [];
-  private dirtyKeys = new Set<string>();
+  private readonly urgent = new Set<Entry>();
+  private readonly lazy = new Set<Entry>();
+  private readonly waiters = new Map<Entry, (() => void)[]>();
   private inFlight = false;
   private closed = false;
-  private timerSet = false;
+  private timerAt = Infinity;
   private pauseUntil = 0;
   private lazyAt = 0;
+  private pagesAt = 0;
+  /** Puts and deletes sent, for the operators' figures. */
+  writes = 0;
 
   constructor(
     private readonly core: Core,
     private readonly settings: Settings,
     private readonly client: StateClient,
     private readonly options: RecordsOptions,
-  ) {}
+  ) {
+    this.pages = new Pages(settings.platform.stateLimits.valueKb * 1024);
+  }
 
   close(): void {
     this.closed = true;
   }
 
-  /** A key as it was read at takeover. */
-  adopt(key: string, version: number): void {
-    this.records.set(key, {
-      version,
-      value: undefined,
-      dirty: false,
-      inFlight: false,
-      unsure: false,
-      urgent: false,
-      waiters: [],
-    });
+  /** What the leaders before have left. */
+  load(items: Item[]): void {
+    this.pages.load(items);
+  }
+
+  /** Keys and values under a prefix, as they were loaded or set. */
+  *list(prefix: string): Iterable<{ key: string; value: unknown }> {
+    for (const e of [...this.pages.entries.values()])
+      if (e.text !== null && e.key.startsWith(prefix))
+        yield { key: e.key, value: JSON.parse(e.text) as unknown };
   }
 
   has(key: string): boolean {
-    const r = this.records.get(key);
-    return r !== undefined && (r.version !== 0 || r.value !== undefined);
+    return this.pages.entries.get(key)?.text != null;
   }
 
   /** Not urgent: may wait to be written together with others. `undefined` deletes. */
   set(key: string, value: unknown, urgent: boolean, stored?: () => void): void {
-    let r = this.records.get(key);
-    if (r === undefined) {
-      if (value === undefined) {
-        stored?.();
-        return;
-      }
-      this.adopt(key, 0);
-      r = this.records.get(key);
-      if (r === undefined) return;
+    const e = this.pages.set(key, value);
+    if (e === null || (!e.dirty && !e.inFlight)) return stored?.();
+    if (stored !== undefined) {
+      const list = this.waiters.get(e);
+      if (list === undefined) this.waiters.set(e, [stored]);
+      else list.push(stored);
     }
-    r.value = value;
-    r.dirty = true;
-    r.urgent ||= urgent;
-    if (stored !== undefined) r.waiters.push(stored);
-    this.dirtyKeys.add(key);
+    if (!e.dirty) return;
+    if (urgent) {
+      this.urgent.add(e);
+      this.lazy.delete(e);
+    } else if (!this.urgent.has(e)) this.lazy.add(e);
   }
 
   /** Writes on keys that others write too, all or none, under the leader's fence. */
@@ -102,7 +101,12 @@
   }
 
   get backlog(): number {
-    return this.dirtyKeys.size + this.extras.length;
+    return this.urgent.size + this.lazy.size + this.extras.length;
+  }
+
+  /** Least time between two commits of pages that keeps within their share of the puts. */
+  private get pagesEveryMs(): number {
+    return 1000 / (this.client.writeTokens.perSecond * PAGES_SHARE);
   }
 
   flush(): void {
@@ -110,90 +114,115 @@
     const now = this.core.now();
     if (!this.options.mayWrite()) return this.later(50);
     if (now < this.pauseUntil) return this.later(this.pauseUntil - now);
-
-    const urgentKeys: string[] = [];
-    const lazyKeys: string[] = [];
-    for (const key of this.dirtyKeys)
-      (this.records.get(key)?.urgent === true ? urgentKeys : lazyKeys).push(key);
-    const lazyDue = now >= this.lazyAt;
-    if (urgentKeys.length === 0 && this.extras.length === 0 && !lazyDue)
-      return this.later(this.lazyAt - now);
-    if (lazyDue) this.lazyAt = now + this.settings.get('placement.hold.record.s') * 1000;
-
-    const first = [...urgentKeys, ...lazyKeys].find((k) => this.records.get(k)?.unsure === true);
-    if (first !== undefined) return this.reread(first);
-    this.commit(lazyDue ? [...urgentKeys, ...lazyKeys] : urgentKeys);
+    const lazyDue = this.lazy.size > 0 && now >= this.lazyAt;
+    const pagesDue = now >= this.pagesAt && (this.urgent.size > 0 || lazyDue);
+    if (!pagesDue && this.extras.length === 0) {
+      const next = this.urgent.size > 0 ? this.pagesAt : Math.max(this.pagesAt, this.lazyAt);
+      return this.later(next - now);
+    }
+    const wait = Math.max(
+      this.client.tokens.waitMs(1, reserve.records),
+      this.client.writeTokens.waitMs(1, reserve.records),
+    );
+    if (wait > 0) return this.later(wait);
+    for (const p of this.pages.pages.values()) if (p.unsure) return this.reread(p);
+    this.commit(pagesDue, lazyDue);
   }
 
-  private commit(keys: string[]): void {
+  private commit(pagesDue: boolean, lazyDue: boolean): void {
     const { txnOps } = this.settings.platform.stateLimits;
-    const wait = this.client.tokens.waitMs(1, reserve.records);
-    if (wait > 0) return this.later(wait);
+    const now = this.core.now();
     const conditions: Condition[] = [this.options.fence];
-    const writes: Write[] = [];
-    const taken: string[] = [];
-    const extras: Extra[] = [];
+    const pages = new Set<Page>();
+    const taken = new Set<Entry>();
+    let ops = 0;
     let bytes = 512;
     const room = (w: number, c: number, size: number): boolean =>
-      writes.length + w <= txnOps &&
+      ops + w <= txnOps &&
       conditions.length + c <= 4 * txnOps &&
-      bytes + size <= 60 * 1024 &&
+      bytes + size <= TXN_BYTES &&
       this.client.writeTokens.waitMs(w, reserve.records) === 0;
-    // What frees or finishes before what starts: a finished job's user is waiting.
-    while (this.extras.length > 0) {
+    // False: no room is left for it in this transaction.
+    const add = (e: Entry, newPages: boolean): boolean => {
+      const target = this.pages.target(e);
+      const grows = e.page === target ? 0 : e.bytes;
+      if (pages.has(target)) {
+        if (bytes + grows > TXN_BYTES) return false;
+      } else {
+        if (!newPages || !room(1, 1, target.bytes + grows)) return false;
+        pages.add(target);
+        ops++;
+        bytes += target.bytes;
+        conditions.push({ key: target.key, version: target.version });
+        this.client.writeTokens.force(1);
+      }
+      bytes += grows;
+      this.pages.move(e, target);
+      taken.add(e);
+      return true;
+    };
+    if (pagesDue) {
+      this.pagesAt = now + this.pagesEveryMs;
+      for (const e of this.urgent) if (!add(e, true)) break;
+    }
+    const extras = this.takeExtras(room, (e, size) => {
+      ops += e.writes.length;
+      bytes += size;
+      conditions.push(...e.conditions);
+    });
+    if (pagesDue) {
+      if (lazyDue) this.lazyAt = now + this.settings.get('placement.hold.record.s') * 1000;
+      for (const e of this.lazy) if (!add(e, lazyDue)) break;
+    }
+    if (ops === 0) return this.later(10);
+    // A page goes out with the newest values of all its entries.
+    for (const p of pages) for (const e of p.entries) if (e.dirty) taken.add(e);
+    this.send(conditions, [...pages], [...taken], extras);
+  }
+
+  /** Ends of jobs, as many as there is room for: their users are waiting. */
+  private takeExtras(
+    room: (writes: number, conditions: number, size: number) => boolean,
+    take: (e: Extra, size: number) => void,
+  ): Extra[] {
+    const extras: Extra[] = [];
+    for (;;) {
       const e = this.extras[0];
-      if (e === undefined) break;
+      if (e === undefined) return extras;
       const size = sizeOf([e.conditions, e.writes]);
-      if (!room(e.writes.length, e.conditions.length, size)) break;
+      if (!room(e.writes.length, e.conditions.length, size)) return extras;
       this.extras.shift();
       extras.push(e);
-      conditions.push(...e.conditions);
-      writes.push(...e.writes);
       this.client.writeTokens.force(e.writes.length);
-      bytes += size;
+      take(e, size);
     }
-    for (const key of keys) {
-      const r = this.records.get(key);
-      if (r === undefined) continue;
-      if (r.value === undefined && r.version === 0) {
-        this.settled(key, r, 0);
-        continue;
-      }
-      const size = sizeOf(r.value ?? null) + key.length * 2 + 60;
-      if (!room(1, 1, size)) break;
-      taken.push(key);
-      conditions.push({ key, version: r.version });
-      writes.push(r.value === undefined ? { delete: key } : { put: key, value: r.value });
-      this.client.writeTokens.force(1);
-      bytes += size;
-      r.inFlight = true;
-      r.dirty = false;
-      this.dirtyKeys.delete(key);
+  }
+
+  private send(conditions: Condition[], pages: Page[], taken: Entry[], extras: Extra[]): void {
+    const seq = this.pages.nextSequence();
+    const writes: Write[] = pages.map((p) => ({ put: p.key, value: this.pages.value(p, seq) }));
+    const sent = pages.map((p) => ({ page: p, keys: new Set([...p.entries].map((e) => e.key)) }));
+    for (const e of extras) writes.push(...e.writes);
+    const waiting = new Map<Entry, (() => void)[]>();
+    for (const e of taken) {
+      this.urgent.delete(e);
+      this.lazy.delete(e);
+      e.dirty = false;
+      e.inFlight = true;
+      const list = this.waiters.get(e);
+      if (list !== undefined) waiting.set(e, list);
+      this.waiters.delete(e);
     }
-    if (writes.length === 0)
-      return this.later(Math.max(10, this.client.writeTokens.waitMs(1, reserve.records)));
+    this.writes += writes.length;
     this.client.tokens.force();
-    const waiters = taken.map((k) => {
-      const r = this.records.get(k);
-      const list = r?.waiters ?? [];
-      if (r !== undefined) r.waiters = [];
-      return list;
-    });
-    const deleted = taken.map((k) => this.records.get(k)?.value === undefined);
     this.inFlight = true;
     this.client.multi(conditions, writes, this.settings.leaderLeaseMs / 4, (result) => {
       this.inFlight = false;
       if (this.closed) return;
+      for (const e of taken) e.inFlight = false;
       if (result.kind === 'ok') {
-        taken.forEach((key, i) => {
-          const r = this.records.get(key);
-          if (r === undefined) return;
-          r.version = deleted[i] === true ? 0 : result.revision;
-          r.inFlight = false;
-          if (!r.dirty) r.urgent = false;
-          if (r.version === 0 && !r.dirty) this.records.delete(key);
-          for (const w of waiters[i] ?? []) w();
-        });
+        for (const { page, keys } of sent) this.pages.written(page, keys, result.revision);
+        this.called(taken, waiting);
         for (const e of extras) e.done('ok');
         return;
       }
@@ -201,59 +230,61 @@
         this.options.onFenced();
         return;
       }
-      const failed = result.kind === 'conflict' ? new Set(result.failed) : null;
-      taken.forEach((key, i) => {
-        const r = this.records.get(key);
-        if (r === undefined) return;
-        r.inFlight = false;
-        r.dirty = true;
-        r.waiters.unshift(...(waiters[i] ?? []));
-        this.dirtyKeys.add(key);
+      const failed = new Set(result.kind === 'conflict' ? result.failed : []);
+      for (const { page, keys } of sent) {
         // After no response the same condition goes out again: of the two copies only one can win,
-        // and if it is the first, the second fails on this key and the key is read.
-        if (failed?.has(key) === true) r.unsure = true;
-      });
+        // and if it is the first, the second fails on this page and the page is read.
+        if (failed.has(page.key)) page.unsure = true;
+        if (result.kind === 'unknown') this.pages.perhapsWritten(page, keys);
+      }
+      for (const e of taken) {
+        e.dirty = true;
+        this.urgent.add(e);
+        const list = waiting.get(e);
+        if (list !== undefined) this.waiters.set(e, [...list, ...(this.waiters.get(e) ?? [])]);
+      }
       for (const e of extras.reverse()) {
-        if (failed !== null && e.conditions.some((c) => failed.has(c.key))) e.done('conflict');
+        if (e.conditions.some((c) => failed.has(c.key))) e.done('conflict');
         else this.extras.unshift(e);
       }
+      this.pagesAt = 0;
       if (result.kind !== 'conflict')
         this.pauseUntil = this.core.now() + (result.kind === 'refused' ? 100 : 20);
     });
   }
 
-  private settled(key: string, r: RecordState, version: number): void {
-    r.version = version;
-    r.dirty = false;
-    this.dirtyKeys.delete(key);
-    const { waiters } = r;
-    r.waiters = [];
-    if (version === 0) this.records.delete(key);
-    for (const w of waiters) w();
+  private called(taken: Entry[], waiting: Map<Entry, (() => void)[]>): void {
+    for (const e of taken) {
+      for (const w of waiting.get(e) ?? []) w();
+      // Set once more to the same value while it was on its way.
+      if (e.dirty) continue;
+      const later = this.waiters.get(e);
+      this.waiters.delete(e);
+      for (const w of later ?? []) w();
+    }
   }
 
-  private reread(key: string): void {
+  private reread(page: Page): void {
     this.inFlight = true;
     this.client.tokens.force();
-    this.client.get(key, this.settings.leaderLeaseMs / 4, (got) => {
+    this.client.get(page.key, this.settings.leaderLeaseMs / 4, (got) => {
       this.inFlight = false;
       if (this.closed) return;
-      const r = this.records.get(key);
-      if (r === undefined) return;
       if (got.kind === 'failed') {
         this.pauseUntil = this.core.now() + 100;
         return;
       }
-      r.version = got.value?.version ?? 0;
-      r.unsure = false;
+      page.version = got.value?.version ?? 0;
+      page.unsure = false;
     });
   }
 
   private later(ms: number): void {
-    if (this.timerSet) return;
-    this.timerSet = true;
+    const at = this.core.now() + Math.max(5, ms);
+    if (at >= this.timerAt) return;
+    this.timerAt = at;
     this.core.after(Math.max(5, ms), 'records', () => {
-      this.timerSet = false;
+      if (this.timerAt === at) this.timerAt = Infinity;
     });
   }
 }
--- a/src/controller/workers/machine.ts
+++ b/src/controller/workers/machine.ts
@@ -30,6 +30,11 @@
   cpus = 0;
   gpus = 0;
   memoryGb = 0;
+  /** Bytes that its tasks may take in its record. */
+  recordBytes = 0;
+  /** Tasks that take room, and how many of each class. */
+  tasks = 0;
+  readonly classes = new Map<string, number>();
   /** Images on the machine, as far as seen; least recently used first. */
   readonly images = new Map<string, number>();
   /** Jobs that failed here since the last success. */
@@ -53,26 +58,36 @@
   }
 
   take(a: Assignment): void {
-    this.cpus += a.need.cpus;
-    this.gpus += a.need.gpus;
-    this.memoryGb += a.need.memoryGb;
+    this.count(a, 1);
   }
 
   give(a: Assignment): void {
-    this.cpus -= a.need.cpus;
-    this.gpus -= a.need.gpus;
-    this.memoryGb -= a.need.memoryGb;
+    this.count(a, -1);
   }
 
-  /** Tasks that take room. */
+  private count(a: Assignment, by: number): void {
+    this.tasks += by;
+    this.cpus += a.need.cpus * by;
+    this.gpus += a.need.gpus * by;
+    this.memoryGb += a.need.memoryGb * by;
+    // Sums of decimals drift; a machine without tasks has none.
+    if (this.tasks === 0) this.cpus = this.gpus = this.memoryGb = 0;
+    if (a.job === null) return;
+    const { class: cls } = a.job.spec;
+    this.classes.set(cls, (this.classes.get(cls) ?? 0) + by);
+    if (this.classes.get(cls) === 0) this.classes.delete(cls);
+  }
+
+  /** Some task takes room. */
   get busy(): boolean {
-    for (const a of this.assignments.values()) if (a.phase !== 'ended') return true;
-    return false;
+    return this.tasks > 0;
   }
 
-  sawImage(image: string, gb: number): void {
-    this.images.delete(image);
+  /** True if that was not known. */
+  sawImage(image: string, gb: number): boolean {
+    const fresh = !this.images.delete(image);
     this.images.set(image, gb);
+    if (!fresh) return false;
     const limit = this.type?.cacheGb ?? Infinity;
     let sum = 0;
     for (const g of this.images.values()) sum += g;
@@ -81,5 +96,6 @@
       this.images.delete(name);
       sum -= g;
     }
+    return true;
   }
 }
--- a/src/controller/workers/workers.test.ts
+++ b/src/controller/workers/workers.test.ts
@@ -4,10 +4,10 @@
 import type { Call, Env, Logger, Reply } from '../core/env.js';
 import { JobTable, type Job } from '../jobs/table.js';
 import { alone } from '../../../test/platform.js';
+import { storedAtOnce } from '../../../test/stored.js';
 import { defaultProperties } from '../settings/properties.js';
 import { Settings } from '../settings/settings.js';
 import type { StateClient } from '../store/client.js';
-import type { Records } from '../store/records.js';
 import { writeJob, type JobSpec } from '../wire/jobs.js';
 import type { Report, TaskReport } from '../wire/workers.js';
 import { makeToken, termOf } from './token.js';
@@ -49,16 +49,7 @@
       sendPeer: () => undefined,
     };
     this.core = new Core(env, silent);
-    const stored = new Map<string, unknown>();
-    const records = {
-      has: (k: string) => stored.has(k),
-      set: (k: string, v: unknown, _urgent: boolean, done?: () => void) => {
-        if (v === undefined) stored.delete(k);
-        else stored.set(k, v);
-        done?.();
-      },
-      transact: () => undefined,
-    } as unknown as Records;
+    const records = storedAtOnce(record === undefined ? {} : { 'm/n-1': record });
     this.table = new JobTable(this.core, settings, {} as unknown as StateClient, records, {
       torn: (j) => {
         this.torn.push(j);
@@ -78,7 +69,7 @@
       ran: () => undefined,
     });
     this.table.add(job.id, { job: writeJob(job), at: 0 }, 1);
-    if (record !== undefined) this.workers.load('n-1', record);
+    this.workers.load();
     this.table.settle();
   }
 
@@ -123,9 +114,8 @@
   ...part,
 });
 
-function record(jobs: unknown): unknown {
-  return { type: 'g', zone: 'a', spot: false, addr: '10.1.0.1:9', session: 1, images: {}, jobs };
-}
+/** A machine's record with one task of the job. */
+const recorded = [1, 'g', 'a', 0, '10.1.0.1:9', ['req-1', 't', 1, 0, 1, 0, [5, 0, 0]]];
 
 describe('workers', () => {
   it('takes tokens apart by term, large ones too', () => {
@@ -177,7 +167,7 @@
   });
 
   it('does not believe what a report from before its term lacks', () => {
-    const b = new Bench(spec({}), record({ 'req-1': ['t', 1, 0, 1, 0, { '5': [0, 0] }] }));
+    const b = new Bench(spec({}), recorded);
     b.report(makeToken(TERM - 1, 0), []);
     assert.equal(b.job.assigned.size, 1);
     b.report(makeToken(TERM, 0), []);
@@ -193,7 +183,7 @@
   });
 
   it('takes tasks for gone when the lease has surely run out, and the session with them', () => {
-    const b = new Bench(spec({}), record({ 'req-1': ['t', 1, 0, 1, 0, { '5': [0, 0] }] }));
+    const b = new Bench(spec({}), recorded);
     b.report(makeToken(TERM, 0), [task(5)]);
     b.now += settings.workerLeaseMs;
     b.workers.sweep();
@@ -207,10 +197,7 @@
   // World seeds 135 and 180: a part of a gang was on record, the other was placed beside it, and
   // when the first was gone both were put back, one of them for the second time.
   it('starts a torn gang anew as a whole, each task once', () => {
-    const b = new Bench(
-      spec({ kind: 'gang' }),
-      record({ 'req-1': ['t', 1, 0, 1, 0, { '5': [0, 0] }] }),
-    );
+    const b = new Bench(spec({ kind: 'gang' }), recorded);
     assert.equal(b.torn.length, 1);
     assert.equal(b.job.pending.length, 0);
     b.report(makeToken(TERM, 0), []);
@@ -219,10 +206,7 @@
   });
 
   it('puts a gang of one task back when it is lost', () => {
-    const b = new Bench(
-      spec({ kind: 'gang', tasks: 1 }),
-      record({ 'req-1': ['t', 1, 0, 1, 0, { '5': [0, 0] }] }),
-    );
+    const b = new Bench(spec({ kind: 'gang', tasks: 1 }), recorded);
     b.report(makeToken(TERM, 0), [], { session: 2 });
     assert.equal(b.job.pending.length, 1);
   });
@@ -238,17 +222,11 @@
       tokens: { force: () => undefined },
       get: (_key: string, _ms: number, done: (r: unknown) => void) => asked.push(done),
     } as unknown as StateClient;
-    const table = new JobTable(
-      b.core,
-      settings,
-      client,
-      { has: () => false } as unknown as Records,
-      {
-        ...{ torn: nothing, added: nothing, changed: nothing },
-        ...{ vanished: nothing, closed: nothing, recorded: nothing },
-        ended: (id, state) => ended.push(`${id} ${state}`),
-      },
-    );
+    const table = new JobTable(b.core, settings, client, storedAtOnce(), {
+      ...{ torn: nothing, added: nothing, changed: nothing },
+      ...{ vanished: nothing, closed: nothing, recorded: nothing },
+      ended: (id, state) => ended.push(`${id} ${state}`),
+    });
     table.add('req-1', { job: writeJob(spec({})), at: 0 }, 1);
     table.removed('req-1');
     assert.deepEqual(ended, []);
--- a/src/controller/workers/workers.ts
+++ b/src/controller/workers/workers.ts
@@ -2,8 +2,8 @@
 import type { Reply } from '../core/env.js';
 import type { Job, JobTable } from '../jobs/table.js';
 import type { Settings } from '../settings/settings.js';
+import { Teams } from '../placement/teams.js';
 import type { Records } from '../store/records.js';
-import { isMap } from '../wire/cbor.js';
 import type { MachineType } from '../wire/cloud.js';
 import {
   taskName,
@@ -19,7 +19,18 @@
 import { Machine } from './machine.js';
 import { EPOCHS, makeToken, termOf } from './token.js';
 
-export const machineKey = (id: string): string => `machine/${id}`;
+const MACHINES = 'm/';
+const IMAGES = 'i/';
+export const machineKey = (id: string): string => `${MACHINES}${id}`;
+const imagesKey = (id: string): string => `${IMAGES}${id}`;
+
+/** Bytes that a task takes at most in its machine's record, beside the names of its job and team. */
+const TASK_BYTES = 80;
+
+/** Bytes of a machine's record that one more task of the job may take. */
+export function recordBytes(jobId: string, team: string): number {
+  return TASK_BYTES + jobId.length + team.length;
+}
 
 export interface WorkersHooks {
   type(name: string): MachineType | undefined;
@@ -39,7 +50,14 @@
 /** The leader's view of the machines and of every task that may be on one. */
 export class Workers {
   readonly machines = new Map<string, Machine>();
+  /** What each team's tasks take, over every task that is not surely gone. */
+  readonly teams: Teams;
+  /** Tasks that are not surely gone, by class and in all. */
+  readonly running = new Map<string, number>();
+  assigned = 0;
   private readonly dirty = new Set<Machine>();
+  /** Machines whose images changed: written in their own time. */
+  private readonly imagesDirty = new Set<Machine>();
   private readonly direct = new Set<Machine>();
 
   constructor(
@@ -49,7 +67,9 @@
     private readonly records: Records,
     private readonly table: JobTable,
     private readonly hooks: WorkersHooks,
-  ) {}
+  ) {
+    this.teams = new Teams(settings.platform.teams);
+  }
 
   machine(id: string): Machine {
     let m = this.machines.get(id);
@@ -73,70 +93,66 @@
   private value(m: Machine): unknown {
     const now = this.core.now();
     const wall = this.core.env.wall();
-    const jobs: Record<string, unknown[]> = {};
+    const jobs = new Map<string, unknown[]>();
     for (const a of m.assignments.values()) {
-      const entry = (jobs[a.jobId] ??= [
-        a.team,
-        a.need.cpus,
-        a.need.gpus,
-        a.need.memoryGb,
-        a.saveS,
-        {},
-      ]);
-      const attempts = entry[5] as Record<string, number[]>;
-      // The first number is when, by time of day; the tasks follow.
-      (attempts[String(a.attempt)] ??= [Math.round(wall - (now - a.since))]).push(a.task);
+      let entry = jobs.get(a.jobId);
+      if (entry === undefined) {
+        const { cpus, gpus, memoryGb } = a.need;
+        entry = [a.jobId, a.team, cpus, gpus, memoryGb, a.saveS];
+        jobs.set(a.jobId, entry);
+      }
+      // By attempt: when, by time of day, and which tasks.
+      let attempt = entry.find((x) => Array.isArray(x) && x[0] === a.attempt) as
+        number[] | undefined;
+      if (attempt === undefined) {
+        attempt = [a.attempt, Math.round(wall - (now - a.since))];
+        entry.push(attempt);
+      }
+      attempt.push(a.task);
     }
-    return {
-      type: m.typeName,
-      zone: m.zone,
-      spot: m.spot,
-      addr: m.addr,
-      session: m.session,
-      images: Object.fromEntries(m.images),
-      jobs,
-    };
+    return [m.session, m.typeName, m.zone, m.spot ? 1 : 0, m.addr, ...jobs.values()];
+  }
+
+  /** How many bytes the tasks of a machine may take in its record, which has to fit a value. */
+  get recordLimit(): number {
+    return this.settings.platform.stateLimits.valueKb * 1024 * 0.9 - 500;
   }
 
-  /** How many tasks a machine may have at once for its record to fit a value. */
-  get slots(): number {
-    return Math.floor((this.settings.platform.stateLimits.valueKb * 1024 * 0.75) / 40);
+  /** What the leaders before have left, read at takeover. */
+  load(): void {
+    for (const { key, value } of this.records.list(MACHINES))
+      this.loadMachine(key.slice(MACHINES.length), value);
+    for (const { key, value } of this.records.list(IMAGES)) {
+      const m =
+        this.machines.get(key.slice(IMAGES.length)) ?? this.machine(key.slice(IMAGES.length));
+      if (!Array.isArray(value)) continue;
+      for (let i = 0; i + 1 < value.length; i += 2)
+        m.images.set(String(value[i]), Number(value[i + 1]));
+    }
   }
 
-  /** A record of the leaders before, read at takeover. */
-  load(id: string, value: unknown): void {
-    if (!isMap(value)) return;
+  private loadMachine(id: string, value: unknown): void {
+    if (!Array.isArray(value)) return;
     const m = this.machine(id);
-    const { type, zone, spot, addr, session, images, jobs } = value;
-    m.session = typeof session === 'number' ? session : 0;
-    this.setType(
-      m,
-      typeof type === 'string' ? type : '',
-      typeof zone === 'string' ? zone : '',
-      spot === true,
-      typeof addr === 'string' ? addr : '',
-    );
-    if (isMap(images))
-      for (const [name, gb] of Object.entries(images))
-        if (typeof gb === 'number') m.images.set(name, gb);
-    if (!isMap(jobs)) return;
+    const [session, type, zone, spot, addr, ...jobs] = value as unknown[];
+    m.session = Number(session);
+    this.setType(m, String(type), String(zone), spot === 1, String(addr));
     const wall = this.core.env.wall();
-    for (const [jobId, entry] of Object.entries(jobs)) {
+    for (const entry of jobs) {
       if (!Array.isArray(entry)) continue;
-      const [team, cpus, gpus, memoryGb, saveS, attempts] = entry as unknown[];
-      if (!isMap(attempts)) continue;
+      const [jobId, team, cpus, gpus, memoryGb, saveS, ...attempts] = entry as unknown[];
       const need: Need = { cpus: Number(cpus), gpus: Number(gpus), memoryGb: Number(memoryGb) };
-      for (const [attempt, tasks] of Object.entries(attempts)) {
+      for (const tasks of attempts) {
         if (!Array.isArray(tasks)) continue;
-        const [at = wall, ...numbers] = tasks as number[];
+        const [attempt = 0, at = wall, ...numbers] = tasks as number[];
         for (const task of numbers) {
-          const job = this.table.jobs.get(jobId) ?? null;
+          const job = this.table.jobs.get(String(jobId)) ?? null;
           const a: Assignment = {
-            jobId,
+            jobId: String(jobId),
             job,
             team: String(team),
             task,
-            attempt: Number(attempt),
+            attempt,
             machine: m,
             session: m.session,
             need,
@@ -148,8 +164,7 @@
             runningAt: null,
             stop: null,
           };
-          m.assignments.set(taskName(jobId, task), a);
-          m.take(a);
+          this.hold(a);
           if (job === null) this.stop(a, 0, 'job ended');
           else this.attach(job, a);
         }
@@ -170,6 +185,29 @@
     this.dirty.add(m);
   }
 
+  /** Counts the task as being on its machine. */
+  private hold(a: Assignment): void {
+    const { machine: m, job } = a;
+    m.assignments.set(taskName(a.jobId, a.task), a);
+    m.recordBytes += recordBytes(a.jobId, a.team);
+    job?.all.add(a);
+    m.take(a);
+    this.teams.add(a.team, a.need, 1);
+    this.assigned++;
+    if (job !== null) count(this.running, job.spec.class, 1);
+  }
+
+  /** The task is gone, whatever is still to be written of it. */
+  private release(a: Assignment): void {
+    a.machine.give(a);
+    this.teams.add(a.team, a.need, -1);
+    this.assigned--;
+    if (a.job !== null) {
+      count(this.running, a.job.spec.class, -1);
+      a.job.changed = true;
+    }
+  }
+
   // ---- giving and taking tasks
 
   assign(job: Job, task: number, attempt: number, m: Machine): void {
@@ -191,9 +229,8 @@
       runningAt: null,
       stop: null,
     };
-    m.assignments.set(taskName(spec.id, task), a);
+    this.hold(a);
     job.assigned.set(task, a);
-    m.take(a);
     this.touch(m);
     this.core.log.debug({ job: spec.id, task, attempt, machine: m.id }, 'task assigned');
   }
@@ -223,12 +260,10 @@
 
   /** The job has ended. Completed gangs end by themselves, all at the same time. */
   jobClosed(job: Job): void {
-    for (const m of this.machines.values())
-      for (const a of [...m.assignments.values()]) {
-        if (a.job !== job) continue;
-        if (a.phase === 'ended') this.remove(a);
-        else if (job.closed === 'cancelled') this.stop(a, 0, 'cancelled');
-      }
+    for (const a of [...job.all]) {
+      if (a.phase === 'ended') this.remove(a);
+      else if (job.closed === 'cancelled') this.stop(a, 0, 'cancelled');
+    }
   }
 
   /** Completion is on record: the task may be cleared, and its assignment forgotten. */
@@ -239,7 +274,11 @@
 
   private remove(a: Assignment): void {
     const name = taskName(a.jobId, a.task);
-    if (a.machine.assignments.get(name) === a) a.machine.assignments.delete(name);
+    if (a.machine.assignments.get(name) === a) {
+      a.machine.assignments.delete(name);
+      a.machine.recordBytes -= recordBytes(a.jobId, a.team);
+    }
+    a.job?.all.delete(a);
     if (a.job?.assigned.get(a.task) === a) a.job.assigned.delete(a.task);
     if (!a.machine.busy) a.machine.idleSince = this.core.now();
     this.touch(a.machine);
@@ -250,7 +289,7 @@
     if (a.phase === 'ended') return;
     const { job, machine: m } = a;
     a.phase = 'ended';
-    m.give(a);
+    this.release(a);
     this.hooks.changed();
     if (outcome === 'done' && job?.closed === null) {
       if (a.runningAt !== null) this.hooks.ran(a, this.core.now() - a.runningAt);
@@ -440,12 +479,12 @@
     }
     if (t.state === a.state) return;
     if ((t.state === 'running' || t.state === 'waiting') && a.job !== null) {
-      a.machine.sawImage(a.job.spec.image, a.job.spec.imageGb);
-      this.touch(a.machine);
+      if (a.machine.sawImage(a.job.spec.image, a.job.spec.imageGb)) this.imagesDirty.add(a.machine);
     }
     // The run is timed only from a start that was seen, not from one of the leader before.
     if (t.state === 'running' && a.runningAt === null && a.sentSeq !== null) a.runningAt = now;
     a.state = t.state;
+    if (a.job !== null) a.job.changed = true;
     this.core.log.debug(
       { job: a.jobId, task: a.task, machine: a.machine.id, state: t.state, afterMs: now - a.since },
       'task state',
@@ -499,7 +538,9 @@
     this.machines.delete(m.id);
     this.dirty.delete(m);
     this.direct.delete(m);
-    if (this.records.has(machineKey(m.id))) this.records.set(machineKey(m.id), undefined, false);
+    this.imagesDirty.delete(m);
+    for (const key of [machineKey(m.id), imagesKey(m.id)])
+      if (this.records.has(key)) this.records.set(key, undefined, false);
     this.hooks.changed();
   }
 
@@ -521,6 +562,9 @@
       });
     }
     this.dirty.clear();
+    for (const m of this.imagesDirty)
+      this.records.set(imagesKey(m.id), [...m.images].flat(), false);
+    this.imagesDirty.clear();
     for (const m of this.direct) this.sendDirect(m);
     this.direct.clear();
   }
@@ -589,6 +633,12 @@
   }
 }
 
+function count(counts: Map<string, number>, key: string, by: number): void {
+  const n = (counts.get(key) ?? 0) + by;
+  if (n === 0) counts.delete(key);
+  else counts.set(key, n);
+}
+
 function attemptName(job: string, task: number, attempt: number | bigint): string {
   return `${taskName(job, task)}@${attempt}`;
 }
--- /dev/null
+++ b/test/stored.ts
@@ -0,0 +1,19 @@
+import type { Records } from '../src/controller/store/records.js';
+
+/** Records for the tests of single slices: what is set is stored at once. */
+export function storedAtOnce(before: Record<string, unknown> = {}): Records {
+  const stored = new Map(Object.entries(before));
+  const records: Pick<Records, 'has' | 'list' | 'set' | 'transact'> = {
+    has: (key) => stored.has(key),
+    *list(prefix) {
+      for (const [key, value] of [...stored]) if (key.startsWith(prefix)) yield { key, value };
+    },
+    set: (key, value, _urgent, done) => {
+      if (value === undefined) stored.delete(key);
+      else stored.set(key, value);
+      done?.();
+    },
+    transact: () => undefined,
+  };
+  return records as Records;
+}
