--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -110,8 +110,11 @@
         stateOkAgeMs: Number.isFinite(this.client.okAgeMs) ? this.client.okAgeMs : -1,
         leaderHost: this.leadership.leader?.host ?? '',
         term: this.leadership.leader?.term ?? 0,
+        wantedWrites: this.client.part.wanted,
       }),
       {
+        accepted: (id) => this.frontend.learnAccepted(id),
+        status: (s) => this.leadership.heard(s.leaderHost, s.term),
         final: (id, state) => {
           this.frontend.learnFinal(id, state);
           this.progress.delete(id);
@@ -136,6 +139,7 @@
     this.frontend = new Frontend(core, settings, this.client, {
       types: () => this.types,
       progress: (id) => this.jobProgress(id),
+      accepted: (id) => this.peers.announceAccepted(id),
       cancelled: (id) => {
         this.peers.announce(id, 'cancelled');
         this.progress.delete(id);
@@ -148,7 +152,7 @@
     this.core.post('start', () => {
       this.leadership.start();
       this.loadCatalogue();
-      this.peers.start(this.settings.reportMs / 3);
+      this.peers.start(this.settings.reportMs / 3, this.settings.reportMs / 15);
       this.core.every(this.settings.reportMs / 3, 'tick', () => this.tick());
       this.core.onBatchEnd(() => this.batchEnd());
     });
@@ -426,6 +430,10 @@
   }
 
   private tick(): void {
+    const heard = this.peers.heard(this.settings.reportMs);
+    this.client.shareWrites(
+      heard.map((p) => ({ leads: p.leaderHost === p.host, wanted: p.wantedWrites })),
+    );
     if (this.core.now() - this.typesAt > this.settings.workerLeaseMs * 3 && this.types !== null) {
       this.typesAt = this.core.now();
       this.askCatalogue();
@@ -511,6 +519,8 @@
     };
     const help = (): boolean => {
       if (answered || helping) return helping;
+      const slow = this.settings.reportMs / 25;
+      if (this.client.failingFor === 0 && this.client.stalledMs < slow) return false;
       const host = this.peers.served(this.settings.reportMs / 2);
       if (host === null) return false;
       helping = true;
--- a/src/controller/jobs/frontend.ts
+++ b/src/controller/jobs/frontend.ts
@@ -38,6 +38,8 @@
   types(): MachineType[] | null;
   /** Counts for display, if this node has them. */
   progress(id: string): JobAnswer | null;
+  /** This node has just accepted a job. */
+  accepted(id: string): void;
   /** This node has just ended a job by cancelling it. */
   cancelled(id: string): void;
 }
@@ -84,7 +86,12 @@
   /** Versions of live records that this node has seen. */
   private readonly live: Bounded<number>;
   private readonly writes: Batcher;
-  private readonly reads: Batcher;
+  /** Questions whether jobs that are known to have been accepted have ended. */
+  private readonly ends: Batcher;
+  /** Questions about jobs that this node has not heard of. */
+  private readonly unknown: Batcher;
+  /** Submissions on their way, with all who wait for them. */
+  private readonly creating = new Map<string, Respond[]>();
   private readonly asked = new Map<string, ((s: Standing) => void)[]>();
 
   constructor(
@@ -96,16 +103,18 @@
     const cache = settings.get('jobs.final.cache');
     this.finals = new Bounded(cache);
     this.live = new Bounded(cache);
+    const common = { timeoutMs: CALL_MS, queueMs: CALL_MS };
     this.writes = new Batcher(core, settings, client, {
-      reserve: reserve.submissions,
-      timeoutMs: CALL_MS,
-      maxQueue: 256,
-    });
-    this.reads = new Batcher(core, settings, client, {
-      reserve: reserve.polls,
-      timeoutMs: CALL_MS,
-      maxQueue: 2048,
+      ...{ ...common, reserve: reserve.submissions, everyMs: 0 },
     });
+    const polls = { ...common, reserve: reserve.polls, everyMs: settings.reportMs / 25 };
+    this.ends = new Batcher(core, settings, client, polls);
+    this.unknown = new Batcher(core, settings, client, polls);
+  }
+
+  /** Another controller has accepted the job. */
+  learnAccepted(id: string): void {
+    if (this.finals.get(id) === undefined && this.live.get(id) === undefined) this.live.set(id, 0);
   }
 
   /** A job has ended, as another controller or this node's leader says. */
@@ -116,7 +125,7 @@
   }
 
   private retryLater(respond: Respond): void {
-    const s = Math.max(this.writes.waitMs, this.client.down ? 1000 : 0) / 1000;
+    const s = Math.max(this.writes.waitMs(), this.client.down ? 1000 : 0) / 1000;
     respond({ status: 503, body: { error: 'not now' }, retryAfterS: Math.max(1, Math.ceil(s)) });
   }
 
@@ -148,6 +157,16 @@
 
   private create(spec: JobSpec, respond: Respond): void {
     if (this.client.down) return this.retryLater(respond);
+    const waiting = this.creating.get(spec.id);
+    if (waiting !== undefined) {
+      waiting.push(respond);
+      return;
+    }
+    const waiters = [respond];
+    const answer = (each: (respond: Respond) => void): void => {
+      this.creating.delete(spec.id);
+      for (const w of waiters) each(w);
+    };
     const at = Math.round(this.core.env.wall());
     const queued = this.writes.add({
       conditions: [
@@ -158,13 +177,18 @@
       done: (r) => {
         if (r.kind === 'ok') {
           this.live.set(spec.id, r.revision);
-          respond({ status: 201, body: writeAnswer({ id: spec.id, state: 'queued' }) });
+          this.hooks.accepted(spec.id);
+          const body = writeAnswer({ id: spec.id, state: 'queued' });
+          answer((respond) => respond({ status: 201, body }));
         } else if (r.kind === 'conflict') {
-          this.standing(spec.id, new Set(r.failed), (s) => this.reply(spec.id, s, respond));
-        } else this.retryLater(respond);
+          this.standing(spec.id, new Set(r.failed), (s) =>
+            answer((respond) => this.reply(spec.id, s, respond)),
+          );
+        } else answer((respond) => this.retryLater(respond));
       },
     });
-    if (!queued) this.retryLater(respond);
+    if (queued) this.creating.set(spec.id, waiters);
+    else this.retryLater(respond);
   }
 
   poll(id: string, respond: Respond): void {
@@ -200,7 +224,7 @@
     const known = this.live.get(id) !== undefined;
     const conditions: Condition[] = [{ key: finalKey(id), version: 0 }];
     if (!known) conditions.push({ key: liveKey(id), version: 0 });
-    const queued = this.reads.add({
+    const queued = (known ? this.ends : this.unknown).add({
       conditions,
       writes: [],
       // Only a question that has not left may be shared: one on its way may find the state from
--- a/src/controller/leadership/leadership.ts
+++ b/src/controller/leadership/leadership.ts
@@ -28,6 +28,8 @@
   private mine: { term: number; lease: number } | null = null;
   /** This node may act as leader until then, on its own clock. */
   private actUntil = -Infinity;
+  /** The latest term that is known to be over. */
+  private endedTerm = 0;
   private trying = false;
   private watching = false;
   /** Guards against answers to questions of an earlier reign. */
@@ -65,13 +67,30 @@
     this.stepDown('higher term');
   }
 
+  /**
+   * A peer says who leads. That is no proof of anything, but good enough to send workers there; and
+   * if it is a later leader than this node, whom the state service may not serve just now, this
+   * node's reign is over.
+   */
+  heard(host: string, term: number): void {
+    if (host === '') return;
+    this.higherTerm(term);
+    if (this.mine !== null || term <= Math.max(this.endedTerm, this.info?.term ?? 0)) return;
+    this.info = { host, identity: '', lease: 0, term };
+  }
+
+  private noLeader(): void {
+    this.endedTerm = Math.max(this.endedTerm, this.info?.term ?? 0);
+    this.info = null;
+  }
+
   stepDown(reason: string): void {
     const { mine } = this;
     if (mine === null) return;
     this.core.log.info({ term: mine.term, reason }, 'no longer leader');
     this.mine = null;
     this.actUntil = -Infinity;
-    this.info = null;
+    this.noLeader();
     this.reign++;
     this.client.setRole(false);
     // The lease goes too: otherwise a late copy of the request that made the key could make it
@@ -101,7 +120,7 @@
       if (got.kind === 'failed') return this.retry();
       const item = got.value;
       if (item === null) {
-        this.info = null;
+        this.noLeader();
         this.acquire();
         return;
       }
@@ -141,7 +160,7 @@
         this.info = this.read(last.value, last.version);
         this.follow(got.value.revision);
       } else {
-        this.info = null;
+        this.noLeader();
         this.acquire();
       }
     });
--- a/src/controller/peers/peers.test.ts
+++ b/src/controller/peers/peers.test.ts
@@ -4,8 +4,16 @@
 import { decodePeer, encodePeer, frame, Unframer, type PeerMessage } from './peers.js';
 
 const message: PeerMessage = {
-  status: { host: 'kiln-1', identity: 'x', stateOkAgeMs: 12.5, leaderHost: '', term: 7 },
+  status: {
+    host: 'kiln-1',
+    identity: 'x',
+    stateOkAgeMs: 12.5,
+    leaderHost: '',
+    term: 7,
+    wantedWrites: 1.5,
+  },
   finals: [{ id: 'req-1', state: 'done' }],
+  accepted: ['req-3'],
   progress: [
     { id: 'req-2', state: 'running', done: 1, running: 2, exits: { error: 1 }, blocked: '' },
   ],
--- a/src/controller/peers/peers.ts
+++ b/src/controller/peers/peers.ts
@@ -13,6 +13,8 @@
   stateOkAgeMs: number;
   leaderHost: string;
   term: number;
+  /** Puts and deletes at the state service that the sender would make a second. */
+  wantedWrites: number;
 }
 
 export interface JobProgress {
@@ -42,6 +44,8 @@
 export interface PeerMessage {
   status: PeerStatus | null;
   finals: { id: string; state: FinalState }[];
+  /** Jobs that the sender has accepted. */
+  accepted: string[];
   progress: JobProgress[];
   request: ForwardedRequest | null;
   reply: ForwardedReply | null;
@@ -64,6 +68,7 @@
             { name: 'stateOkAgeMs', type: 'double' },
             { name: 'leaderHost', type: 'string' },
             { name: 'term', type: 'long' },
+            { name: 'wantedWrites', type: 'double' },
           ],
         },
       ],
@@ -85,6 +90,7 @@
         },
       },
     },
+    { name: 'accepted', type: { type: 'array', items: 'string' } },
     {
       name: 'progress',
       type: {
@@ -190,6 +196,8 @@
 }
 
 export interface PeerEvents {
+  accepted(id: string): void;
+  status(status: PeerStatus): void;
   final(id: string, state: FinalState): void;
   progress(p: JobProgress): void;
   /** To be answered here, and not passed on again. */
@@ -206,6 +214,9 @@
 export class Peers {
   private readonly known = new Map<string, Known>();
   private finals: PeerMessage['finals'] = [];
+  private accepted: string[] = [];
+  private sending = false;
+  private newsMs = 0;
   private readonly asked = new Map<number, (r: ForwardedReply | null) => void>();
   private lastId = 0;
 
@@ -216,34 +227,50 @@
     private readonly events: PeerEvents,
   ) {}
 
-  start(everyMs: number): void {
-    this.core.every(everyMs, 'peer-status', () => this.send([], this.own()));
-    this.core.onBatchEnd(() => {
-      if (this.finals.length > 0) this.send([], null);
-    });
+  start(statusMs: number, newsMs: number): void {
+    this.newsMs = newsMs;
+    this.core.every(statusMs, 'peer-status', () => this.send([], this.own()));
   }
 
-  /** Tells the others of a job's end, with this batch. */
+  /** Tells the others of a job's end, with what else comes within a moment. */
   announce(id: string, state: FinalState): void {
     this.finals.push({ id, state });
+    this.sendSoon();
+  }
+
+  announceAccepted(id: string): void {
+    this.accepted.push(id);
+    this.sendSoon();
+  }
+
+  private sendSoon(): void {
+    if (this.sending) return;
+    this.sending = true;
+    this.core.after(this.newsMs, 'peer-news', () => {
+      this.sending = false;
+      this.send([], null);
+    });
   }
 
   send(progress: JobProgress[], status: PeerStatus | null): void {
-    let { finals } = this;
+    let { finals, accepted } = this;
     this.finals = [];
+    this.accepted = [];
     do {
       const bytes = encodePeer({
         status,
         finals: finals.slice(0, PER_MESSAGE),
+        accepted: accepted.slice(0, PER_MESSAGE),
         progress: progress.slice(0, PER_MESSAGE),
         request: null,
         reply: null,
       });
       for (const host of this.hosts) this.core.env.sendPeer(host, bytes);
       finals = finals.slice(PER_MESSAGE);
+      accepted = accepted.slice(PER_MESSAGE);
       progress = progress.slice(PER_MESSAGE);
       status = null;
-    } while (finals.length > 0 || progress.length > 0);
+    } while (finals.length + accepted.length + progress.length > 0);
   }
 
   receive(bytes: Buffer): void {
@@ -254,8 +281,10 @@
       this.core.log.warn({ err }, 'broken message from a peer');
       return;
     }
-    if (message.status !== null)
+    if (message.status !== null) {
       this.known.set(message.status.host, { status: message.status, at: this.core.now() });
+      this.events.status(message.status);
+    }
     const { request, reply } = message;
     if (request !== null) {
       this.events.request(request.method, request.path, request.body, (status, body) => {
@@ -263,12 +292,14 @@
       });
     }
     if (reply !== null) this.asked.get(reply.id)?.(reply);
+    for (const id of message.accepted) this.events.accepted(id);
     for (const f of message.finals) this.events.final(f.id, f.state);
     for (const p of message.progress) this.events.progress(p);
   }
 
   private sendOne(host: string, part: Partial<PeerMessage>): void {
-    const empty = { status: null, finals: [], progress: [], request: null, reply: null };
+    const nothing = { status: null, finals: [], accepted: [], progress: [] };
+    const empty = { ...nothing, request: null, reply: null };
     this.core.env.sendPeer(host, encodePeer({ ...empty, ...part }));
   }
 
@@ -287,6 +318,12 @@
     return best;
   }
 
+  /** What the others have said of themselves within `freshMs`. */
+  heard(freshMs: number): PeerStatus[] {
+    const now = this.core.now();
+    return [...this.known.values()].filter((k) => now - k.at < freshMs).map((k) => k.status);
+  }
+
   /** Has a peer answer a request. */
   forward(
     host: string,
--- a/src/controller/store/batcher.ts
+++ b/src/controller/store/batcher.ts
@@ -12,6 +12,21 @@
   done: (r: TxnResult) => void;
 }
 
+interface Queued extends Entry {
+  /** Nobody waits for the outcome any more from then on. */
+  until: number;
+}
+
+export interface BatcherOptions {
+  /** Share of the tokens that is left to calls of higher priority. */
+  reserve: number;
+  timeoutMs: number;
+  /** How long an entry may wait for its transaction to be sent. */
+  queueMs: number;
+  /** Least time between two transactions: more entries share each. */
+  everyMs: number;
+}
+
 const TXN_BYTES = 60 * 1024;
 
 /**
@@ -19,7 +34,10 @@
  * fails on a condition, the entries concerned learn so and the rest go again without them.
  */
 export class Batcher {
-  private queue: Entry[] = [];
+  private queue: Queued[] = [];
+  /** Writes of the queued entries. */
+  private writes = 0;
+  private nextAt = 0;
   private inFlight = false;
   private single = false;
 
@@ -27,36 +45,47 @@
     private readonly core: Core,
     private readonly settings: Settings,
     private readonly client: StateClient,
-    private readonly options: { reserve: number; timeoutMs: number; maxQueue: number },
+    private readonly options: BatcherOptions,
   ) {
     core.onBatchEnd(() => this.flush());
   }
 
-  /** False: too much is waiting or tokens are out; nothing was queued. */
+  /** False: it could not be sent in time; nothing was queued. */
   add(entry: Entry): boolean {
-    if (this.queue.length >= this.options.maxQueue) return false;
-    if (this.waitMs > this.options.timeoutMs) return false;
-    this.queue.push(entry);
+    const { queueMs } = this.options;
+    if (this.waitMs(entry.writes.length) > queueMs) return false;
+    this.queue.push({ ...entry, until: this.core.now() + queueMs });
+    this.count(entry.writes.length);
     return true;
   }
 
-  /** How long until tokens for one more entry are there. */
-  get waitMs(): number {
+  private count(writes: number): void {
+    this.writes += writes;
+    this.client.queued += writes;
+  }
+
+  /** How long until tokens for one more entry are there, after all that wait already. */
+  waitMs(writes = 1): number {
     const { reserve } = this.options;
-    return Math.max(
-      this.client.tokens.waitMs(1, reserve),
-      this.client.writeTokens.waitMs(1, reserve),
-    );
+    const { tokens, writeTokens } = this.client;
+    const request = tokens.waitMs(1, reserve);
+    return writes === 0
+      ? request
+      : Math.max(request, writeTokens.waitMs(this.writes + writes, reserve));
   }
 
   private flush(): void {
     if (this.inFlight || this.queue.length === 0) return;
+    const now = this.core.now();
+    if (now < this.nextAt) return this.later(this.nextAt - now);
     const { reserve } = this.options;
     const { txnOps } = this.settings.platform.stateLimits;
-    if (this.client.tokens.waitMs(1, reserve) > 0)
-      return this.later(this.client.tokens.waitMs(1, reserve));
+    const wait = this.client.tokens.waitMs(1, reserve);
+    if (wait > 0) return this.later(wait);
+    this.nextAt = now + this.options.everyMs;
+    this.dropLate(now);
 
-    const batch: Entry[] = [];
+    const batch: Queued[] = [];
     const conditions: Condition[] = [];
     const writes: Write[] = [];
     const keys = new Set<string>();
@@ -78,12 +107,14 @@
         break;
       }
       this.queue.shift();
+      this.count(-next.writes.length);
       batch.push(next);
       conditions.push(...next.conditions);
       writes.push(...next.writes);
       for (const c of next.conditions) keys.add(c.key);
       bytes += size;
     }
+    if (batch.length === 0) return;
     this.client.tokens.take(1, 0);
     this.inFlight = true;
     for (const e of batch) e.sent?.();
@@ -93,11 +124,22 @@
     });
   }
 
-  private settle(batch: Entry[], result: TxnResult): void {
+  /** Whoever asked has given up: carrying it out now would only delay those who still wait. */
+  private dropLate(now: number): void {
+    const late = this.queue.filter((e) => e.until < now);
+    if (late.length === 0) return;
+    this.queue = this.queue.filter((e) => e.until >= now);
+    for (const e of late) {
+      this.count(-e.writes.length);
+      e.done({ kind: 'refused' });
+    }
+  }
+
+  private settle(batch: Queued[], result: TxnResult): void {
     if (result.kind === 'no-lease' && batch.length > 1) {
       // Refused as malformed: one entry's fault must not be that of all in its batch.
       this.single = true;
-      this.queue.unshift(...batch);
+      this.again(batch);
       return;
     }
     if (result.kind !== 'conflict' || batch.length === 1) {
@@ -106,14 +148,20 @@
       return;
     }
     const failed = new Set(result.failed);
-    const rest: Entry[] = [];
+    const rest: Queued[] = [];
     for (const e of batch) {
       if (e.conditions.some((c) => failed.has(c.key))) e.done(result);
       else rest.push(e);
     }
     // Nobody named: find out one by one.
     this.single = rest.length === batch.length;
-    this.queue.unshift(...rest);
+    this.again(rest);
+  }
+
+  private again(entries: Queued[]): void {
+    this.queue.unshift(...entries);
+    for (const e of entries) this.count(e.writes.length);
+    this.nextAt = 0;
   }
 
   private waiting = false;
--- a/src/controller/store/client.ts
+++ b/src/controller/store/client.ts
@@ -1,6 +1,7 @@
 import type { Core } from '../core/core.js';
 import type { Reply } from '../core/env.js';
 import { Tokens } from '../core/tokens.js';
+import { Rate, writeShare, type Part } from './shares.js';
 import type { Settings } from '../settings/settings.js';
 import {
   readEvents,
@@ -22,6 +23,10 @@
  */
 export const reserve = { records: 0.02, submissions: 0.12, reads: 0.2, polls: 0.3, watches: 0.25 };
 
+/** Over which time the wish for writes is counted, and in which what waits should go out. */
+const WANTED_MS = 3000;
+const QUEUE_S = 2;
+
 export type TxnResult =
   | { kind: 'ok'; revision: number }
   | { kind: 'conflict'; failed: string[] }
@@ -41,6 +46,13 @@
   private okAt = -Infinity;
   private failedAt = -Infinity;
   private failing = 0;
+  private leads = false;
+  private readonly written: Rate;
+  /** Writes that wait for tokens. */
+  queued = 0;
+  /** When calls were sent that are not answered yet, watches left out; the oldest first. */
+  private readonly open = new Map<number, number>();
+  private calls = 0;
 
   constructor(
     private readonly core: Core,
@@ -49,22 +61,36 @@
     const now = (): number => core.now();
     this.tokens = new Tokens(now, 1, 1);
     this.writeTokens = new Tokens(now, 1, 1);
+    this.written = new Rate(now, WANTED_MS);
     this.setRole(false);
   }
 
-  /** The followers share a part of the limits among them; the leader has what they leave. */
+  /** The followers share a part of the requests among them; the leader has what they leave. */
   setRole(leader: boolean): void {
     const { stateLimits, peers } = this.settings.platform;
-    const headroom = this.settings.get('state.headroom.ratio');
-    const rate = (limit: number, followers: number): number => {
-      const theirs = peers.length > 0 ? followers : 0;
-      return limit * headroom * (leader ? 1 - theirs : theirs / Math.max(1, peers.length));
-    };
-    const rps = rate(stateLimits.rps, this.settings.get('state.followers.requests.ratio'));
-    const writes = rate(stateLimits.writeRps, this.settings.get('state.followers.writes.ratio'));
+    const followers = this.settings.get('state.followers.requests.ratio');
+    const theirs = peers.length > 0 ? followers : 0;
+    const share = leader ? 1 - theirs : theirs / Math.max(1, peers.length);
+    const rps = stateLimits.rps * this.settings.get('state.headroom.ratio') * share;
     this.tokens.setRate(rps, rps);
+    this.leads = leader;
+    this.shareWrites([]);
+  }
+
+  /** What this node would write, for the others to know. */
+  get part(): Part {
+    return { leads: this.leads, wanted: this.written.perSecond + this.queued / QUEUE_S };
+  }
+
+  /** Puts are shared by what each node wants, as far as the others have told. */
+  shareWrites(heard: readonly Part[]): void {
+    const { stateLimits, peers } = this.settings.platform;
+    const limit = stateLimits.writeRps * this.settings.get('state.headroom.ratio');
+    const parts = peers.map((_, i) => heard[i] ?? null);
+    const followers = this.settings.get('state.followers.writes.ratio');
+    const rate = limit * writeShare(this.part, parts, followers, limit);
     // A transaction takes all its writes at once, so the burst must hold a useful one.
-    this.writeTokens.setRate(writes, Math.max(writes, 4));
+    this.writeTokens.setRate(rate, Math.max(rate, 4));
   }
 
   /** Milliseconds since the service last carried something out for this node. */
@@ -82,6 +108,13 @@
     return this.failing >= 2 && this.failedAt > this.okAt;
   }
 
+  /** How long the service has kept an answer back while it gave no other. */
+  get stalledMs(): number {
+    const oldest = this.open.values().next();
+    if (oldest.done === true || this.okAt >= oldest.value) return 0;
+    return this.core.now() - oldest.value;
+  }
+
   private call(
     method: 'GET' | 'POST' | 'DELETE',
     path: string,
@@ -90,10 +123,13 @@
     name: string,
     done: (r: Reply) => void,
   ): void {
+    const call = ++this.calls;
+    if (name !== 'follow') this.open.set(call, this.core.now());
     this.core.env.call(
       { to: this.settings.platform.state, method, path, body, timeoutMs },
       (reply) => {
         this.core.post(name, () => {
+          this.open.delete(call);
           if (reply.status === 0 || reply.status === 503) {
             this.failing++;
             this.failedAt = this.core.now();
@@ -126,6 +162,7 @@
     timeoutMs: number,
     done: (r: TxnResult) => void,
   ): void {
+    this.written.count(writes.length);
     this.call('POST', '/multi', writeTransaction(conditions, writes), timeoutMs, 'txn', (r) => {
       done(this.txnResult(r));
     });
--- /dev/null
+++ b/src/controller/store/records.test.ts
@@ -0,0 +1,191 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import fc from 'fast-check';
+import { alone } from '../../../test/platform.js';
+import { Core } from '../core/core.js';
+import type { Env, Logger } from '../core/env.js';
+import { uniform } from '../core/random.js';
+import { defaultProperties } from '../settings/properties.js';
+import { Settings } from '../settings/settings.js';
+import type { Condition, Item, Write } from '../wire/state.js';
+import type { StateClient, TxnResult } from './client.js';
+import { PAGES, sizeOf } from './pages.js';
+import { Records } from './records.js';
+import { Tokens } from '../core/tokens.js';
+
+const settings = new Settings(alone(), defaultProperties());
+const { stateLimits } = settings.platform;
+const nothing = (): void => undefined;
+const silent: Logger = { info: nothing, debug: nothing, warn: nothing, error: nothing };
+
+/** A state service of which answers get lost and requests come late, and the leaders' records. */
+class Service {
+  now = 0;
+  puts = 0;
+  private ledger = 1;
+  readonly entries = new Map<string, Item>();
+  private timers: { at: number; run: () => void }[] = [];
+  private readonly random: () => number;
+  private readonly core: Core;
+  records: Records;
+
+  constructor(
+    seed: number,
+    private readonly troubles: number,
+  ) {
+    this.random = uniform(seed);
+    const env: Env = {
+      now: () => this.now,
+      wall: () => this.now,
+      random: this.random,
+      soon: (fn) => this.after(0, fn),
+      timer: (ms, fn) => {
+        this.after(ms, fn);
+        return { cancel: nothing };
+      },
+      call: nothing,
+      sendPeer: nothing,
+    };
+    this.core = new Core(env, silent);
+    this.core.onBatchEnd(() => this.records.flush());
+    this.records = this.elect();
+  }
+
+  after(ms: number, run: () => void): void {
+    this.timers.push({ at: this.now + ms, run });
+  }
+
+  /** Lets the time pass, after the commands that are due. */
+  run(ms: number): void {
+    this.core.post('commands', nothing);
+    const until = this.now + ms;
+    for (;;) {
+      const due = this.timers.filter((t) => t.at <= until).sort((a, b) => a.at - b.at)[0];
+      if (due === undefined) break;
+      this.timers.splice(this.timers.indexOf(due), 1);
+      this.now = Math.max(this.now, due.at);
+      due.run();
+    }
+    this.now = until;
+  }
+
+  /** Another leader begins, with what the one before has left. */
+  elect(): Records {
+    (this.records as Records | undefined)?.close();
+    const term = ++this.ledger;
+    this.entries.set('lead', { key: 'lead', value: 1, version: term });
+    const now = (): number => this.now;
+    const client = {
+      tokens: new Tokens(now, 100, 100),
+      writeTokens: new Tokens(now, 30, 30),
+      queued: 0,
+      multi: (c: Condition[], w: Write[], _ms: number, done: (r: TxnResult) => void) =>
+        this.multi(c, w, done),
+      get: (key: string, _ms: number, done: (r: unknown) => void) =>
+        this.after(5, () => this.answer(() => done({ kind: 'ok', value: this.entries.get(key) }))),
+    } as unknown as StateClient;
+    this.records = new Records(this.core, settings, client, {
+      fence: { key: 'lead', version: term },
+      mayWrite: () => true,
+      onFenced: nothing,
+    });
+    const pages = [...this.entries.values()].filter((i) => i.key.startsWith(PAGES));
+    this.records.load(JSON.parse(JSON.stringify(pages)) as Item[]);
+    return this.records;
+  }
+
+  private answer(done: () => void): void {
+    this.core.post('answer', done);
+  }
+
+  private multi(conditions: Condition[], writes: Write[], done: (r: TxnResult) => void): void {
+    assert.ok(writes.length <= stateLimits.txnOps);
+    assert.ok(conditions.length <= 4 * stateLimits.txnOps);
+    assert.ok(sizeOf([conditions, writes]) <= 64 * 1024);
+    for (const w of writes)
+      if ('put' in w) assert.ok(sizeOf(w.value) <= stateLimits.valueKb * 1024, 'a value too large');
+    this.puts += writes.length;
+    const copy = JSON.parse(JSON.stringify(writes)) as Write[];
+    const luck = this.random() < this.troubles ? this.random() : 1;
+    if (luck < 0.2) return this.after(5, () => this.answer(() => done({ kind: 'refused' })));
+    // No answer: carried out at once, much later, or never.
+    if (luck < 0.8) {
+      if (luck < 0.6)
+        this.after(luck < 0.4 ? 2 : 5000 * this.random(), () => this.apply(conditions, copy));
+      return this.after(700, () => this.answer(() => done({ kind: 'unknown' })));
+    }
+    this.after(5, () => {
+      const result = this.apply(conditions, copy);
+      this.answer(() => done(result));
+    });
+  }
+
+  private apply(conditions: Condition[], writes: Write[]): TxnResult {
+    const failed = conditions.filter((c) => (this.entries.get(c.key)?.version ?? 0) !== c.version);
+    if (failed.length > 0) return { kind: 'conflict', failed: failed.map((c) => c.key) };
+    const version = ++this.ledger;
+    for (const w of writes)
+      if ('put' in w) this.entries.set(w.put, { key: w.put, value: w.value, version });
+      else this.entries.delete(w.delete);
+    return { kind: 'ok', revision: version };
+  }
+}
+
+describe('records', () => {
+  it('what was called stored is found by the next leader, or something newer', () => {
+    let called = 0;
+    fc.assert(
+      fc.property(fc.nat(1e9), (seed) => {
+        const random = uniform(seed);
+        const s = new Service(seed, 0.3);
+        const keys = Array.from({ length: 12 }, (_, i) => `k/${i}`);
+        /** By key: values set so far, and the index of the last that was called stored. */
+        const sets = new Map(keys.map((k) => [k, { values: [undefined as unknown], stored: 0 }]));
+        for (let step = 0; step < 60; step++) {
+          for (let i = 0; i < 3; i++) {
+            const key = keys[Math.floor(random() * keys.length)] ?? '';
+            const known = sets.get(key);
+            if (known === undefined) continue;
+            const size = Math.floor(random() * 3000);
+            const value = random() < 0.3 ? undefined : `${step}.${i} ${'"'.repeat(size)}`;
+            const at = known.values.push(value) - 1;
+            s.records.set(key, value, random() < 0.7, () => {
+              called++;
+              known.stored = Math.max(known.stored, at);
+            });
+          }
+          s.run(random() * 300);
+          if (random() > 0.1) continue;
+          const found = new Map([...s.elect().list('k/')].map((e) => [e.key, e.value]));
+          for (const [key, known] of sets) {
+            const at = known.values.lastIndexOf(found.get(key));
+            assert.ok(at >= known.stored, `${key}: ${at} instead of ${known.stored}`);
+            // What the new leader has found is what counts from now on.
+            known.values.push(found.get(key));
+            known.stored = known.values.length - 1;
+          }
+        }
+      }),
+      { seed: 8, numRuns: 60 },
+    );
+    assert.ok(called > 1000, `${called}`);
+  });
+
+  it('commits many small records with few puts, and uses pages again', () => {
+    const s = new Service(1, 0);
+    let stored = 0;
+    const before = s.puts;
+    for (let second = 0; second < 100; second++) {
+      for (let i = 0; i < 30; i++) {
+        const key = `k/${(second * 37 + i * 11) % 400}`;
+        s.records.set(key, ['x'.repeat(100), second, i], true, () => stored++);
+        s.run(1000 / 30);
+      }
+    }
+    s.run(2000);
+    assert.equal(stored, 3000);
+    assert.ok(s.puts - before <= 100 * 30 * 0.6, `${s.puts - before} puts`);
+    const pages = [...s.entries.keys()].filter((k) => k.startsWith(PAGES)).length;
+    assert.ok(pages < 40, `${pages} pages for 400 records of 130 bytes`);
+  });
+});
--- a/src/controller/store/records.ts
+++ b/src/controller/store/records.ts
@@ -60,7 +60,9 @@
   }
 
   close(): void {
+    if (this.closed) return;
     this.closed = true;
+    for (const e of this.extras) this.client.queued -= e.writes.length;
   }
 
   /** What the leaders before have left. */
@@ -98,6 +100,7 @@
   /** Writes on keys that others write too, all or none, under the leader's fence. */
   transact(conditions: Condition[], writes: Write[], done: Extra['done']): void {
     this.extras.push({ conditions, writes, done });
+    this.client.queued += writes.length;
   }
 
   get backlog(): number {
@@ -192,6 +195,7 @@
       const size = sizeOf([e.conditions, e.writes]);
       if (!room(e.writes.length, e.conditions.length, size)) return extras;
       this.extras.shift();
+      this.client.queued -= e.writes.length;
       extras.push(e);
       this.client.writeTokens.force(e.writes.length);
       take(e, size);
@@ -245,7 +249,10 @@
       }
       for (const e of extras.reverse()) {
         if (e.conditions.some((c) => failed.has(c.key))) e.done('conflict');
-        else this.extras.unshift(e);
+        else {
+          this.extras.unshift(e);
+          this.client.queued += e.writes.length;
+        }
       }
       this.pagesAt = 0;
       if (result.kind !== 'conflict')
