--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -158,6 +158,11 @@
     });
   }
 
+  /** Has been elected and not learned of its end. */
+  get leads(): boolean {
+    return this.reign !== null;
+  }
+
   private jobProgress(id: string): JobAnswer | null {
     const job = this.reign?.table.jobs.get(id);
     if (job !== undefined) return job.answer();
--- a/src/controller/jobs/table.ts
+++ b/src/controller/jobs/table.ts
@@ -62,6 +62,16 @@
   }
 }
 
+/** Machines that a waiting gang fills up. */
+export interface Hold {
+  machines: string[];
+  since: number;
+  fillAt: number;
+  /** When the gang could run there, images included. */
+  readyAt: number;
+  soughtAt: number;
+}
+
 export class Job {
   readonly done: Uint8Array;
   readonly recorded: Uint8Array;
@@ -99,7 +109,9 @@
   waitingSince: number;
   blocked = '';
   /** Machines that the job's hold is on, for a gang that cannot start yet. */
-  hold: { machines: string[]; since: number; fillAt: number } | null = null;
+  hold: Hold | null = null;
+  /** When room was last sought that could be made for an array's tasks. */
+  soughtAt = -Infinity;
 
   constructor(
     readonly spec: JobSpec,
--- a/src/controller/placement/guarantee.test.ts
+++ b/src/controller/placement/guarantee.test.ts
@@ -109,12 +109,10 @@
       };
       this.tokens.set(machine, baton);
       for (const o of orders) {
-        const [job = '', task = ''] = o.duty.split('/');
-        const at = tasks.findIndex((t) => t.job === job && t.task === Number(task));
+        const at = tasks.findIndex((t) => t.name === o.duty);
         if (o.verb === 'run')
           tasks.push({
-            job,
-            task: Number(task),
+            name: o.duty,
             attempt: o.try,
             state: 'running',
             cause: null,
@@ -134,8 +132,9 @@
   }
 
   running(id: string): number {
-    return [...this.there.values()].flat().filter((t) => t.job === id && t.state !== 'exited')
-      .length;
+    return [...this.there.values()]
+      .flat()
+      .filter((t) => t.name.startsWith(`${id}/`) && t.state !== 'exited').length;
   }
 }
 
--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -29,6 +29,15 @@
   score: number;
 }
 
+/** The rooms that a gang fills up, and what is to be stopped for it. */
+interface Sought {
+  rooms: Room[];
+  fillAt: number;
+  /** When it could run there, images included. */
+  readyAt: number;
+  victims: readonly Assignment[];
+}
+
 /** A need that no room had place for, even if nothing were held. */
 interface Failed extends Need {
   kinds: string;
@@ -119,7 +128,10 @@
     for (const { key, value } of this.records.list(HOLDS)) {
       const job = this.table.jobs.get(key.slice(HOLDS.length));
       if (job === undefined || !Array.isArray(value)) this.records.set(key, undefined, false);
-      else job.hold = { machines: value.map(String), since: this.core.now(), fillAt: Infinity };
+      else {
+        const unknown = { fillAt: Infinity, readyAt: Infinity, soughtAt: -Infinity };
+        job.hold = { machines: value.map(String), since: this.core.now(), ...unknown };
+      }
     }
   }
 
@@ -161,7 +173,7 @@
       pass.fruitless = [];
       for (const r of pass.rooms.all) {
         r.closed = !this.usable(r.machine, now);
-        r.ends = null;
+        r.outlook = null;
       }
     }
     while (pass.next < pass.turns.length) {
@@ -277,7 +289,7 @@
       if (task === undefined) return;
       this.workers.assign(job, task, attempt, room.machine);
     }
-    room.ends = null;
+    room.outlook = null;
   }
 
   private array(pass: Pass, job: Job): void {
@@ -299,7 +311,11 @@
     if (left === 0) job.grantedUntil = -Infinity;
     else {
       pass.lacking.push({ job, tasks: left });
-      if (job.guaranteed || job.level > 0) this.makeRoom(pass, job, left);
+      const every = this.settings.reportMs * this.settings.get('placement.hold.refresh.ratio');
+      if ((job.guaranteed || job.level > 0) && pass.now - job.soughtAt >= every) {
+        job.soughtAt = pass.now;
+        this.makeRoom(pass, job, left);
+      }
     }
   }
 
@@ -335,7 +351,7 @@
   }
 
   /** Stops all of the victims or, where that is too much at a time, none. */
-  private stopAll(victims: Assignment[], by: Job): boolean {
+  private stopAll(victims: readonly Assignment[], by: Job): boolean {
     if (victims.length === 0) return true;
     const now = this.core.now();
     const { workerLeaseMs } = this.settings;
@@ -405,16 +421,14 @@
   private worthWaiting(pass: Pass, job: Job, picked: Candidate[]): boolean {
     const fetch = Math.max(...picked.map((p) => this.estimates.fetchMs(job.spec, p.room.machine)));
     if (fetch <= this.settings.reportMs * 2) return false;
-    const { targets, fillAt } = this.bestTargets(pass, job);
-    if (targets.length < job.spec.tasks) return false;
-    const ready = Math.max(
-      ...targets.map((t) => fillAt + this.estimates.fetchMs(job.spec, t.room.machine)),
-    );
+    const { rooms, readyAt } = this.sought(pass, job);
+    if (rooms.length < job.spec.tasks) return false;
+    const ready = readyAt - pass.now;
     const within = this.settings.startWithinMs(job.spec.class);
     const left = within === null ? 0 : within - (pass.now - job.submittedAt);
     // The one would be in time and the other would not; or it is clearly sooner.
-    if (fetch > left && ready - pass.now < left) return true;
-    return ready - pass.now < fetch * 0.7;
+    if (fetch > left && ready < left) return true;
+    return ready < fetch * 0.7;
   }
 
   private pick(job: Job, all: Candidate[], zone: string | null): Candidate[] | null {
@@ -465,24 +479,46 @@
     return { targets: best, fillAt: bestAt };
   }
 
+  /**
+   * The rooms that the gang fills up: those it holds already, or after a while the best that there
+   * are by now. Looking for them is what costs most in a pass.
+   */
+  private sought(pass: Pass, job: Job): Sought {
+    const { hold } = job;
+    const every = this.settings.reportMs * this.settings.get('placement.hold.refresh.ratio');
+    if (hold !== null && pass.now - hold.soughtAt < every) {
+      const rooms: Room[] = [];
+      for (const id of hold.machines) {
+        const room = pass.rooms.byId.get(id);
+        if (room !== undefined && !room.closed) rooms.push(room);
+      }
+      if (rooms.length === hold.machines.length)
+        return { ...{ rooms, fillAt: hold.fillAt, readyAt: hold.readyAt }, victims: [] };
+    }
+    const { targets, fillAt } = this.bestTargets(pass, job);
+    const ready = targets.map((t) => fillAt + this.estimates.fetchMs(job.spec, t.room.machine));
+    const found = {
+      ...{ rooms: targets.map((t) => t.room), fillAt, readyAt: Math.max(...ready) },
+      victims: targets.flatMap((t) => t.victims),
+    };
+    const machines = found.rooms.map((r) => r.machine.id);
+    if (hold?.machines.join() !== machines.join())
+      this.records.set(holdKey(job.spec.id), machines, false);
+    const since = hold?.since ?? pass.now;
+    job.hold = { machines, since, fillAt, readyAt: found.readyAt, soughtAt: pass.now };
+    return found;
+  }
+
   private hold(pass: Pass, job: Job): void {
-    const { targets: best, fillAt } = this.bestTargets(pass, job);
-    for (const t of best) t.room.claim(needOf(job.spec), fillAt);
-    const machines = best.map((t) => t.room.machine.id);
-    const since = job.hold?.since ?? pass.now;
-    const changed = job.hold?.machines.join() !== machines.join();
-    job.hold = { machines, since, fillAt };
-    if (changed) this.records.set(holdKey(job.spec.id), machines, false);
+    const { rooms, fillAt, victims } = this.sought(pass, job);
+    for (const room of rooms) room.claim(needOf(job.spec), fillAt);
     const waited =
       pass.now - job.waitingSince > this.settings.get('placement.cannot.fill.s') * 1000;
-    const there = `${best.length} of ${job.spec.tasks} places on ${new Set(machines).size} machines`;
+    const machines = new Set(rooms).size;
+    const there = `${rooms.length} of ${job.spec.tasks} places on ${machines} machines`;
     this.block(job, waited ? `cannot fill yet: holds ${there}` : '');
     // Stopping work pays only if the whole gang can start then.
-    if (best.length === job.spec.tasks)
-      this.stopAll(
-        best.flatMap((t) => t.victims),
-        job,
-      );
+    if (rooms.length === job.spec.tasks) this.stopAll(victims, job);
   }
 
   private block(job: Job, why: string): void {
--- a/src/controller/placement/room.ts
+++ b/src/controller/placement/room.ts
@@ -3,7 +3,8 @@
 import type { Assignment, Need } from '../workers/assignment.js';
 import type { Machine } from '../workers/machine.js';
 
-const EPS = 1e-6;
+/** Amounts are decimals. */
+export const EPS = 1e-6;
 
 /** Room of one machine that a hold has claimed, and when the hold is expected to be full. */
 export interface Claim extends Need {
@@ -12,10 +13,15 @@
   ahead: { spec: JobSpec; level: number; larger: number } | null;
 }
 
-/** A task and when it should have left its machine by itself. */
-export interface End {
-  a: Assignment;
-  at: number;
+/** What is to be expected of a machine's tasks. */
+export interface Outlook {
+  /** By when they should have left the machine by themselves. */
+  ends: { a: Assignment; at: number }[];
+  /** Some are being stopped. */
+  stopping: boolean;
+  /** Of those that are old enough to be stopped: the lowest level, and whether any is outside its team's guarantee. */
+  lowest: number;
+  unguaranteed: boolean;
 }
 
 /** A machine as one placement pass sees it. What is free is always what the machine now has free. */
@@ -23,8 +29,8 @@
   /** Nothing may be placed on it, for now. */
   closed = false;
   readonly claims: Claim[] = [];
-  /** Its tasks by when they end; made when first asked for in a pass. */
-  ends: End[] | null = null;
+  /** Made when first asked for in a pass. */
+  outlook: Outlook | null = null;
 
   constructor(
     readonly machine: Machine,
@@ -194,6 +200,7 @@
 /** The rooms of one pass, those of a kind together. */
 export class Rooms {
   readonly all: Room[] = [];
+  readonly byId = new Map<string, Room>();
   private readonly kinds: { kind: Kind; rooms: Room[] }[] = [];
 
   constructor(machines: Iterable<Machine>, recordLimit: number) {
@@ -211,6 +218,7 @@
       const room = new Room(m, recordLimit, this.all.length);
       rooms.push(room);
       this.all.push(room);
+      this.byId.set(m.id, room);
     }
   }
 
--- a/src/controller/placement/targets.ts
+++ b/src/controller/placement/targets.ts
@@ -1,21 +1,65 @@
 import type { Job } from '../jobs/table.js';
 import type { Settings } from '../settings/settings.js';
-import type { Assignment } from '../workers/assignment.js';
+import type { Assignment, Need } from '../workers/assignment.js';
 import type { Estimates } from './estimates.js';
-import { needOf, times, type End, type Room } from './room.js';
+import { EPS, type Outlook, type Room } from './room.js';
 import type { Teams } from './teams.js';
 
-/** Room for one task: where, from when on, and what has to be stopped for it. */
-export interface Target {
-  room: Room;
+/** Room for one task: from when on, and what has to be stopped for it. */
+interface Fill {
   fillAt: number;
-  victims: Assignment[];
+  victims: readonly Assignment[];
   /** Work that stopping the victims would lose. */
   lostMs: number;
   /** Room is being made already. */
   stopping: boolean;
 }
 
+export interface Target extends Fill {
+  room: Room;
+}
+
+const NOBODY: readonly Assignment[] = [];
+
+function plain(fillAt: number, stopping = false): Fill {
+  return { fillAt, victims: NOBODY, lostMs: 0, stopping };
+}
+
+/** What is free in a room as one thinks tasks away. One is used for all: nothing is allocated. */
+class Free {
+  private cpus = 0;
+  private gpus = 0;
+  private memoryGb = 0;
+
+  /** Beside the claims of higher ranks and what the job itself has taken already. */
+  start(room: Room, need: Need, taken: number): void {
+    this.cpus = room.cpus - need.cpus * taken;
+    this.gpus = room.gpus - need.gpus * taken;
+    this.memoryGb = room.memoryGb - need.memoryGb * taken;
+    for (const c of room.claims) if (c.ahead === null) this.take(c);
+  }
+
+  add(need: Need): void {
+    this.cpus += need.cpus;
+    this.gpus += need.gpus;
+    this.memoryGb += need.memoryGb;
+  }
+
+  take(need: Need): void {
+    this.cpus -= need.cpus;
+    this.gpus -= need.gpus;
+    this.memoryGb -= need.memoryGb;
+  }
+
+  enough(need: Need): boolean {
+    return (
+      need.gpus <= this.gpus + EPS &&
+      need.cpus <= this.cpus + EPS &&
+      need.memoryGb <= this.memoryGb + EPS
+    );
+  }
+}
+
 export interface Search {
   now: number;
   job: Job;
@@ -38,6 +82,8 @@
  * the task could start there, images included, and by what stopping would lose.
  */
 export class Targets {
+  private readonly free = new Free();
+
   constructor(
     private readonly settings: Settings,
     private readonly estimates: Estimates,
@@ -52,15 +98,7 @@
     const zones = new Map<string, number>();
     const held = new Set(s.job.hold?.machines);
     const costs = new Float64Array(s.rooms.length);
-    const options: (Target | null)[] = [];
-    const weigh = (i: number): void => {
-      const room = s.rooms[i];
-      if (room === undefined) return;
-      const t = this.fill(s, room, taken.get(room) ?? 0, used);
-      options[i] = t;
-      costs[i] = t === null ? Infinity : this.cost(s, t, held);
-    };
-    for (let i = 0; i < s.rooms.length; i++) weigh(i);
+    for (let i = 0; i < costs.length; i++) costs[i] = this.cost(s, s.rooms[i], 0, used, held);
     while (found.length < s.count) {
       let best = -1;
       let bestCost = Infinity;
@@ -72,118 +110,127 @@
         best = i;
         bestCost = cost;
       }
-      const target = options[best];
-      if (target === undefined || target === null) break;
-      found.push(target);
-      for (const v of target.victims) used.add(v);
-      taken.set(target.room, (taken.get(target.room) ?? 0) + 1);
-      const { zone } = target.room.machine;
+      const room = s.rooms[best];
+      const there = room === undefined ? 0 : (taken.get(room) ?? 0);
+      const fill = room === undefined ? null : this.fill(s, room, there, used);
+      if (room === undefined || fill === null) break;
+      found.push({ ...fill, room });
+      for (const v of fill.victims) used.add(v);
+      taken.set(room, there + 1);
+      const { zone } = room.machine;
       zones.set(zone, (zones.get(zone) ?? 0) + 1);
-      weigh(best);
+      costs[best] = this.cost(s, room, there + 1, used, held);
     }
     return found;
   }
 
-  private cost(s: Search, t: Target, held: Set<string>): number {
-    if (s.made && t.victims.length === 0 && !t.stopping) return Infinity;
-    const { machine } = t.room;
+  private cost(
+    s: Search,
+    room: Room | undefined,
+    taken: number,
+    used: Set<Assignment>,
+    held: Set<string>,
+  ): number {
+    if (room === undefined || (s.made && !this.promises(s, room))) return Infinity;
+    const fill = this.fill(s, room, taken, used);
+    if (fill === null) return Infinity;
+    if (s.made && fill.victims.length === 0 && !fill.stopping) return Infinity;
+    const { machine } = room;
     // Holds last: a machine already held is left only for one clearly better.
     const kept = held.has(machine.id) ? this.settings.reportMs : 0;
     const fetch = this.estimates.fetchMs(s.job.spec, machine);
-    return t.fillAt + fetch - kept + LOST_WEIGHT * t.lostMs + s.prefer(t.room);
+    return fill.fillAt + fetch - kept + LOST_WEIGHT * fill.lostMs + s.prefer(room);
+  }
+
+  /** A room's tasks in the order in which they should end by themselves, and what may be stopped. */
+  private look(room: Room, now: number): Outlook {
+    if (room.outlook !== null) return room.outlook;
+    const look: Outlook = { ends: [], stopping: false, lowest: Infinity, unguaranteed: false };
+    const young = now - this.settings.get('placement.victim.age.s') * 1000;
+    for (const a of room.machine.assignments.values()) {
+      if (a.phase === 'ended') continue;
+      look.ends.push({ a, at: now + this.estimates.remainingMs(a, now) });
+      if (a.stop !== null) look.stopping = true;
+      else if (a.job !== null && a.since <= young) {
+        if (a.job.level < look.lowest) look.lowest = a.job.level;
+        if (!a.job.guaranteed) look.unguaranteed = true;
+      }
+    }
+    if (look.ends.length > 1) look.ends.sort((x, y) => x.at - y.at);
+    room.outlook = look;
+    return look;
+  }
+
+  /** Whether anything is being stopped there, or might be for the job. A cheap question, asked first. */
+  private promises(s: Search, room: Room): boolean {
+    const look = this.look(room, s.now);
+    return look.stopping || this.mightStop(s, look);
   }
 
-  /** A room's tasks in the order in which they should end by themselves. */
-  private ends(room: Room, now: number): End[] {
-    if (room.ends !== null) return room.ends;
-    const ends: End[] = [];
-    for (const a of room.machine.assignments.values())
-      if (a.phase !== 'ended') ends.push({ a, at: now + this.estimates.remainingMs(a, now) });
-    if (ends.length > 1) ends.sort((x, y) => x.at - y.at);
-    room.ends = ends;
-    return ends;
+  private mightStop({ job }: Search, look: Outlook): boolean {
+    return look.lowest < job.level || (job.guaranteed && look.unguaranteed);
   }
 
   /** When a machine should have room for one more of the job's tasks, by itself or by stopping work. */
-  private fill(s: Search, room: Room, taken: number, used: Set<Assignment>): Target | null {
+  private fill(s: Search, room: Room, taken: number, used: Set<Assignment>): Fill | null {
     if (room.closed) return null;
     const { now, job } = s;
-    const need = needOf(job.spec);
-    let cpus = room.cpus - need.cpus * taken;
-    let gpus = room.gpus - need.gpus * taken;
-    let memoryGb = room.memoryGb - need.memoryGb * taken;
-    for (const c of room.claims) {
-      if (c.ahead !== null) continue;
-      cpus -= c.cpus;
-      gpus -= c.gpus;
-      memoryGb -= c.memoryGb;
-    }
-    const enough = (): boolean =>
-      times(gpus, need.gpus) >= 1 &&
-      times(cpus, need.cpus) >= 1 &&
-      times(memoryGb, need.memoryGb) >= 1;
-    const free = (a: Assignment): void => {
-      cpus += a.need.cpus;
-      gpus += a.need.gpus;
-      memoryGb += a.need.memoryGb;
-    };
-    const plain = (fillAt: number, stopping = false): Target => ({
-      ...{ room, fillAt, stopping },
-      ...{ victims: [], lostMs: 0 },
-    });
-    if (enough()) return plain(now);
-    const before = { cpus, gpus, memoryGb };
-    const ends = this.ends(room, now);
+    const { reportMs } = this.settings;
+    const need = job.spec;
+    const free = this.free;
+    free.start(room, need, taken);
+    if (free.enough(need)) return plain(now);
+    const look = this.look(room, now);
     let natural = Infinity;
     let stopping = false;
-    for (const { a, at } of ends) {
-      free(a);
-      stopping ||= a.stop !== null;
-      if (enough()) {
+    for (const { a, at } of look.ends) {
+      free.add(a.need);
+      if (a.stop !== null) stopping = true;
+      if (free.enough(need)) {
         natural = at;
         break;
       }
     }
     if (natural === Infinity) return null;
-    const { reportMs } = this.settings;
     // Soon free, by itself or because it was stopped: nothing more needs stopping.
     if (natural - now < reportMs) return plain(natural, stopping);
-    ({ cpus, gpus, memoryGb } = before);
+    const mightStop = this.mightStop(s, look);
+    if (!look.stopping && used.size === 0 && !mightStop) return plain(natural);
+    free.start(room, need, taken);
     let fillAt = now + reportMs;
-    for (const { a, at } of ends) {
+    for (const { a, at } of look.ends) {
       if (a.stop !== null) fillAt = Math.max(fillAt, at);
       else if (used.has(a)) fillAt = Math.max(fillAt, now + reportMs + a.saveS * 1000);
       else continue;
-      free(a);
+      free.add(a.need);
     }
-    if (enough()) return plain(fillAt, true);
-    const choice = ends.filter(({ a }) => a.stop === null && !used.has(a) && this.mayStop(s, a));
-    if (choice.length === 0) return plain(natural);
+    if (free.enough(need)) return plain(fillAt, true);
+    if (!mightStop) return plain(natural);
+    const choice: Assignment[] = [];
+    for (const { a } of look.ends)
+      if (a.stop === null && !used.has(a) && this.mayStop(s, a)) choice.push(a);
     // m03 §7: borrowed room first, the newest first.
     choice.sort(
-      (x, y) =>
-        Number(this.teams.borrows(y.a)) - Number(this.teams.borrows(x.a)) || y.a.since - x.a.since,
+      (x, y) => Number(this.teams.borrows(y)) - Number(this.teams.borrows(x)) || y.since - x.since,
     );
     const victims: Assignment[] = [];
-    for (const { a } of choice) {
-      if (enough()) break;
+    for (const a of choice) {
+      if (free.enough(need)) break;
       victims.push(a);
-      free(a);
+      free.add(a.need);
       fillAt = Math.max(fillAt, now + reportMs + a.saveS * 1000);
     }
-    if (!enough()) return plain(natural);
+    if (!free.enough(need)) return plain(natural);
     // Victims that the rest made needless are spared.
     for (const a of [...victims]) {
-      cpus -= a.need.cpus;
-      gpus -= a.need.gpus;
-      memoryGb -= a.need.memoryGb;
-      if (enough()) victims.splice(victims.indexOf(a), 1);
-      else free(a);
+      free.take(a.need);
+      if (free.enough(need)) victims.splice(victims.indexOf(a), 1);
+      else free.add(a.need);
     }
     const lostMs = victims.reduce((sum, a) => sum + this.lostMs(a, now), 0);
     // Waiting may cost less than stopping.
     if (natural < fillAt + LOST_WEIGHT * lostMs) return plain(natural);
-    return { room, fillAt, victims, lostMs, stopping: false };
+    return { fillAt, victims, lostMs, stopping: false };
   }
 
   /** What stopping a task costs: its run so far, or its save, and starting it again. */
--- a/src/controller/settings/properties.ts
+++ b/src/controller/settings/properties.ts
@@ -97,6 +97,12 @@
     max: 60,
     text: 'Hold records are written at most this often (seconds).',
   },
+  'placement.hold.refresh.ratio': {
+    value: 0.25,
+    min: 0,
+    max: 10,
+    text: 'A hold looks for better machines this often, as a ratio to the report interval.',
+  },
   'placement.backfill.ratio': {
     value: 0.9,
     min: 0,
--- a/src/controller/wire/wire.test.ts
+++ b/src/controller/wire/wire.test.ts
@@ -107,13 +107,10 @@
     assert.deepEqual(splitTask('req-000412/3'), { job: 'req-000412', task: 3 });
     for (const bad of ['req-1', 'req-1/', 'req-1/x', '/3', 'req-1/1000000'])
       assert.throws(() => splitTask(bad), WireError);
-    assert.deepEqual(
-      writeOrders(41, [{ op: 'stop', job: 'req-1', task: 2, attempt: 3, graceS: 4 }]),
-      {
-        baton: 41,
-        orders: [{ verb: 'stop', duty: 'req-1/2', try: 3, leeway_s: 4 }],
-      },
-    );
+    assert.deepEqual(writeOrders(41, [{ op: 'stop', name: 'req-1/2', attempt: 3, graceS: 4 }]), {
+      baton: 41,
+      orders: [{ verb: 'stop', duty: 'req-1/2', try: 3, leeway_s: 4 }],
+    });
     assert.deepEqual(writeAnswer({ id: 'req-1', state: 'cancelled' }), {
       id: 'req-1',
       status: 'aborted',
--- a/src/controller/wire/workers.ts
+++ b/src/controller/wire/workers.ts
@@ -26,8 +26,8 @@
   | 'other';
 
 export interface TaskReport {
-  job: string;
-  task: number;
+  /** `job/number`, as `splitTask` takes it apart. */
+  name: string;
   attempt: Int;
   state: TaskState;
   cause: Cause | null;
@@ -48,33 +48,33 @@
 }
 
 export type Order =
-  | { op: 'start'; job: string; task: number; attempt: Int }
-  | { op: 'stop'; job: string; task: number; attempt: Int; graceS: number }
-  | { op: 'forget'; job: string; task: number; attempt: Int };
+  | { op: 'start' | 'forget'; name: string; attempt: Int }
+  | { op: 'stop'; name: string; attempt: Int; graceS: number };
 
-const states: Record<string, TaskState> = {
-  pulling: 'fetching',
-  waiting: 'waiting',
-  running: 'running',
-  flushing: 'saving',
-  exited: 'exited',
-};
-const causes: Record<string, Cause> = {
-  done: 'done',
-  stopped: 'stopped',
-  peers: 'peers',
-  alone: 'alone',
-  error: 'error',
-  no_room: 'no_room',
-  in_use: 'busy',
-  unknown: 'unknown',
-};
+const states = new Map<string, TaskState>([
+  ['pulling', 'fetching'],
+  ['waiting', 'waiting'],
+  ['running', 'running'],
+  ['flushing', 'saving'],
+  ['exited', 'exited'],
+]);
+const causes = new Map<string, Cause>([
+  ['done', 'done'],
+  ['stopped', 'stopped'],
+  ['peers', 'peers'],
+  ['alone', 'alone'],
+  ['error', 'error'],
+  ['no_room', 'no_room'],
+  ['in_use', 'busy'],
+  ['unknown', 'unknown'],
+]);
 const verbs = { start: 'run', stop: 'stop', forget: 'clear' } as const;
 
 export function taskName(job: string, task: number): string {
   return `${job}/${task}`;
 }
 
+/** Throws on what is no task's name. */
 export function splitTask(name: string): { job: string; task: number } {
   const slash = name.lastIndexOf('/');
   const digits = name.slice(slash + 1);
@@ -102,25 +102,19 @@
 
 function readTask(item: unknown): TaskReport {
   if (!isMap(item)) throw new WireError('duties: expected maps');
-  const stateWord = text(item, 'status');
-  const state = Object.hasOwn(states, stateWord) ? states[stateWord] : undefined;
+  const state = states.get(text(item, 'status'));
   if (state === undefined) throw new WireError('status: unknown task state');
-  let cause: Cause | null = null;
-  if (state === 'exited') {
-    const word = text(item, 'cause');
-    cause = (Object.hasOwn(causes, word) ? causes[word] : undefined) ?? 'other';
-  }
   return {
-    ...splitTask(text(item, 'duty')),
+    name: text(item, 'duty'),
     attempt: int(item, 'try'),
     state,
-    cause,
-    saved: flagOrFalse(item, 'saved'),
+    cause: state === 'exited' ? (causes.get(text(item, 'cause')) ?? 'other') : null,
+    saved: state === 'exited' && flagOrFalse(item, 'saved'),
   };
 }
 
 function writeOrder(o: Order): Fields {
-  const out: Fields = { verb: verbs[o.op], duty: taskName(o.job, o.task), try: o.attempt };
+  const out: Fields = { verb: verbs[o.op], duty: o.name, try: o.attempt };
   if (o.op === 'stop') out['leeway_s'] = o.graceS;
   return out;
 }
--- a/src/controller/workers/assignment.ts
+++ b/src/controller/workers/assignment.ts
@@ -13,6 +13,8 @@
  * its way to the state service until it is known to be gone.
  */
 export interface Assignment {
+  /** The task's name at the worker. */
+  readonly name: string;
   readonly jobId: string;
   /** null: the job had ended before this leader took over. */
   readonly job: Job | null;
@@ -33,5 +35,7 @@
    */
   sentSeq: number | bigint | null;
   runningAt: number | null;
+  /** The last report in which it was. */
+  reportedIn: number;
   stop: { graceS: number; at: number; reason: string; direct: boolean } | null;
 }
--- a/src/controller/workers/workers.test.ts
+++ b/src/controller/workers/workers.test.ts
@@ -110,7 +110,7 @@
 }
 
 const task = (attempt: number, part: Partial<TaskReport> = {}): TaskReport => ({
-  ...{ job: 'req-1', task: 0, attempt, state: 'running', cause: null, saved: false },
+  ...{ name: 'req-1/0', attempt, state: 'running', cause: null, saved: false },
   ...part,
 });
 
--- a/src/controller/workers/workers.ts
+++ b/src/controller/workers/workers.ts
@@ -6,6 +6,7 @@
 import type { Records } from '../store/records.js';
 import type { MachineType } from '../wire/cloud.js';
 import {
+  splitTask,
   taskName,
   writeDirect,
   readReport,
@@ -55,6 +56,7 @@
   /** Tasks that are not surely gone, by class and in all. */
   readonly running = new Map<string, number>();
   assigned = 0;
+  private reports = 0;
   private readonly dirty = new Set<Machine>();
   /** Machines whose images changed: written in their own time. */
   private readonly imagesDirty = new Set<Machine>();
@@ -148,6 +150,7 @@
         for (const task of numbers) {
           const job = this.table.jobs.get(String(jobId)) ?? null;
           const a: Assignment = {
+            name: taskName(String(jobId), task),
             jobId: String(jobId),
             job,
             team: String(team),
@@ -162,6 +165,7 @@
             state: null,
             sentSeq: null,
             runningAt: null,
+            reportedIn: 0,
             stop: null,
           };
           this.hold(a);
@@ -188,7 +192,7 @@
   /** Counts the task as being on its machine. */
   private hold(a: Assignment): void {
     const { machine: m, job } = a;
-    m.assignments.set(taskName(a.jobId, a.task), a);
+    m.assignments.set(a.name, a);
     m.recordBytes += recordBytes(a.jobId, a.team);
     job?.all.add(a);
     m.take(a);
@@ -213,6 +217,7 @@
   assign(job: Job, task: number, attempt: number, m: Machine): void {
     const { spec } = job;
     const a: Assignment = {
+      name: taskName(spec.id, task),
       jobId: spec.id,
       job,
       team: spec.team,
@@ -227,6 +232,7 @@
       state: null,
       sentSeq: null,
       runningAt: null,
+      reportedIn: 0,
       stop: null,
     };
     this.hold(a);
@@ -273,9 +279,8 @@
   }
 
   private remove(a: Assignment): void {
-    const name = taskName(a.jobId, a.task);
-    if (a.machine.assignments.get(name) === a) {
-      a.machine.assignments.delete(name);
+    if (a.machine.assignments.get(a.name) === a) {
+      a.machine.assignments.delete(a.name);
       a.machine.recordBytes -= recordBytes(a.jobId, a.team);
     }
     a.job?.all.delete(a);
@@ -388,14 +393,14 @@
     if (first) this.hooks.changed();
 
     const orders: Order[] = [];
-    const present = new Set<Assignment>();
-    for (const t of r.tasks) this.taskReport(m, t, present, orders);
-    if (current)
-      for (const a of [...m.assignments.values()]) {
-        if (present.has(a) || a.phase === 'ended' || a.session !== r.session) continue;
-        this.missing(a, r);
-      }
-    for (const a of [...m.assignments.values()]) this.order(a, r, orders);
+    this.reports++;
+    for (const t of r.tasks) this.taskReport(m, t, orders);
+    // Ending one takes it from the map, which a loop over a map allows for.
+    for (const a of m.assignments.values()) {
+      if (current && a.reportedIn !== this.reports && a.phase !== 'ended')
+        if (a.session === r.session) this.missing(a, r);
+      this.order(a, r, orders);
+    }
     if (m.noticeAt !== null) this.hooks.changed();
     return { status: 200, body: writeOrders(this.token(m), orders) };
   }
@@ -416,7 +421,7 @@
   private missing(a: Assignment, r: Report): void {
     if (a.phase !== 'seen' && a.phase !== 'sent') return;
     // A direct start may yet come. Once the worker shows the raised token, it can't any more.
-    if (this.voids(a.machine, attemptName(a.jobId, a.task, a.attempt))) return;
+    if (this.voids(a.machine, attemptName(a.name, a.attempt))) return;
     // The worker has one report in flight at a time, so a later report without the task means that
     // the answer with its start was dropped, or that the task is gone.
     if (a.sentSeq !== null && r.seq <= a.sentSeq) return;
@@ -426,15 +431,15 @@
     else a.phase = 'recorded';
   }
 
-  private taskReport(m: Machine, t: TaskReport, present: Set<Assignment>, orders: Order[]): void {
-    const a = m.assignments.get(taskName(t.job, t.task));
+  private taskReport(m: Machine, t: TaskReport, orders: Order[]): void {
+    const a = m.assignments.get(t.name);
     if (a?.attempt === t.attempt && a.session === m.session) {
-      present.add(a);
+      a.reportedIn = this.reports;
       if (t.cause === 'alone' && this.waitsOn(a)) {
         // Its part of the gang came too early: the others still fetch their image. It starts again
         // under the same attempt; tearing the gang down would throw those fetches away.
-        const id = { job: t.job, task: t.task, attempt: t.attempt };
-        this.voids(m, attemptName(t.job, t.task, t.attempt));
+        const id = { name: t.name, attempt: t.attempt };
+        this.voids(m, attemptName(t.name, t.attempt));
         orders.push({ op: 'forget', ...id }, { op: 'start', ...id });
         a.phase = 'sent';
         a.state = null;
@@ -444,19 +449,23 @@
       if (a.phase !== 'ended') this.follow(a, t);
     } else if (t.state !== 'exited') {
       // Nothing on record and yet there: it should not be; it must not stay either.
-      this.core.log.warn({ job: t.job, task: t.task, machine: m.id }, 'unexpected task');
-      orders.push({ op: 'stop', job: t.job, task: t.task, attempt: t.attempt, graceS: 0 });
+      this.core.log.warn({ task: t.name, machine: m.id }, 'unexpected task');
+      orders.push({ op: 'stop', name: t.name, attempt: t.attempt, graceS: 0 });
       return;
     }
     if (t.state !== 'exited') return;
-    const job = this.table.jobs.get(t.job);
-    if (t.cause === 'done' && job !== undefined && t.task < job.spec.tasks) {
-      if (job.done[t.task] !== 1 && job.spec.kind !== 'gang') this.table.markDone(job, t.task);
-      // Until it is on record, this report is the only trace of the completion.
-      if (job.recorded[t.task] !== 1) return;
-    }
-    this.voids(m, attemptName(t.job, t.task, t.attempt));
-    orders.push({ op: 'forget', job: t.job, task: t.task, attempt: t.attempt });
+    if (t.cause === 'done' && this.unrecorded(t)) return;
+    this.voids(m, attemptName(t.name, t.attempt));
+    orders.push({ op: 'forget', name: t.name, attempt: t.attempt });
+  }
+
+  /** A completion of which this report is the only trace until it is on record. */
+  private unrecorded(t: TaskReport): boolean {
+    const { job: id, task } = splitTask(t.name);
+    const job = this.table.jobs.get(id);
+    if (job === undefined || task >= job.spec.tasks) return false;
+    if (job.done[task] !== 1 && job.spec.kind !== 'gang') this.table.markDone(job, task);
+    return job.recorded[task] !== 1;
   }
 
   /** Whether a gang's part that gave up waiting is still wanted. */
@@ -493,8 +502,8 @@
   }
 
   private order(a: Assignment, r: Report, orders: Order[]): void {
-    const id = { job: a.jobId, task: a.task, attempt: a.attempt };
-    if (a.session !== r.session) return;
+    if (a.session !== r.session || a.phase === 'ended') return;
+    const id = { name: a.name, attempt: a.attempt };
     if (a.phase === 'recorded') {
       orders.push({ op: 'start', ...id });
       a.phase = 'sent';
@@ -581,7 +590,7 @@
     const startable = m.synced && m.noticeAt === null && m.epoch < EPOCHS - 2 && this.alive(m);
     for (const a of m.assignments.values()) {
       if (a.session !== m.session) continue;
-      const id = { job: a.jobId, task: a.task, attempt: a.attempt };
+      const id = { name: a.name, attempt: a.attempt };
       if (a.phase === 'recorded' && a.stop === null && startable) {
         orders.push({ op: 'start', ...id });
         starts.push(a);
@@ -594,7 +603,7 @@
     for (const a of starts) {
       a.phase = 'sent';
       a.sentSeq = m.seq;
-      m.direct.set(attemptName(a.jobId, a.task, a.attempt), this.token(m));
+      m.direct.set(attemptName(a.name, a.attempt), this.token(m));
     }
     const { session } = m;
     this.core.env.call(
@@ -622,7 +631,7 @@
     if (m.session !== session) return;
     for (const a of starts) {
       if (reply.status === 409) {
-        m.direct.delete(attemptName(a.jobId, a.task, a.attempt));
+        m.direct.delete(attemptName(a.name, a.attempt));
         if (a.phase === 'sent') a.phase = 'recorded';
         continue;
       }
@@ -639,6 +648,6 @@
   else counts.set(key, n);
 }
 
-function attemptName(job: string, task: number, attempt: number | bigint): string {
-  return `${taskName(job, task)}@${attempt}`;
+function attemptName(name: string, attempt: number | bigint): string {
+  return `${name}@${attempt}`;
 }
--- a/test/platform.ts
+++ b/test/platform.ts
@@ -1,28 +1,49 @@
 import { readPlatform, type Platform } from '../src/controller/settings/platform.js';
 
-/** The platform's settings as the tests have them; `head` and `teams` are TOML. */
-export function platformToml(head: string, teams: string): string {
+/** What the tests' platforms differ in. */
+export interface PlatformParts {
+  zones: string[];
+  /** TOML of teams and objectives. */
+  teams: string;
+  reportS: number;
+  leaseS: number;
+  rps: number;
+  writeRps: number;
+  txnOps: number;
+}
+
+export const usual: PlatformParts = {
+  zones: ['a', 'b'],
+  teams: '',
+  reportS: 3,
+  leaseS: 20,
+  rps: 100,
+  writeRps: 60,
+  txnOps: 16,
+};
+
+function toml(head: string, count: number, p: PlatformParts): string {
   return `
 ${head}
 [services]
 cloud = "10.2.0.2:8443"
 state = "10.2.0.1:2379"
 [params]
-count = 3
-zones = ["a", "b"]
+count = ${count}
+zones = ${JSON.stringify(p.zones)}
 time_bound_ms = 100.0
-${teams}
+${p.teams}
 [params.workers]
-report_s = 3.0
-lease_s = 20.0
+report_s = ${p.reportS.toFixed(1)}
+lease_s = ${p.leaseS.toFixed(1)}
 gang_wait_s = 30.0
 gang_peer_s = 6.0
 cancel_s = 45.0
 [params.state]
-rps = 100.0
-write_rps = 60.0
+rps = ${p.rps.toFixed(1)}
+write_rps = ${p.writeRps.toFixed(1)}
 value_kb = 16.0
-txn_ops = 16
+txn_ops = ${p.txnOps}
 [params.cloud]
 rps = 5.0
 list_lag_s = 4.0
@@ -37,5 +58,21 @@
 export function alone(teams = ''): Platform {
   const head =
     'host_name = "k"\nsite = "a"\napi_addr = "10.0.0.1:1"\ninternal_addr = "10.0.0.1:2"\n';
-  return readPlatform(platformToml(head, teams));
+  return readPlatform(toml(head, 1, { ...usual, teams }));
+}
+
+/** Settings of one of several controllers. */
+export function oneOf(hosts: string[], host: string, parts: PlatformParts): Platform {
+  const addr = (h: string, port: number): string => `10.0.0.${hosts.indexOf(h) + 1}:${port}`;
+  const peers = hosts
+    .filter((h) => h !== host)
+    .map((h) => `[[peers]]\nhost_name = "${h}"\nsite = "a"\naddr = "${addr(h, 8081)}"\n`);
+  const head = [
+    `host_name = "${host}"`,
+    'site = "a"',
+    `api_addr = "${addr(host, 8080)}"`,
+    `internal_addr = "${addr(host, 8081)}"`,
+    ...peers,
+  ];
+  return readPlatform(toml(head.join('\n'), hosts.length, parts));
 }
--- a/test/world.test.ts
+++ b/test/world.test.ts
@@ -1,12 +1,16 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { small, type Scenario } from './world/scenario.js';
 import { World, type Faults } from './world/world.js';
 
 const quiet: Faults = { everyMs: Infinity, doubled: 0, errors: 0, bootFails: 0 };
 const rough: Faults = { everyMs: 9000, doubled: 0.02, errors: 0.03, bootFails: 0.1 };
 
-function day(seed: number, faults: Faults, jobs: number, ms: number): World {
-  const world = new World(seed, faults);
+/** No trouble lasts longer than this. */
+const LONGEST_MS = 60_000;
+
+function day(scenario: Scenario, seed: number, faults: Faults, jobs: number, ms: number): World {
+  const world = new World(scenario, seed, faults);
   for (let i = 0; i < jobs; i++) {
     world.sim.after(world.sim.between(0, ms * 0.8), () => {
       const cancel = world.sim.random() < 0.15 ? world.sim.between(0, 40_000) : null;
@@ -22,20 +26,21 @@
   };
   stranger();
   world.play(ms);
-  world.calm = true;
+  world.calmDown(LONGEST_MS);
   world.play(600_000);
   assert.deepEqual(world.rules.unfinished(), [], 'accepted jobs that never finished');
+  assert.deepEqual(world.rules.neglected(), []);
   assert.ok(world.rules.started > jobs / 2, 'hardly anything ran');
   return world;
 }
 
 describe('the whole service in a simulated world', () => {
   it('serves a quiet day', () => {
-    day(1, quiet, 30, 200_000);
+    day(small, 1, quiet, 30, 200_000);
   });
 
   for (let seed = 1; seed <= 10; seed++)
     it(`keeps the rules and finishes what it accepted under troubles, seed ${seed}`, () => {
-      day(seed, rough, 30, 300_000);
+      day(small, seed, rough, 30, 300_000);
     });
 });
--- a/test/world/machines.ts
+++ b/test/world/machines.ts
@@ -1,8 +1,8 @@
-import type { Call, Timer } from '../../src/controller/core/env.js';
+import type { Timer } from '../../src/controller/core/env.js';
 import type { MachineType } from '../../src/controller/wire/cloud.js';
 import type { JobSpec } from '../../src/controller/wire/jobs.js';
 import type { Rules } from './rules.js';
-import type { Network, Respond, Sim } from './sim.js';
+import type { Arrival, Network, Respond, Sim } from './sim.js';
 
 export interface WorkerSettings {
   reportMs: number;
@@ -90,9 +90,11 @@
   private inFlight = false;
   private dirty = false;
   private nextAt = 0;
+  private notBefore = 0;
   private lastSent = -Infinity;
   private notice: number | null = null;
-  private hung = false;
+  private hungUntil = 0;
+  private plannedAt = Infinity;
   private blocked: (() => void)[] = [];
   gone = false;
 
@@ -105,12 +107,13 @@
     private readonly shared: Shared,
   ) {
     this.leaseFrom = shared.sim.now;
-    shared.net.listen(addr, id, (_, call, respond) =>
-      this.whenAwake(() => this.serve(call, respond)),
+    shared.net.listen(addr, id, (_, request, respond) =>
+      this.whenAwake(() => this.serve(request, respond)),
     );
     this.node = Math.floor(shared.sim.random() * shared.controllers.length);
-    this.loop();
-    this.leaseLoop();
+    this.nextAt = shared.sim.now;
+    this.plan();
+    this.watchLease();
   }
 
   /** The machine ends with all that is on it. */
@@ -121,21 +124,35 @@
     this.shared.net.remove(this.addr);
   }
 
+  /** The machine ends and is back soon, with its name and nothing else: a new session. */
+  restart(ms: number): void {
+    if (this.gone) return;
+    this.nextSession();
+    this.hang(ms);
+  }
+
   warn(ms: number): void {
     this.notice = this.shared.sim.now + ms;
     this.change();
   }
 
   hang(ms: number): void {
-    this.hung = true;
-    this.shared.sim.after(ms, () => {
-      this.hung = false;
+    const { sim } = this.shared;
+    const until = sim.now + ms;
+    this.hungUntil = Math.max(this.hungUntil, until);
+    sim.after(ms, () => {
+      if (sim.now < this.hungUntil) return;
       const waiting = this.blocked;
       this.blocked = [];
       for (const run of waiting) run();
+      this.plan();
     });
   }
 
+  private get hung(): boolean {
+    return this.shared.sim.now < this.hungUntil;
+  }
+
   private whenAwake(run: () => void): void {
     if (this.gone) return;
     if (this.hung) this.blocked.push(run);
@@ -144,18 +161,19 @@
 
   // ---- lease
 
-  private leaseLoop(): void {
+  private watchLease(): void {
     if (this.gone) return;
     const { sim, settings } = this.shared;
-    const left = this.leaseFrom + settings.leaseMs - sim.now;
-    if (left <= 0) {
-      this.killAll();
-      this.tasks.clear();
-      this.session++;
-      this.leaseFrom = sim.now;
-      this.change();
-    }
-    sim.after(Math.max(1, this.leaseFrom + settings.leaseMs - sim.now), () => this.leaseLoop());
+    if (this.leaseFrom + settings.leaseMs <= sim.now) this.nextSession();
+    sim.after(Math.max(1, this.leaseFrom + settings.leaseMs - sim.now), () => this.watchLease());
+  }
+
+  private nextSession(): void {
+    this.killAll();
+    this.tasks.clear();
+    this.session++;
+    this.leaseFrom = this.shared.sim.now;
+    this.change();
   }
 
   private killAll(): void {
@@ -170,17 +188,25 @@
 
   // ---- reports
 
-  private loop(): void {
-    if (this.gone) return;
-    const { sim, settings } = this.shared;
-    const due = sim.now >= this.nextAt || (this.dirty && sim.now >= this.lastSent + 500);
-    if (due && !this.inFlight && !this.hung) this.send();
-    sim.after(50, () => this.loop());
-    if (due) this.nextAt = sim.now + settings.reportMs * sim.between(0.75, 1.25);
+  /** Sees to it that the next report goes out when it is due. */
+  private plan(): void {
+    if (this.gone || this.inFlight) return;
+    const { sim } = this.shared;
+    const dueAt = this.dirty ? Math.min(this.nextAt, this.lastSent + 500) : this.nextAt;
+    const at = Math.max(dueAt, this.notBefore, this.hung ? this.hungUntil : 0, sim.now);
+    if (at >= this.plannedAt) return;
+    this.plannedAt = at;
+    sim.after(at - sim.now, () => {
+      if (this.plannedAt !== at) return;
+      this.plannedAt = Infinity;
+      if (this.gone || this.inFlight || this.hung) this.plan();
+      else this.send();
+    });
   }
 
   private change(): void {
     this.dirty = true;
+    this.plan();
   }
 
   private body(): unknown {
@@ -211,6 +237,7 @@
     this.inFlight = true;
     this.dirty = false;
     this.lastSent = sim.now;
+    this.nextAt = sim.now + this.shared.settings.reportMs * sim.between(0.75, 1.25);
     const sentAt = sim.now;
     const { session } = this;
     const host = controllers[this.node] ?? '';
@@ -233,16 +260,21 @@
             const to = controllers.indexOf((r.body as { foreman?: string }).foreman ?? '');
             if (to >= 0 && to !== this.node) {
               this.node = to;
-              this.nextAt = sim.now + sim.between(0, 500);
+              this.retry(sim.between(0, 500));
             } else this.tryNext();
           } else this.tryNext();
+          this.plan();
         }),
     );
   }
 
+  private retry(ms: number): void {
+    this.notBefore = this.nextAt = this.shared.sim.now + ms;
+  }
+
   private tryNext(): void {
     this.node = (this.node + 1) % this.shared.controllers.length;
-    this.nextAt = this.shared.sim.now + 1000;
+    this.retry(1000);
   }
 
   private accept(body: { baton?: number; orders: Order[] }, session: number, sentAt: number): void {
@@ -257,9 +289,9 @@
     for (const o of body.orders) this.execute(o);
   }
 
-  private serve(call: Call, respond: Respond): void {
-    const b = call.body as { baton?: number; tenure?: number; orders?: Order[] } | undefined;
-    if (call.path === '/inspect') return respond({ status: 200, body: this.body() });
+  private serve(request: Arrival, respond: Respond): void {
+    const b = request.body() as { baton?: number; tenure?: number; orders?: Order[] } | undefined;
+    if (request.path === '/inspect') return respond({ status: 200, body: this.body() });
     if (b?.baton === undefined || b.tenure === undefined)
       return respond({ status: 400, body: null });
     if (b.baton < this.token || b.tenure !== this.session)
@@ -402,7 +434,7 @@
 export class Cloud {
   readonly machines = new Map<string, Rented>();
   private readonly answers = new Map<string, string[]>();
-  private lists: { at: number; body: unknown[] }[] = [];
+  private lists: { at: number; body: { id: string }[] }[] = [];
   private count = 0;
 
   constructor(
@@ -414,7 +446,7 @@
     /** Chance that a machine never comes up. */
     private readonly bootFails: number,
   ) {
-    shared.net.listen(addr, 'cloud', (_, call, respond) => this.serve(call, respond));
+    shared.net.listen(addr, 'cloud', (_, request, respond) => this.serve(request, respond));
     this.snapshot();
   }
 
@@ -427,7 +459,14 @@
     if (bootMs !== null)
       sim.after(bootMs, () => {
         if (this.machines.get(id) === m)
-          m.worker = new Worker(id, `10.1.0.${n}:9000`, type, zone, spot, this.shared);
+          m.worker = new Worker(
+            id,
+            `10.1.${n >> 8}.${n & 255}:9000`,
+            type,
+            zone,
+            spot,
+            this.shared,
+          );
       });
     return id;
   }
@@ -457,9 +496,9 @@
     this.lists = this.lists.filter((l) => l.at > sim.now - 4 * this.lagMs - 2000);
   }
 
-  private serve(call: Call, respond: Respond): void {
+  private serve(request: Arrival, respond: Respond): void {
     const { sim } = this.shared;
-    const path = call.path.split('?', 1)[0];
+    const path = request.path.split('?', 1)[0];
     if (path === '/catalog') {
       return respond({
         status: 200,
@@ -480,15 +519,22 @@
       });
     }
     if (path === '/machines/release') {
-      for (const id of (call.body as { kilns: string[] }).kilns) this.take(id);
+      for (const id of (request.body() as { kilns: string[] }).kilns) this.take(id);
       return respond({ status: 200, body: {} });
     }
-    if (path === '/machines' && call.method === 'GET') {
+    if (path === '/machines' && request.method === 'GET') {
       const lag = this.lagMs * sim.between(1, 2);
       const list = this.lists.filter((l) => l.at <= sim.now - lag).at(-1);
-      return respond({ status: 200, body: { kilns: list?.body ?? [], has_next: false } });
+      const query = new URL(request.path, 'http://cloud').searchParams;
+      const from = query.get('from') ?? '';
+      const all = (list?.body ?? []).filter((m) => m.id > from);
+      const page = all.slice(0, Math.min(500, Number(query.get('limit') ?? 500)));
+      return respond({
+        status: 200,
+        body: { kilns: page, has_next: page.length < all.length },
+      });
     }
-    const b = call.body as {
+    const b = request.body() as {
       hire: string;
       model: string;
       hall: string;
@@ -498,7 +544,7 @@
     const before = this.answers.get(b.hire);
     if (before !== undefined) return respond({ status: 200, body: { kilns: before } });
     const type = this.types.find((t) => t.name === b.model);
-    const room = Math.min(b.how_many, this.capacity - this.machines.size);
+    const room = Math.min(b.how_many, 50, this.capacity - this.machines.size);
     if (type === undefined || room <= 0)
       return respond({ status: 503, body: { error: 'no capacity' } });
     const ids: string[] = [];
--- a/test/world/rules.ts
+++ b/test/world/rules.ts
@@ -10,18 +10,37 @@
 
 interface Known {
   spec: JobSpec;
+  submittedAt: number;
   accepted: boolean;
   cancelAsked: boolean;
   cancelledAt: number | null;
   toldDone: boolean;
   done: Set<number>;
+  /** When its user was last given an answer that says something, and first asked without one since. */
+  unansweredFrom: number | null;
+  /** Tasks on machines by zone, and how many in all. */
+  zones: Map<string, number>;
+  on: number;
+  /** When as many of its tasks were on machines at one time as a gang has, or the first of an array. */
+  begunAt: number | null;
 }
 
-/** The Rules of PROTOCOL, checked against what really happens in the world. */
+/** After this time without any answer a job counts as forgotten, once troubles are over. */
+const UNANSWERED_MS = 75_000;
+/** The largest jobs of a class have to begin within this time. */
+const LARGEST_MS = 240_000;
+/** Jobs of a class that count as its largest. */
+const LARGEST_SHARE = 0.1;
+
+/** The Rules of PROTOCOL and of the operators, checked against what really happens in the world. */
 export class Rules {
   readonly broken: string[] = [];
   private readonly jobs = new Map<string, Known>();
   private readonly on = new Map<string, Map<string, Place>>();
+  private readonly use = new Map<string, { cpus: number; gpus: number }>();
+  private readonly leaving = new Set<Known>();
+  /** Set once the last trouble is over. */
+  calmAt: number | null = null;
   started = 0;
 
   constructor(
@@ -37,12 +56,9 @@
   submitted(spec: JobSpec): void {
     if (!this.jobs.has(spec.id))
       this.jobs.set(spec.id, {
-        spec,
-        accepted: false,
-        cancelAsked: false,
-        cancelledAt: null,
-        toldDone: false,
-        done: new Set(),
+        ...{ spec, submittedAt: this.now(), accepted: false, cancelAsked: false },
+        ...{ cancelledAt: null, toldDone: false, done: new Set(), unansweredFrom: null },
+        ...{ zones: new Map(), on: 0, begunAt: null },
       });
   }
 
@@ -51,7 +67,7 @@
     if (j !== undefined) j.cancelAsked = true;
   }
 
-  /** An answer to a submission, a poll or a cancellation. */
+  /** An answer to a submission, a poll or a cancellation; 0: none came. */
   answered(id: string, status: number, state: string, submission: boolean): void {
     const j = this.jobs.get(id);
     if (j === undefined) {
@@ -61,7 +77,12 @@
     if (j.accepted && status === 404) this.fail('forgotten', `${id} 404`);
     if (j.accepted && submission && (status === 400 || status === 422))
       this.fail('forgotten', `${id} ${status}`);
-    if (status !== 200 && status !== 201) return;
+    if (status !== 200 && status !== 201) {
+      if (j.accepted) j.unansweredFrom ??= this.now();
+      this.unanswered(j);
+      return;
+    }
+    j.unansweredFrom = null;
     j.accepted = true;
     if (state === 'done') {
       if (j.done.size < j.spec.tasks) this.fail('not_done', id);
@@ -71,10 +92,18 @@
     if (state === 'aborted') {
       if (!j.cancelAsked) this.fail('went_back', `${id} cancelled by nobody`);
       j.cancelledAt ??= this.now();
+      this.leaving.add(j);
     } else if (j.cancelledAt !== null && state !== 'done')
       this.fail('went_back', `${id} cancelled, then ${state}`);
   }
 
+  /** The operators' rule: troubles over, no job may go unanswered for long, however others fare. */
+  private unanswered(j: Known): void {
+    if (this.calmAt === null || j.unansweredFrom === null || j.cancelAsked) return;
+    const from = Math.max(this.calmAt, j.unansweredFrom);
+    if (this.now() - from > UNANSWERED_MS) this.fail('forgotten', `${j.spec.id} unanswered`);
+  }
+
   /** The task has its image and is on the machine from now on. */
   taskOn(id: string, task: number, place: Place): void {
     this.started++;
@@ -86,24 +115,39 @@
     if (places.size > 0)
       this.fail('ran_twice', `${name} on ${place.machine}, is on ${[...places.keys()].join()}`);
     places.set(place.machine, place);
+    this.count(j, place, 1);
     const { spec } = j;
+    if (j.on >= (spec.kind === 'gang' ? spec.tasks : 1)) j.begunAt ??= this.now();
     if (spec.types !== null && !spec.types.includes(place.type))
       this.fail('wrong_place', `${name} type`);
     if (spec.zone !== null && spec.zone !== place.zone) this.fail('wrong_place', `${name} zone`);
     if (place.spot && !spec.spot) this.fail('wrong_place', `${name} spot`);
-    const zones = new Map<string, number>();
-    for (let t = 0; t < spec.tasks; t++)
-      for (const p of this.on.get(`${id}/${t}`)?.values() ?? [])
-        zones.set(p.zone, (zones.get(p.zone) ?? 0) + 1);
-    if (spec.oneZone && zones.size > 1) this.fail('wrong_place', `${name} two zones`);
-    if (spec.spread && Math.max(...zones.values()) > Math.ceil(spec.tasks / 2))
+    if (spec.oneZone && j.zones.size > 1) this.fail('wrong_place', `${name} two zones`);
+    if (spec.spread && Math.max(...j.zones.values()) > Math.ceil(spec.tasks / 2))
       this.fail('wrong_place', `${name} too many in a zone`);
     this.quota(spec.team);
     this.cancelled(j);
   }
 
   taskOff(id: string, task: number, machine: string): void {
-    this.on.get(`${id}/${task}`)?.delete(machine);
+    const places = this.on.get(`${id}/${task}`);
+    const place = places?.get(machine);
+    if (places === undefined || place === undefined) return;
+    places.delete(machine);
+    if (places.size === 0) this.on.delete(`${id}/${task}`);
+    const j = this.jobs.get(id);
+    if (j !== undefined) this.count(j, place, -1);
+  }
+
+  private count(j: Known, place: Place, by: number): void {
+    j.on += by;
+    const n = (j.zones.get(place.zone) ?? 0) + by;
+    if (n > 0) j.zones.set(place.zone, n);
+    else j.zones.delete(place.zone);
+    const use = this.use.get(j.spec.team) ?? { cpus: 0, gpus: 0 };
+    this.use.set(j.spec.team, use);
+    use.cpus += by * j.spec.cpus;
+    use.gpus += by * j.spec.gpus;
   }
 
   taskDone(id: string, task: number): void {
@@ -112,37 +156,65 @@
 
   private quota(team: string): void {
     const t = this.teams.find((x) => x.name === team);
-    if (t === undefined) return;
-    let cpus = 0;
-    let gpus = 0;
-    for (const [name, places] of this.on) {
-      const spec = this.jobs.get(name.slice(0, name.lastIndexOf('/')))?.spec;
-      if (spec?.team !== team) continue;
-      cpus += spec.cpus * places.size;
-      gpus += spec.gpus * places.size;
-    }
-    if (t.cpusMax > 0 && cpus > t.cpusMax + 1e-6) this.fail('quota', `${team} ${cpus} CPUs`);
-    if (t.gpusMax > 0 && gpus > t.gpusMax + 1e-6) this.fail('quota', `${team} ${gpus} GPUs`);
+    const use = this.use.get(team);
+    if (t === undefined || use === undefined) return;
+    if (t.cpusMax > 0 && use.cpus > t.cpusMax + 1e-6)
+      this.fail('quota', `${team} ${use.cpus} CPUs`);
+    if (t.gpusMax > 0 && use.gpus > t.gpusMax + 1e-6)
+      this.fail('quota', `${team} ${use.gpus} GPUs`);
   }
 
   private cancelled(j: Known): void {
     if (j.cancelledAt === null || this.now() <= j.cancelledAt + this.cancelMs) return;
-    for (let t = 0; t < j.spec.tasks; t++)
-      if ((this.on.get(`${j.spec.id}/${t}`)?.size ?? 0) > 0)
-        this.fail('ran_cancelled', `${j.spec.id}/${t}`);
+    if (j.on > 0) this.fail('ran_cancelled', j.spec.id);
+    else this.leaving.delete(j);
   }
 
   /** To be called as time passes. */
   tick(): void {
-    for (const j of this.jobs.values()) if (j.cancelledAt !== null) this.cancelled(j);
+    for (const j of this.leaving) this.cancelled(j);
+    if (this.calmAt !== null) for (const j of this.jobs.values()) this.unanswered(j);
   }
 
   /** Accepted jobs that are neither done nor cancelled. */
   unfinished(): string[] {
-    return [...this.jobs.values()]
-      .filter(
-        (j) => j.accepted && j.cancelledAt === null && !j.cancelAsked && j.done.size < j.spec.tasks,
-      )
+    return this.counted()
+      .filter((j) => j.done.size < j.spec.tasks)
       .map((j) => j.spec.id);
   }
+
+  private counted(): Known[] {
+    return [...this.jobs.values()].filter(
+      (j) => j.accepted && j.cancelledAt === null && !j.cancelAsked,
+    );
+  }
+
+  /**
+   * The operators' rule on a day as a whole: at least half of every class, of every team and of
+   * every class's largest jobs is served, and the largest begin within four minutes.
+   */
+  neglected(): string[] {
+    const found: string[] = [];
+    const served = (name: string, jobs: Known[]): void => {
+      const done = jobs.filter((j) => j.done.size >= j.spec.tasks).length;
+      if (done < jobs.length / 2) found.push(`${name}: ${done} of ${jobs.length} served`);
+    };
+    const by = (key: (j: Known) => string): Map<string, Known[]> => {
+      const groups = new Map<string, Known[]>();
+      for (const j of this.counted()) groups.set(key(j), [...(groups.get(key(j)) ?? []), j]);
+      return groups;
+    };
+    for (const [team, jobs] of by((j) => j.spec.team)) served(`team ${team}`, jobs);
+    for (const [cls, jobs] of by((j) => j.spec.class)) {
+      served(`class ${cls}`, jobs);
+      const largest = [...jobs]
+        .sort((a, b) => b.spec.tasks - a.spec.tasks)
+        .slice(0, Math.max(1, Math.floor(jobs.length * LARGEST_SHARE)));
+      served(`largest of ${cls}`, largest);
+      for (const j of largest)
+        if ((j.begunAt ?? Infinity) - j.submittedAt > LARGEST_MS)
+          found.push(`largest of ${cls}: ${j.spec.id} with ${j.spec.tasks} tasks began too late`);
+    }
+    return found;
+  }
 }
--- /dev/null
+++ b/test/world/scenario.ts
@@ -0,0 +1,134 @@
+import type { MachineType } from '../../src/controller/wire/cloud.js';
+import type { JobSpec } from '../../src/controller/wire/jobs.js';
+import { usual, type PlatformParts } from '../platform.js';
+import type { Sim } from './sim.js';
+
+/** A deployment that the simulated world plays. */
+export interface Scenario {
+  hosts: string[];
+  types: MachineType[];
+  /** Machines that are up at the start, and how many the cloud has at most. */
+  machines: { type: string; zone: string; spot: boolean; count: number }[];
+  capacity: number;
+  platform: PlatformParts;
+  /** Entries of a page of the state service at most. */
+  page: number;
+  job(sim: Sim, id: string): JobSpec;
+}
+
+const hosts = (count: number): string[] => Array.from({ length: count }, (_, i) => `kiln-${i}`);
+
+function team(name: string, cpus: number, cpusMax: number, gpus: number, gpusMax: number): string {
+  const amounts = { cpus, cpus_max: cpusMax, gpus, gpus_max: gpusMax };
+  const lines = Object.entries(amounts).map(([k, v]) => `${k} = ${v.toFixed(1)}`);
+  return ['[[params.teams]]', `name = "${name}"`, ...lines, ''].join('\n');
+}
+
+function objective(kind: string, cls: string, withinS: number, share: number): string {
+  const lines = [`kind = "${kind}"`, `class = "${cls}"`, `within_s = ${withinS.toFixed(1)}`];
+  return ['[[params.objectives]]', ...lines, `share = ${share}`, ''].join('\n');
+}
+
+const big: MachineType = {
+  ...{ name: 'big', cpus: 16, gpus: 4, memoryGb: 128, cacheGb: 50, fetchGbPerS: 1 },
+  ...{ price: 8, spotPrice: 3, bootS: 15, zones: ['a', 'b'] },
+};
+const little: MachineType = {
+  ...{ name: 'small', cpus: 8, gpus: 0, memoryGb: 32, cacheGb: 20, fetchGbPerS: 1 },
+  ...{ price: 1, spotPrice: 0.4, bootS: 10, zones: ['a', 'b'] },
+};
+
+/** Three controllers and a handful of machines in two zones, jobs of every kind. */
+export const small: Scenario = {
+  hosts: hosts(3),
+  types: [big, little],
+  machines: ['a', 'b'].flatMap((zone) => [
+    { type: 'big', zone, spot: false, count: 2 },
+    { type: 'small', zone, spot: false, count: 1 },
+  ]),
+  capacity: 16,
+  platform: { ...usual, teams: team('red', 0, 0, 8, 12) + team('blue', 8, 40, 4, 16) },
+  // Small pages, so that paging is used.
+  page: 7,
+  job(sim, id) {
+    const gang = sim.random() < 0.5;
+    const gpus = gang ? sim.pick([1, 2, 4]) : sim.pick([0, 0, 1]);
+    const tasks = gang ? sim.pick([1, 2, 3]) : sim.pick([1, 3, 10]);
+    const twoZones = tasks > 1 && sim.random() < 0.3;
+    return {
+      id,
+      class: gang ? 'train' : 'batch',
+      team: sim.pick(['red', 'blue']),
+      kind: gang ? 'gang' : 'array',
+      priority: sim.pick(['low', 'normal', 'normal', 'high']),
+      tasks,
+      cpus: sim.pick([1, 2, 4]),
+      gpus,
+      memoryGb: sim.pick([1, 4, 8]),
+      image: sim.pick(['img-1', 'img-2', 'img-3']),
+      imageGb: sim.pick([1, 3]),
+      types: sim.random() < 0.2 ? ['big'] : null,
+      zone: !twoZones && sim.random() < 0.1 ? 'a' : null,
+      oneZone: !twoZones && gang && sim.random() < 0.5,
+      spread: twoZones,
+      spot: sim.random() < 0.5,
+      estimateS: 20,
+      checkpointS: gang ? 10 : 0,
+      saveS: gang ? 2 : 0,
+      deadlineS: sim.random() < 0.3 ? 100 : null,
+    };
+  },
+};
+
+/** Five controllers and hundreds of machines: many small tasks, and gangs of whole machines. */
+export function grown(machines: number): Scenario {
+  const whole: MachineType = { ...big, zones: ['a'], cacheGb: 60, fetchGbPerS: 0.5 };
+  const many: MachineType = { ...little, cpus: 32, memoryGb: 128, zones: ['a'] };
+  const gpus = machines * 4;
+  return {
+    hosts: hosts(5),
+    types: [whole, many],
+    machines: [
+      { type: 'big', zone: 'a', spot: false, count: Math.round(machines * 0.6) },
+      { type: 'small', zone: 'a', spot: false, count: Math.round(machines * 0.15) },
+    ],
+    capacity: machines,
+    platform: {
+      ...usual,
+      ...{ zones: ['a'], reportS: 4, leaseS: 20, rps: 80, writeRps: 30, txnOps: 24 },
+      teams:
+        team('red', 0, 0, gpus * 0.25, gpus) +
+        team('blue', 0, 0, gpus * 0.2, gpus) +
+        objective('wait', 'train', 60, 0.9) +
+        objective('finished', 'score', 200, 0.9),
+    },
+    page: 1000,
+    job(sim, id) {
+      const base = {
+        ...{ id, types: null, zone: null, spread: false, deadlineS: null },
+        ...{ imageGb: sim.between(1, 6), estimateS: sim.between(20, 60) },
+      };
+      const kind = sim.random();
+      if (kind < 0.2)
+        return {
+          ...{ ...base, class: 'train', team: sim.pick(['red', 'blue']), kind: 'gang' },
+          ...{ priority: 'high', tasks: sim.pick([1, 1, 2, 2, 4, 8]), cpus: 14, gpus: 4 },
+          ...{ memoryGb: 100, image: `train-${Math.floor(sim.between(0, 6))}`, oneZone: true },
+          ...{ spot: false, checkpointS: 20, saveS: 2 },
+        };
+      if (kind < 0.6)
+        return {
+          ...{ ...base, class: 'score', team: 'red', kind: 'array', priority: 'normal' },
+          ...{ tasks: Math.ceil(sim.between(1, 20)), cpus: sim.between(2, 4), gpus: 1 },
+          ...{ memoryGb: 20, image: `score-${Math.floor(sim.between(0, 8))}`, oneZone: false },
+          ...{ spot: true, checkpointS: 0, saveS: 0 },
+        };
+      return {
+        ...{ ...base, class: 'print', team: 'blue', kind: 'array', priority: 'normal' },
+        ...{ tasks: Math.ceil(sim.between(1, 60)), cpus: 1, gpus: 0, memoryGb: 2 },
+        ...{ image: `print-${Math.floor(sim.between(0, 8))}`, oneZone: false, spot: true },
+        ...{ checkpointS: 0, saveS: 0 },
+      };
+    },
+  };
+}
--- a/test/world/sim.ts
+++ b/test/world/sim.ts
@@ -95,10 +95,22 @@
 }
 
 export type Respond = (reply: Reply) => void;
-export type Service = (from: string, call: Call, respond: Respond) => void;
+
+/** A request as it arrives. */
+export interface Arrival {
+  method: string;
+  path: string;
+  bytes: Buffer;
+  /** What the bytes say; undefined if there are none. */
+  body(): unknown;
+}
+
+export type Service = (from: string, request: Arrival, respond: Respond) => void;
 
 type Cut = 'hold' | 'reset';
 
+const NO_BYTES = Buffer.alloc(0);
+
 /** Delays, cuts, late and doubled messages between named hosts. */
 export class Network {
   private readonly services = new Map<string, { host: string; serve: Service }>();
@@ -106,6 +118,8 @@
   private held: { from: string; to: string; run: () => void }[] = [];
   /** Chance that a request arrives a second time, much later. */
   doubled = 0;
+  /** How late such a copy may be. */
+  latestMs = 40_000;
 
   constructor(private readonly sim: Sim) {}
 
@@ -118,26 +132,37 @@
   }
 
   cut(a: string, b: string, mode: Cut): void {
-    this.cuts.set(`${a} ${b}`, mode).set(`${b} ${a}`, mode);
+    this.cutWay(a, b, mode);
+    this.cutWay(b, a, mode);
+  }
+
+  /** Nothing goes from one to the other; the other way is open. */
+  cutWay(from: string, to: string, mode: Cut): void {
+    this.cuts.set(`${from} ${to}`, mode);
   }
 
   heal(a: string, b: string): void {
     this.cuts.delete(`${a} ${b}`);
     this.cuts.delete(`${b} ${a}`);
+    if (this.held.length === 0) return;
     const free = this.held.filter((h) => !this.cuts.has(`${h.from} ${h.to}`));
     this.held = this.held.filter((h) => this.cuts.has(`${h.from} ${h.to}`));
     for (const h of free) this.sim.after(this.sim.between(0.2, 3), h.run);
   }
 
+  private cutOf(from: string, to: string): Cut | undefined {
+    return this.cuts.size === 0 ? undefined : this.cuts.get(`${from} ${to}`);
+  }
+
   /** Delivers, holds back or loses. `lost` is called if the sender would notice. */
   send(from: string, to: string, run: () => void, lost: () => void): void {
-    const cut = this.cuts.get(`${from} ${to}`);
+    const cut = this.cutOf(from, to);
     if (cut === 'reset') this.sim.after(1, lost);
     else if (cut === 'hold') this.held.push({ from, to, run });
     else {
       this.sim.after(this.sim.between(0.2, 2), () => {
         // A cut may have come while the message was under way.
-        const now = this.cuts.get(`${from} ${to}`);
+        const now = this.cutOf(from, to);
         if (now === undefined) run();
         else if (now === 'hold') this.held.push({ from, to, run });
         else lost();
@@ -160,12 +185,15 @@
       this.sim.after(1, () => finish(none));
       return;
     }
-    // Over the wire: what arrives is a copy.
-    const copy = call.body === undefined ? undefined : decodeBody(encodeBody(call.body));
+    const bytes = call.body === undefined ? NO_BYTES : encodeBody(call.body);
+    const arrival: Arrival = {
+      ...{ method: call.method, path: call.path, bytes },
+      body: () => (bytes.length === 0 ? undefined : decodeBody(bytes)),
+    };
     const deliver = (respond: Respond): void => {
       const service = this.services.get(call.to);
       if (service === undefined) respond(none);
-      else service.serve(from, { ...call, body: copy }, respond);
+      else service.serve(from, arrival, respond);
     };
     const back = (r: Reply): void => {
       const body = r.body === null ? null : decodeBody(encodeBody(r.body));
@@ -182,8 +210,8 @@
       () => deliver(back),
       () => finish(none),
     );
-    if (call.method === 'POST' && this.sim.random() < this.doubled)
-      this.sim.after(this.sim.between(5, 40_000), () => deliver(() => undefined));
+    if (call.method === 'POST' && this.doubled > 0 && this.sim.random() < this.doubled)
+      this.sim.after(this.sim.between(5, this.latestMs), () => deliver(() => undefined));
   }
 }
 
--- a/test/world/state-service.ts
+++ b/test/world/state-service.ts
@@ -1,5 +1,5 @@
-import type { Call } from '../../src/controller/core/env.js';
-import type { Network, Respond, Sim } from './sim.js';
+import { Tokens } from '../../src/controller/core/tokens.js';
+import type { Arrival, Network, Respond, Sim } from './sim.js';
 
 interface Entry {
   value: unknown;
@@ -36,14 +36,24 @@
   private permits = 0;
   private down = false;
   private readonly refused = new Set<string>();
+  private readonly requestTokens: Tokens;
+  private readonly putTokens: Tokens;
+  /** Requests, puts and deletes served, and requests refused for being too many. */
+  requests = 0;
+  puts = 0;
+  tooMany = 0;
 
   constructor(
     private readonly sim: Sim,
     net: Network,
     addr: string,
-    private readonly limits: { txnOps: number; valueKb: number },
+    private readonly limits: { rps: number; writeRps: number; txnOps: number; valueKb: number },
+    private readonly pageSize: number,
   ) {
-    net.listen(addr, 'state', (from, call, respond) => this.serve(from, call, respond));
+    const now = (): number => sim.now;
+    this.requestTokens = new Tokens(now, limits.rps, limits.rps);
+    this.putTokens = new Tokens(now, limits.writeRps, limits.writeRps);
+    net.listen(addr, 'state', (from, request, respond) => this.serve(from, request, respond));
     this.expire();
   }
 
@@ -80,7 +90,7 @@
     if (deleted) this.entries.delete(key);
     else this.entries.set(key, { value, stamp: this.ledger, permit });
     this.log.push({ stamp: this.ledger, key, value, deleted });
-    if (this.log.length > 10_000) this.log = this.log.slice(-10_000);
+    if (this.log.length > 20_000) this.log = this.log.slice(-10_000);
   }
 
   private notify(): void {
@@ -89,8 +99,12 @@
   }
 
   private tryWatch(w: Watch): void {
-    const found = this.log.filter((c) => c.stamp > w.from && c.key.startsWith(w.prefix));
-    if (!w.open || found.length === 0) return;
+    if (!w.open) return;
+    // Newest last: only what came after `from` is looked at.
+    let first = this.log.length;
+    while (first > 0 && (this.log[first - 1]?.stamp ?? 0) > w.from) first--;
+    const found = this.log.slice(first).filter((c) => c.key.startsWith(w.prefix));
+    if (found.length === 0) return;
     w.open = false;
     w.respond({
       status: 200,
@@ -105,14 +119,22 @@
     });
   }
 
-  private serve(from: string, call: Call, respond: Respond): void {
+  private serve(from: string, call: Arrival, respond: Respond): void {
     if (this.down || this.refused.has(from)) return respond({ status: 503, body: null });
+    const multi = call.path === '/multi' ? (call.body() as Multi) : null;
+    const puts = multi?.writes?.length ?? 0;
+    if (!this.requestTokens.take() || (puts > 0 && !this.putTokens.take(puts))) {
+      this.tooMany++;
+      return respond({ status: 429, body: null });
+    }
+    this.requests++;
+    this.puts += puts;
     const url = new URL(call.path, 'http://state');
     const path = url.pathname;
-    if (path === '/multi') return respond(this.multi(call.body as Multi));
+    if (multi !== null) return respond(this.multi(multi));
     if (path === '/holds') {
       const id = ++this.permits;
-      const life = (call.body as { life_ms: number }).life_ms;
+      const life = (call.body() as { life_ms: number }).life_ms;
       this.leases.set(id, { life, ends: this.sim.now + life });
       return respond({ status: 200, body: { permit: id } });
     }
@@ -126,6 +148,9 @@
       return respond({ status: 200, body: { permit: id } });
     }
     if (path === '/follow') {
+      const oldest = this.log[0]?.stamp ?? 0;
+      if (Number(url.searchParams.get('from')) < oldest - 1)
+        return respond({ status: 410, body: null });
       const w: Watch = {
         prefix: url.searchParams.get('starts') ?? '',
         from: Number(url.searchParams.get('from')),
@@ -153,8 +178,7 @@
     const after = url.searchParams.get('from') ?? '';
     const limit = Number(url.searchParams.get('limit'));
     const all = [...this.entries.keys()].filter((k) => k.startsWith(prefix) && k > after).sort();
-    // Small pages, so that paging is used.
-    const page = all.slice(0, Math.min(limit, 7));
+    const page = all.slice(0, Math.min(limit, this.pageSize));
     return {
       status: 200,
       body: {
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -1,76 +1,17 @@
 import { Controller } from '../../src/controller/controller.js';
 import type { Logger } from '../../src/controller/core/env.js';
-import { readPlatform, type Platform, type Team } from '../../src/controller/settings/platform.js';
+import type { Team } from '../../src/controller/settings/platform.js';
 import { defaultProperties } from '../../src/controller/settings/properties.js';
 import { Settings } from '../../src/controller/settings/settings.js';
-import { decodeBody, encodeBody } from '../../src/controller/wire/cbor.js';
 import type { MachineType } from '../../src/controller/wire/cloud.js';
 import { writeJob, type JobSpec } from '../../src/controller/wire/jobs.js';
-import { platformToml } from '../platform.js';
+import { oneOf } from '../platform.js';
 import { Cloud, Gangs, type Shared, type Worker } from './machines.js';
 import { Rules } from './rules.js';
+import type { Scenario } from './scenario.js';
 import { Network, ProcessEnv, Sim } from './sim.js';
 import { StateService } from './state-service.js';
 
-export const hosts = ['kiln-0', 'kiln-1', 'kiln-2'];
-
-const types: MachineType[] = [
-  {
-    name: 'big',
-    cpus: 16,
-    gpus: 4,
-    memoryGb: 128,
-    cacheGb: 50,
-    fetchGbPerS: 1,
-    price: 8,
-    spotPrice: 3,
-    bootS: 15,
-    zones: ['a', 'b'],
-  },
-  {
-    name: 'small',
-    cpus: 8,
-    gpus: 0,
-    memoryGb: 32,
-    cacheGb: 20,
-    fetchGbPerS: 1,
-    price: 1,
-    spotPrice: 0.4,
-    bootS: 10,
-    zones: ['a', 'b'],
-  },
-];
-
-const teams = `
-[[params.teams]]
-name = "red"
-cpus = 0.0
-cpus_max = 0.0
-gpus = 8.0
-gpus_max = 12.0
-[[params.teams]]
-name = "blue"
-cpus = 8.0
-cpus_max = 40.0
-gpus = 4.0
-gpus_max = 16.0
-`;
-
-function platformOf(host: string): Platform {
-  const addr = (h: string, port: number): string => `10.0.0.${hosts.indexOf(h) + 1}:${port}`;
-  const peers = hosts
-    .filter((h) => h !== host)
-    .map((h) => `[[peers]]\nhost_name = "${h}"\nsite = "a"\naddr = "${addr(h, 8081)}"\n`);
-  const head = [
-    `host_name = "${host}"`,
-    'site = "a"',
-    `api_addr = "${addr(host, 8080)}"`,
-    `internal_addr = "${addr(host, 8081)}"`,
-    ...peers,
-  ];
-  return readPlatform(platformToml(head.join('\n'), teams));
-}
-
 const quiet: Logger = {
   info: () => undefined,
   debug: () => undefined,
@@ -91,7 +32,7 @@
   bootFails: number;
 }
 
-/** Three controllers with all that is around them, in virtual time. */
+/** The controllers of a deployment with all that is around them, in virtual time. */
 export class World {
   readonly sim: Sim;
   readonly net: Network;
@@ -107,9 +48,10 @@
   private starts = 0;
   private jobCount = 0;
   /** No new faults from then on. */
-  calm = false;
+  private calm = false;
 
   constructor(
+    private readonly scenario: Scenario,
     seed: number,
     private readonly faults: Faults,
     private readonly log: Logger = quiet,
@@ -117,11 +59,20 @@
     this.sim = new Sim(seed);
     this.net = new Network(this.sim);
     this.net.doubled = faults.doubled;
-    const platform = platformOf('kiln-0');
+    const { hosts, types } = scenario;
+    const platform = oneOf(hosts, hosts[0] ?? '', scenario.platform);
+    // Copies of old messages come up to several leases late.
+    this.net.latestMs = platform.workers.leaseS * 3000;
     this.teams = platform.teams;
     const { workers } = platform;
     this.rules = new Rules(this.teams, workers.cancelS * 1000, () => this.sim.now);
-    this.state = new StateService(this.sim, this.net, platform.state, platform.stateLimits);
+    this.state = new StateService(
+      this.sim,
+      this.net,
+      platform.state,
+      platform.stateLimits,
+      scenario.page,
+    );
     this.shared = {
       sim: this.sim,
       net: this.net,
@@ -143,20 +94,18 @@
       this.shared,
       platform.cloud,
       types,
-      16,
+      scenario.capacity,
       platform.cloudLimits.listLagS * 1000,
       faults.bootFails,
     );
-    for (const zone of ['a', 'b']) {
-      for (let i = 0; i < 2; i++) this.cloud.add(this.type('big'), zone, false, 100);
-      this.cloud.add(this.type('small'), zone, false, 100);
-    }
+    for (const m of scenario.machines)
+      for (let i = 0; i < m.count; i++) this.cloud.add(this.type(m.type), m.zone, m.spot, 100);
     for (const h of hosts) this.startProcess(h);
     if (Number.isFinite(faults.everyMs)) this.nextFault();
   }
 
   private type(name: string): MachineType {
-    const t = types.find((x) => x.name === name);
+    const t = this.scenario.types.find((x) => x.name === name);
     if (t === undefined) throw new Error(name);
     return t;
   }
@@ -166,7 +115,10 @@
   private startProcess(host: string): void {
     if (this.processes.has(host)) return;
     const env = new ProcessEnv(this.sim, this.net, host, this.peers);
-    const settings = new Settings(platformOf(host), defaultProperties());
+    const settings = new Settings(
+      oneOf(this.scenario.hosts, host, this.scenario.platform),
+      defaultProperties(),
+    );
     const log: Logger = {
       ...this.log,
       error: (fields, text) => {
@@ -177,12 +129,9 @@
     const controller = new Controller(env, log, settings, `${host}-${this.starts++}`);
     this.processes.set(host, { controller, env });
     this.peers.set(host, (bytes) => controller.peerFrame(bytes));
-    this.net.listen(this.shared.apiOf(host), host, (_, call, respond) => {
-      const body = call.body === undefined ? Buffer.alloc(0) : encodeBody(call.body);
-      controller.request(call.method, call.path, body, (a) => {
-        if (!env.alive) return;
-        const out = a.body === undefined ? null : decodeBody(encodeBody(a.body));
-        respond({ status: a.status, body: out });
+    this.net.listen(this.shared.apiOf(host), host, (_, request, respond) => {
+      controller.request(request.method, request.path, request.bytes, (a) => {
+        if (env.alive) respond({ status: a.status, body: a.body ?? null });
       });
     });
     controller.start();
@@ -215,12 +164,13 @@
 
   private fault(): void {
     const { sim } = this;
+    const { hosts } = this.scenario;
     const host = sim.pick(hosts);
     const workers = this.cloud.up.filter((w) => !w.gone);
     const worker: Worker | undefined = workers.length > 0 ? sim.pick(workers) : undefined;
     const long = sim.between(1000, 45_000);
     const restart = sim.random() < 0.3 ? sim.between(100, 600) : 6000;
-    switch (Math.floor(sim.between(0, 11))) {
+    switch (Math.floor(sim.between(0, 15))) {
       case 0:
         return this.kill(host, restart);
       case 1:
@@ -245,6 +195,14 @@
         return worker?.hang(sim.between(1000, 60_000));
       case 9:
         return worker?.die();
+      case 10:
+        return worker?.restart(sim.between(100, 600));
+      case 11:
+        return this.deafen(worker, long);
+      case 12:
+        return this.isolate(host, long);
+      case 13:
+        return this.killElected();
       default:
         if (worker?.spot === true) {
           worker.warn(10_000);
@@ -253,38 +211,40 @@
     }
   }
 
+  /** The machine's reports arrive, but neither answers nor commands get to it. */
+  private deafen(worker: Worker | undefined, ms: number): void {
+    if (worker === undefined) return;
+    const { hosts } = this.scenario;
+    for (const h of hosts)
+      this.net.cutWay(h, worker.id, this.sim.random() < 0.5 ? 'hold' : 'reset');
+    this.sim.after(ms, () => {
+      for (const h of hosts) this.net.heal(h, worker.id);
+    });
+  }
+
+  /** A controller loses the state service and its peers, but not its workers. */
+  private isolate(host: string, ms: number): void {
+    this.cutFor(host, 'state', ms);
+    for (const h of this.scenario.hosts) if (h !== host) this.cutFor(host, h, ms);
+  }
+
+  /** The leader ends, and so do those who follow, each in the midst of its election; all are soon back. */
+  private killElected(): void {
+    const { sim } = this;
+    let times = 4;
+    const again = (): void => {
+      for (const [host, { controller }] of [...this.processes])
+        if (controller.leads) this.kill(host, sim.between(50, 400));
+      if (--times > 0) sim.after(sim.between(20, 3000), again);
+    };
+    again();
+  }
+
   // ---- users
 
   /** A random job of a kind that this world can run. */
   randomJob(): JobSpec {
-    const { sim } = this;
-    const gang = sim.random() < 0.5;
-    const team = sim.pick(['red', 'blue']);
-    const gpus = gang ? sim.pick([1, 2, 4]) : sim.pick([0, 0, 1]);
-    const tasks = gang ? sim.pick([1, 2, 3]) : sim.pick([1, 3, 10]);
-    const twoZones = tasks > 1 && sim.random() < 0.3;
-    return {
-      id: `req-${String(this.jobCount++).padStart(6, '0')}`,
-      class: gang ? 'train' : 'batch',
-      team,
-      kind: gang ? 'gang' : 'array',
-      priority: sim.pick(['low', 'normal', 'normal', 'high']),
-      tasks,
-      cpus: sim.pick([1, 2, 4]),
-      gpus,
-      memoryGb: sim.pick([1, 4, 8]),
-      image: sim.pick(['img-1', 'img-2', 'img-3']),
-      imageGb: sim.pick([1, 3]),
-      types: sim.random() < 0.2 ? ['big'] : null,
-      zone: !twoZones && sim.random() < 0.1 ? 'a' : null,
-      oneZone: !twoZones && gang && sim.random() < 0.5,
-      spread: twoZones,
-      spot: sim.random() < 0.5,
-      estimateS: 20,
-      checkpointS: gang ? 10 : 0,
-      saveS: gang ? 2 : 0,
-      deadlineS: sim.random() < 0.3 ? 100 : null,
-    };
+    return this.scenario.job(this.sim, `req-${String(this.jobCount++).padStart(6, '0')}`);
   }
 
   /** A user who submits, polls and perhaps cancels one job, one request at a time. */
@@ -328,7 +288,7 @@
     this.net.call(
       'user',
       {
-        to: this.shared.apiOf(this.sim.pick(hosts)),
+        to: this.shared.apiOf(this.sim.pick(this.scenario.hosts)),
         method,
         path,
         timeoutMs: method === 'GET' ? 2000 : 5000,
@@ -339,6 +299,14 @@
     );
   }
 
+  /** From now on there are no new troubles; those under way end within the time given. */
+  calmDown(ms: number): void {
+    this.calm = true;
+    this.sim.after(ms, () => {
+      this.rules.calmAt = this.sim.now;
+    });
+  }
+
   /** Plays a day; the rules are checked after every step. */
   play(ms: number): void {
     let nextTick = 0;
