--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -444,7 +444,9 @@
       this.askCatalogue();
     }
     const { reign } = this;
-    if (reign === null || !reign.ready || !this.leadership.acting) return;
+    if (!reign?.ready) return;
+    reign.workers.answering(this.leadership.acting, this.settings.reportMs / 3);
+    if (!this.leadership.acting) return;
     reign.workers.sweep();
     reign.fleet.step();
     reign.passDue = true;
--- a/src/controller/fleet/fleet.ts
+++ b/src/controller/fleet/fleet.ts
@@ -221,7 +221,7 @@
     };
     for (const m of [...this.workers.machines.values()]) {
       if (this.releasing.has(m.id)) continue;
-      const silent = now - Math.max(m.lastReportAt, m.firstSeen) > silentMs;
+      const silent = this.workers.silentMs(m) > silentMs || this.workers.deafMs(m) > silentMs;
       if (m.listed === 'failed') names.push(m.id);
       else if (silent && (m.listed === 'absent' || m.listedAt === -Infinity)) {
         // Not there any more, and its lease has run out.
--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -179,7 +179,7 @@
     while (pass.next < pass.turns.length) {
       const job = pass.turns[pass.next]?.job;
       pass.next++;
-      if (job === undefined || job.closed !== null || !this.waits(job, pass.now)) continue;
+      if (job?.closed !== null || !this.waits(job, pass.now)) continue;
       if (job.spec.kind === 'gang') this.gang(pass, job);
       else this.array(pass, job);
       if (this.core.now() >= deadline && pass.next < pass.turns.length) return false;
@@ -209,6 +209,7 @@
   private usable(m: Machine, now: number): boolean {
     return (
       m.type !== null &&
+      m.synced &&
       !m.leaving &&
       m.noticeAt === null &&
       m.noPlacingBefore <= now &&
--- a/src/controller/workers/machine.ts
+++ b/src/controller/workers/machine.ts
@@ -11,8 +11,20 @@
   /** Sessions below this are over, whether or not the worker has said so. */
   minSession = 0;
   seq: number | bigint = 0;
-  /** A report of this session has come that was sent after the worker knew the current term. */
+  /**
+   * A report of this session has come that shows the token last asked for: answers get through, and
+   * the report is no late copy from before this term.
+   */
   synced = false;
+  /** Since when it has not been. */
+  unsyncedFrom: number;
+  /** The token that it has to show. */
+  echo = 0;
+  /** The highest token that it has shown. */
+  shown: number | bigint = 0;
+  /** Reports in a row that lack what the answer before had started, and the last of them. */
+  dropped = 0;
+  droppedIn = 0;
   lastReportAt = -Infinity;
   /** The worker's lease counts at most from here. */
   leaseFrom: number;
@@ -54,6 +66,7 @@
   ) {
     this.leaseFrom = now;
     this.firstSeen = now;
+    this.unsyncedFrom = now;
     this.idleSince = now;
   }
 
--- a/src/controller/workers/workers.ts
+++ b/src/controller/workers/workers.ts
@@ -25,6 +25,12 @@
 export const machineKey = (id: string): string => `${MACHINES}${id}`;
 const imagesKey = (id: string): string => `${IMAGES}${id}`;
 
+/** Starts that may be lost with their answers before a machine is taken to hear nothing. */
+const DROPPED = 2;
+
+/** Machines remembered after they are gone. */
+const LEFT = 10_000;
+
 /** Bytes that a task takes at most in its machine's record, beside the names of its job and team. */
 const TASK_BYTES = 80;
 
@@ -57,6 +63,10 @@
   readonly running = new Map<string, number>();
   assigned = 0;
   private reports = 0;
+  private answeringFrom: number;
+  private toldAt: number;
+  /** Machines that are gone, the latest; names are not used again. */
+  private readonly left = new Set<string>();
   private readonly dirty = new Set<Machine>();
   /** Machines whose images changed: written in their own time. */
   private readonly imagesDirty = new Set<Machine>();
@@ -71,12 +81,14 @@
     private readonly hooks: WorkersHooks,
   ) {
     this.teams = new Teams(settings.platform.teams);
+    this.answeringFrom = this.toldAt = core.now();
   }
 
   machine(id: string): Machine {
     let m = this.machines.get(id);
     if (m === undefined) {
       m = new Machine(id, this.core.now());
+      m.echo = this.token(m);
       this.machines.set(id, m);
     }
     return m;
@@ -358,6 +370,8 @@
   report(r: Report): ReportAnswer {
     this.hooks.higherTerm(termOf(r.token));
     const now = this.core.now();
+    // Late copies of reports must not bring back a machine that the cloud has taken.
+    if (this.left.has(r.machine)) return { status: 503 };
     const m = this.machine(r.machine);
     if (r.session < m.session || r.session < m.minSession) return { status: 503 };
     if (r.session === m.session && r.seq <= m.seq) return { status: 503 };
@@ -372,9 +386,11 @@
     if (r.session > m.session) {
       // The worker's lease had ended: everything of the sessions before is gone from the machine.
       for (const a of [...m.assignments.values()]) if (a.session < r.session) this.end(a, 'lost');
+      // A machine that is new has still to show this term, and so hears.
+      const known = m.session > 0;
       m.session = r.session;
-      m.synced = false;
       m.direct.clear();
+      if (known) this.unsync(m);
       this.touch(m);
     }
     m.seq = r.seq;
@@ -386,7 +402,11 @@
     // proves nothing, for the leader before may have started it since.
     const current = termOf(r.token) === this.term;
     for (const [name, token] of m.direct) if (r.token > token) m.direct.delete(name);
-    if (current && !m.synced) {
+    if (r.token > m.shown) {
+      m.shown = r.token;
+      m.dropped = 0;
+    }
+    if (!m.synced && current && r.token >= m.echo) {
       m.synced = true;
       this.hooks.changed();
     }
@@ -409,6 +429,18 @@
     return makeToken(this.term, m.epoch);
   }
 
+  /**
+   * Nothing is placed on the machine until it shows a token that it can only have from an answer
+   * that is yet to come. A machine whose reports arrive while answers and commands don't looks idle
+   * in every new session; without this it would be given the same tasks again and again.
+   */
+  private unsync(m: Machine): void {
+    if (m.epoch < EPOCHS - 2) m.epoch++;
+    m.echo = this.token(m);
+    m.synced = false;
+    m.unsyncedFrom = this.core.now();
+  }
+
   /** Sees to it that the answer to this report voids direct starts of the attempt; true if any may be about. */
   private voids(m: Machine, attempt: string): boolean {
     const token = m.direct.get(attempt);
@@ -427,8 +459,14 @@
     if (a.sentSeq !== null && r.seq <= a.sentSeq) return;
     // A start of this term that never arrived may go out again. One of the leader before may have
     // arrived, ended and been cleared: its attempt is over.
-    if (a.phase === 'seen' || a.sentSeq === null || a.stop !== null) this.end(a, 'lost');
-    else a.phase = 'recorded';
+    const { machine: m } = a;
+    if (a.phase === 'seen' || a.sentSeq === null || a.stop !== null) return this.end(a, 'lost');
+    a.phase = 'recorded';
+    if (m.droppedIn !== this.reports) m.dropped++;
+    m.droppedIn = this.reports;
+    if (m.synced && m.dropped >= DROPPED) this.unsync(m);
+    // Answers don't get there. It is surely not there and not on its way: others may have it.
+    if (!m.synced && m.dropped >= DROPPED) this.end(a, 'unsent');
   }
 
   private taskReport(m: Machine, t: TaskReport, orders: Order[]): void {
@@ -481,6 +519,7 @@
 
   private follow(a: Assignment, t: TaskReport): void {
     const now = this.core.now();
+    if (a.phase !== 'seen') a.machine.dropped = 0;
     a.phase = 'seen';
     if (t.state === 'exited') {
       this.end(a, t.cause ?? 'other');
@@ -530,7 +569,7 @@
     for (const m of this.machines.values()) {
       if (now - m.leaseFrom <= this.settings.workerGoneMs || m.minSession > m.session) continue;
       m.minSession = m.session + 1;
-      m.synced = false;
+      this.unsync(m);
       if (m.assignments.size > 0)
         this.core.log.info(
           { machine: m.id, session: m.session },
@@ -545,6 +584,12 @@
   gone(m: Machine): void {
     for (const a of [...m.assignments.values()]) this.end(a, 'lost');
     this.machines.delete(m.id);
+    this.left.add(m.id);
+    if (this.left.size > LEFT)
+      for (const id of this.left) {
+        this.left.delete(id);
+        break;
+      }
     this.dirty.delete(m);
     this.direct.delete(m);
     this.imagesDirty.delete(m);
@@ -553,6 +598,24 @@
     this.hooks.changed();
   }
 
+  /** Told as time passes: whether this node may answer workers. Silence counts only while it may. */
+  answering(may: boolean, everyMs: number): void {
+    const now = this.core.now();
+    // A process that was held up has not answered either.
+    if (!may || now - this.toldAt > everyMs * 3) this.answeringFrom = now;
+    this.toldAt = now;
+  }
+
+  /** How long nothing was heard of the machine while its reports would have been answered. */
+  silentMs(m: Machine): number {
+    return this.core.now() - Math.max(m.lastReportAt, m.firstSeen, this.answeringFrom);
+  }
+
+  /** How long the machine has been answered without showing that it hears. */
+  deafMs(m: Machine): number {
+    return m.synced ? 0 : this.core.now() - Math.max(m.unsyncedFrom, this.answeringFrom);
+  }
+
   /** Reports lately, and its session is not over. */
   alive(m: Machine): boolean {
     const silent = this.settings.workerLeaseMs * this.settings.get('workers.silent.ratio');
