--- a/src/controller/placement/placement.test.ts
+++ b/src/controller/placement/placement.test.ts
@@ -138,7 +138,7 @@
     m.type = type;
     const e = new Estimates();
     const first = spec({ image: 'x', imageGb: 10 });
-    assert.equal(e.fetchMs(first, m), 10_000);
+    assert.equal(e.fetchMs(first, m, 0), 10_000);
     m.assignments.set('req-x/0', {
       ...{
         job: new Job(spec({ image: 'y', imageGb: 4 }), 0, 1, 0),
@@ -146,9 +146,11 @@
         phase: 'seen',
       },
     } as Assignment);
-    assert.equal(e.fetchMs(first, m), 14_000);
+    assert.equal(e.fetchMs(first, m, 0), 14_000);
+    assert.ok(e.cold(first, m));
     m.sawImage('x', 10);
-    assert.equal(e.fetchMs(first, m), 0);
+    assert.equal(e.fetchMs(first, m, 0), 0);
+    assert.ok(!e.cold(first, m));
   });
 });
 
--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -177,11 +177,11 @@
       }
     }
     while (pass.next < pass.turns.length) {
-      const job = pass.turns[pass.next]?.job;
+      const turn = pass.turns[pass.next];
       pass.next++;
-      if (job?.closed !== null || !this.waits(job, pass.now)) continue;
-      if (job.spec.kind === 'gang') this.gang(pass, job);
-      else this.array(pass, job);
+      if (turn?.job.closed !== null || !this.waits(turn.job, pass.now)) continue;
+      if (turn.job.spec.kind === 'gang') this.gang(pass, turn.job);
+      else this.array(pass, turn);
       if (this.core.now() >= deadline && pass.next < pass.turns.length) return false;
     }
     this.lacking = pass.lacking;
@@ -238,7 +238,7 @@
    * Rooms where tasks of the job can start now, the best first: the image at hand, room that others
    * can't use, the tightest fit (m03 §6, R1).
    */
-  private candidates(pass: Pass, job: Job): Candidate[] {
+  private candidates(pass: Pass, job: Job, warmOnly = false): Candidate[] {
     const { spec } = job;
     const found: Candidate[] = [];
     const need = needOf(spec);
@@ -253,7 +253,8 @@
       for (const room of rooms) {
         if (!room.admits(need)) continue;
         any = true;
-        const fetch = this.estimates.fetchMs(spec, room.machine);
+        if (warmOnly && this.estimates.cold(spec, room.machine)) continue;
+        const fetch = this.estimates.fetchMs(spec, room.machine, pass.now);
         const count = room.fits(spec, job.level, soonest + fetch, backfill, pass.now, record);
         if (count > 0) found.push({ room, count, score: fetch / 1000 + this.penalty(job, room) });
       }
@@ -293,13 +294,26 @@
     room.outlook = null;
   }
 
-  private array(pass: Pass, job: Job): void {
+  /**
+   * An array that has time yields places where it would fetch its image to arrays that need not: it
+   * has its turn there after all others in the same pass. So nothing stands idle for it; and its
+   * patience ends well before its latest start.
+   */
+  private patient(job: Job, now: number): boolean {
+    const waited = now - job.submittedAt;
+    const next = Math.min(...this.aims(job).filter((aim) => aim >= waited));
+    return Number.isFinite(next) && waited <= next * this.settings.get('placement.warm.share');
+  }
+
+  private array(pass: Pass, turn: Turn): void {
+    const { job } = turn;
+    const warmOnly = !turn.cold && this.patient(job, pass.now);
     let left = Math.min(job.pending.length, this.workers.teams.allowance(job.spec));
     if (left === 0) return;
     const limited = job.spec.oneZone || job.spec.spread;
     const zones = limited ? this.zones(job) : new Map<string, number>();
     let attempt = -1;
-    for (const { room, count } of this.candidates(pass, job)) {
+    for (const { room, count } of this.candidates(pass, job, warmOnly)) {
       const { zone } = room.machine;
       const n = Math.min(left, count, limited ? this.zoneRoom(job, zone, zones) : Infinity);
       if (n <= 0) continue;
@@ -310,6 +324,7 @@
       if (left === 0) break;
     }
     if (left === 0) job.grantedUntil = -Infinity;
+    else if (warmOnly) pass.turns.push({ ...turn, cold: true });
     else {
       pass.lacking.push({ job, tasks: left });
       const every = this.settings.reportMs * this.settings.get('placement.hold.refresh.ratio');
@@ -420,7 +435,9 @@
    * end. Fetches take their nominal time give or take a third.
    */
   private worthWaiting(pass: Pass, job: Job, picked: Candidate[]): boolean {
-    const fetch = Math.max(...picked.map((p) => this.estimates.fetchMs(job.spec, p.room.machine)));
+    const fetch = Math.max(
+      ...picked.map((p) => this.estimates.fetchMs(job.spec, p.room.machine, pass.now)),
+    );
     if (fetch <= this.settings.reportMs * 2) return false;
     const { rooms, readyAt } = this.sought(pass, job);
     if (rooms.length < job.spec.tasks) return false;
@@ -497,7 +514,9 @@
         return { ...{ rooms, fillAt: hold.fillAt, readyAt: hold.readyAt }, victims: [] };
     }
     const { targets, fillAt } = this.bestTargets(pass, job);
-    const ready = targets.map((t) => fillAt + this.estimates.fetchMs(job.spec, t.room.machine));
+    const ready = targets.map(
+      (t) => fillAt + this.estimates.fetchMs(job.spec, t.room.machine, pass.now),
+    );
     const found = {
       ...{ rooms: targets.map((t) => t.room), fillAt, readyAt: Math.max(...ready) },
       victims: targets.flatMap((t) => t.victims),
--- a/src/controller/placement/rank.ts
+++ b/src/controller/placement/rank.ts
@@ -38,10 +38,12 @@
   job: Job;
   rank: number;
   granted: boolean;
+  /** An array's second turn in the pass, on machines that have to fetch its image. */
+  cold: boolean;
 }
 
 export function turnOf(job: Job, s: RankSettings, now: number): Turn {
-  return { job, rank: rankTime(job, s, now), granted: job.grantedUntil > now };
+  return { job, rank: rankTime(job, s, now), granted: job.grantedUntil > now, cold: false };
 }
 
 /** Total order of holds and of everything that waits: rank, submission, id. Lower goes first. */
--- a/src/controller/placement/reserve.ts
+++ b/src/controller/placement/reserve.ts
@@ -180,7 +180,7 @@
       const n = Math.min(left, places - taken);
       if (n <= 0) continue;
       left -= n;
-      const fetch = this.estimates.fetchMs(c.spec, room.machine);
+      const fetch = this.estimates.fetchMs(c.spec, room.machine, now);
       const patience = waiting.has(c.spec.class) || wait === null ? 0 : Math.max(0, wait - fetch);
       room.keep(c.spec, c.level, n, now + patience, LARGER);
     }
--- a/src/controller/placement/targets.ts
+++ b/src/controller/placement/targets.ts
@@ -138,7 +138,7 @@
     const { machine } = room;
     // Holds last: a machine already held is left only for one clearly better.
     const kept = held.has(machine.id) ? this.settings.reportMs : 0;
-    const fetch = this.estimates.fetchMs(s.job.spec, machine);
+    const fetch = this.estimates.fetchMs(s.job.spec, machine, s.now);
     return fill.fillAt + fetch - kept + LOST_WEIGHT * fill.lostMs + s.prefer(room);
   }
 
@@ -238,7 +238,7 @@
     if (a.job === null || a.state === 'fetching' || a.state === null) return 0;
     const { spec } = a.job;
     const ran = now - (a.runningAt ?? a.since);
-    const again = this.settings.reportMs + this.estimates.fetchMs(spec, a.machine);
+    const again = this.settings.reportMs + this.estimates.fetchMs(spec, a.machine, now);
     const lost = spec.checkpointS > 0 ? Math.min(ran, spec.saveS * 2000) : ran;
     // A gang has to find its places once more.
     return lost + again + (spec.kind === 'gang' ? this.estimates.runMs(spec) : 0);
--- a/src/controller/settings/properties.ts
+++ b/src/controller/settings/properties.ts
@@ -85,6 +85,12 @@
     max: 1,
     text: 'Share of all tasks that may be stopped to make room within one lease of a worker.',
   },
+  'placement.warm.share': {
+    value: 0.4,
+    min: 0,
+    max: 1,
+    text: 'For this share of the wait that it can take, an array leaves machines without its image to others.',
+  },
   'placement.cannot.fill.s': {
     value: 120,
     min: 1,
