--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -6,7 +6,7 @@
 import { Leadership, LEADER_KEY } from './leadership/leadership.js';
 import type { Metrics } from './operators/metrics.js';
 import { clusterView } from './operators/view.js';
-import { Peers, type ForwardedReply, type JobProgress } from './peers/peers.js';
+import { Peers, type ForwardedReply, type JobProgress, type PeerStatus } from './peers/peers.js';
 import { Estimates } from './placement/estimates.js';
 import { Reserve } from './placement/reserve.js';
 import { holdKey, Placement } from './placement/placement.js';
@@ -14,6 +14,7 @@
 import { StateClient } from './store/client.js';
 import { PAGES } from './store/pages.js';
 import { Records } from './store/records.js';
+import { Rate } from './store/shares.js';
 import { decodeBody, encodeBody, isMap, WireError } from './wire/cbor.js';
 import { readCatalogue, writeCatalogue, type MachineType } from './wire/cloud.js';
 import type { JobAnswer } from './wire/jobs.js';
@@ -27,6 +28,9 @@
 /** Time without a placement pass after one, in times of what it took. */
 const PASS_REST = 3;
 
+/** Reports at other nodes that show that workers are there, as a share of all that are usual. */
+const STRAYS = 0.1;
+
 type ReadAll = (prefix: string, then: (items: Item[], revision: number) => void) => void;
 
 export type MetricsSink = Pick<Metrics, 'request' | 'pass' | 'preemptions' | 'gauge' | 'text'>;
@@ -52,6 +56,7 @@
   learnedAt = -Infinity;
   constructor(
     readonly term: number,
+    readonly since: number,
     readonly records: Records,
     readonly table: JobTable,
     readonly workers: Workers,
@@ -74,6 +79,8 @@
   private typesAt = -Infinity;
   private reign: Reign | null = null;
   private served = false;
+  /** Reports of workers that this node has sent on to the leader. */
+  private readonly strays: Rate;
   /** Loaded a little after the start, which is to be short. */
   metrics: MetricsSink | null = null;
 
@@ -85,6 +92,7 @@
   ) {
     this.core = new Core(env, log);
     const { core } = this;
+    this.strays = new Rate(() => env.now(), settings.reportMs);
     this.reserve = new Reserve(
       {
         memoryMs: settings.workerLeaseMs * settings.get('placement.reserve.memory.ratio'),
@@ -111,6 +119,7 @@
         leaderHost: this.leadership.leader?.host ?? '',
         term: this.leadership.leader?.term ?? 0,
         wantedWrites: this.client.part.wanted,
+        strayReports: this.strays.perSecond,
       }),
       {
         accepted: (id) => this.frontend.learnAccepted(id),
@@ -288,7 +297,7 @@
       placement,
       () => this.leadership.acting,
     );
-    const reign = new Reign(term, records, table, workers, placement, fleet);
+    const reign = new Reign(term, core.now(), records, table, workers, placement, fleet);
     this.reign = reign;
     this.load(reign);
   }
@@ -447,6 +456,10 @@
     if (!reign?.ready) return;
     reign.workers.answering(this.leadership.acting, this.settings.reportMs / 3);
     if (!this.leadership.acting) return;
+    if (this.cutOff(reign, heard)) {
+      this.leadership.handOver('workers do not reach this node');
+      return;
+    }
     reign.workers.sweep();
     reign.fleet.step();
     reign.passDue = true;
@@ -468,6 +481,25 @@
     this.tellProgress(reign);
   }
 
+  /**
+   * Whether the workers have lost this node and not the others. Its lease goes on, so nobody else
+   * would answer them, and every task would end with its worker's lease. Their reports at the other
+   * nodes are the proof; where the peers are not heard either, silence has to do, but only of
+   * machines that had reported here: a leader that never heard any has nothing to tell it from a day
+   * on which the machines themselves are gone.
+   */
+  private cutOff(reign: Reign, heard: readonly PeerStatus[]): boolean {
+    const { reportMs, workerLeaseMs, platform } = this.settings;
+    // Not again at once: a takeover costs, and one after the other would leave nobody to answer.
+    const settled = this.core.now() - reign.since > workerLeaseMs / 2;
+    if (platform.peers.length === 0 || !settled) return false;
+    const { workers } = reign;
+    const strays = heard.reduce((sum, p) => sum + p.strayReports, 0);
+    const usual = (workers.machines.size / reportMs) * 1000;
+    if (strays >= usual * STRAYS && workers.overdue(0, false) > 0.5) return true;
+    return heard.length === 0 && workers.overdue(reportMs, true) > 0.9;
+  }
+
   /** Counts for display, of the jobs that have changed. */
   private tellProgress(reign: Reign): void {
     const changed: JobProgress[] = [];
@@ -682,6 +714,7 @@
     const report = readReport(body);
     const { reign } = this;
     if (reign === null) {
+      this.strays.count(1);
       const leader = this.leadership.leader;
       const other = leader !== null && leader.host !== this.settings.platform.host;
       return respond({ status: 421, body: other ? { foreman: leader.host } : {} });
--- a/src/controller/leadership/leadership.ts
+++ b/src/controller/leadership/leadership.ts
@@ -32,6 +32,9 @@
   private endedTerm = 0;
   private trying = false;
   private watching = false;
+  /** This node has handed over and leaves the lead to the others until then, if they take it. */
+  private standsBackUntil = -Infinity;
+  private leftToOthers = false;
   /** Guards against answers to questions of an earlier reign. */
   private reign = 0;
 
@@ -100,6 +103,21 @@
     this.retry();
   }
 
+  /** Gives the lead to a node that may be better placed. */
+  handOver(reason: string): void {
+    this.standsBackUntil = this.core.now() + this.settings.workerLeaseMs;
+    this.leftToOthers = false;
+    this.stepDown(reason);
+  }
+
+  /** The key is free. Who has handed over takes it only if no other node does within a moment. */
+  private contend(): void {
+    this.noLeader();
+    if (this.leftToOthers || this.core.now() >= this.standsBackUntil) return this.acquire();
+    this.leftToOthers = true;
+    this.core.after(this.settings.leaderLeaseMs / 2, 'look', () => this.look());
+  }
+
   private get timeout(): number {
     return this.settings.leaderLeaseMs / 4;
   }
@@ -119,11 +137,8 @@
       if (this.mine !== null) return;
       if (got.kind === 'failed') return this.retry();
       const item = got.value;
-      if (item === null) {
-        this.noLeader();
-        this.acquire();
-        return;
-      }
+      if (item === null) return this.contend();
+      this.leftToOthers = false;
       const info = this.read(item.value, item.version);
       if (info === null) return this.retry();
       if (info.host === this.settings.platform.host && info.identity !== this.identity) {
@@ -159,10 +174,7 @@
       else if (last.kind === 'put') {
         this.info = this.read(last.value, last.version);
         this.follow(got.value.revision);
-      } else {
-        this.noLeader();
-        this.acquire();
-      }
+      } else this.contend();
     });
   }
 
--- a/src/controller/peers/peers.test.ts
+++ b/src/controller/peers/peers.test.ts
@@ -11,6 +11,7 @@
     leaderHost: '',
     term: 7,
     wantedWrites: 1.5,
+    strayReports: 0.5,
   },
   finals: [{ id: 'req-1', state: 'done' }],
   accepted: ['req-3'],
--- a/src/controller/peers/peers.ts
+++ b/src/controller/peers/peers.ts
@@ -15,6 +15,8 @@
   term: number;
   /** Puts and deletes at the state service that the sender would make a second. */
   wantedWrites: number;
+  /** Workers' reports a second that the sender has sent on to the leader. */
+  strayReports: number;
 }
 
 export interface JobProgress {
@@ -69,6 +71,7 @@
             { name: 'leaderHost', type: 'string' },
             { name: 'term', type: 'long' },
             { name: 'wantedWrites', type: 'double' },
+            { name: 'strayReports', type: 'double' },
           ],
         },
       ],
--- a/src/controller/workers/workers.ts
+++ b/src/controller/workers/workers.ts
@@ -28,6 +28,9 @@
 /** Starts that may be lost with their answers before a machine is taken to hear nothing. */
 const DROPPED = 2;
 
+/** Workers report at least this often, in times of the report interval (PROTOCOL), with a little over. */
+const LATEST = 1.35;
+
 /** Machines remembered after they are gone. */
 const LEFT = 10_000;
 
@@ -611,6 +614,22 @@
     return this.core.now() - Math.max(m.lastReportAt, m.firstSeen, this.answeringFrom);
   }
 
+  /**
+   * Share of the machines whose reports are overdue by `ms`, though they would have been answered;
+   * of those that may still report. `before`: only of those that have reported in this term.
+   */
+  overdue(ms: number, before: boolean): number {
+    let all = 0;
+    let late = 0;
+    for (const m of this.machines.values()) {
+      if (m.session < m.minSession || m.listed === 'failed') continue;
+      if (before && m.lastReportAt === -Infinity) continue;
+      all++;
+      if (this.silentMs(m) > this.settings.reportMs * LATEST + ms) late++;
+    }
+    return all === 0 ? 0 : late / all;
+  }
+
   /** How long the machine has been answered without showing that it hears. */
   deafMs(m: Machine): number {
     return m.synced ? 0 : this.core.now() - Math.max(m.unsyncedFrom, this.answeringFrom);
--- a/test/world.test.ts
+++ b/test/world.test.ts
@@ -39,6 +39,21 @@
     day(small, 1, quiet, 30, 200_000);
   });
 
+  // Fleet day "apart": the leader lost its workers alone, kept its lease, and 600 tasks ended with theirs.
+  it('hands over when the workers reach the other nodes and not the leader', () => {
+    for (let seed = 1; seed <= 4; seed++) {
+      const world = new World(small, seed, quiet);
+      for (let i = 0; i < 10; i++) world.user(world.randomJob(), null);
+      world.play(15_000);
+      const { leader } = world;
+      assert.ok(leader !== null);
+      world.cutFromWorkers(leader, 40_000);
+      world.play(60_000);
+      assert.notEqual(world.leader, leader);
+      assert.equal(world.leasesLost, 0);
+    }
+  });
+
   for (let seed = 1; seed <= 10; seed++)
     it(`keeps the rules and finishes what it accepted under troubles, seed ${seed}`, () => {
       day(small, seed, rough, 30, 300_000);
--- a/test/world/machines.ts
+++ b/test/world/machines.ts
@@ -80,6 +80,8 @@
 
 /** Stand-in for a machine and its worker, after PROTOCOL. */
 export class Worker {
+  /** How often its lease has run out. */
+  leasesLost = 0;
   private session = 1;
   private seq = 0;
   private token = 0;
@@ -164,7 +166,10 @@
   private watchLease(): void {
     if (this.gone) return;
     const { sim, settings } = this.shared;
-    if (this.leaseFrom + settings.leaseMs <= sim.now) this.nextSession();
+    if (this.leaseFrom + settings.leaseMs <= sim.now) {
+      this.leasesLost++;
+      this.nextSession();
+    }
     sim.after(Math.max(1, this.leaseFrom + settings.leaseMs - sim.now), () => this.watchLease());
   }
 
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -183,8 +183,7 @@
       case 4:
         return this.cutFor(host, 'state', long);
       case 5:
-        for (const w of workers) this.cutFor(host, w.id, long);
-        return;
+        return this.cutFromWorkers(host, long);
       case 6:
         for (const h of hosts) if (h !== host) this.cutFor(host, h, long);
         return;
@@ -228,6 +227,22 @@
     for (const h of this.scenario.hosts) if (h !== host) this.cutFor(host, h, ms);
   }
 
+  /** The host that leads, as it believes itself. */
+  get leader(): string | null {
+    for (const [host, { controller }] of this.processes) if (controller.leads) return host;
+    return null;
+  }
+
+  /** A controller loses every worker, but neither the state service nor its peers. */
+  cutFromWorkers(host: string, ms: number): void {
+    for (const w of this.cloud.up) if (!w.gone) this.cutFor(host, w.id, ms);
+  }
+
+  /** How often a worker's lease has run out. */
+  get leasesLost(): number {
+    return this.cloud.up.reduce((sum, w) => sum + w.leasesLost, 0);
+  }
+
   /** The leader ends, and so do those who follow, each in the midst of its election; all are soon back. */
   private killElected(): void {
     const { sim } = this;
