Silent machines are kept for three leases; sockets are shared by need

Sockets: 1137 of 1200 were open with 589 machines; users, workers and calls now share one limit, beyond which the longest idle connection is closed; a silent worker's is closed soon.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -22,6 +22,7 @@
 import { readReport } from './wire/workers.js';
 import { Workers } from './workers/workers.js';
 
+export const REPORT_PATH = '/v1/report';
 const CATALOGUE_KEY = 'catalogue';
 const LEARNED_KEY = 'learned';
 const NONE = Buffer.alloc(0);
@@ -620,7 +621,7 @@
     const path = target.split('?', 1)[0] ?? '';
     const wrong = (allow: string): void =>
       respond({ status: 405, body: { error: 'method not allowed' }, allow });
-    if (path === '/v1/report') {
+    if (path === REPORT_PATH) {
       if (method !== 'POST') return wrong('POST');
       return this.report(this.decode(body), respond);
     }
--- a/src/controller/core/env.ts
+++ b/src/controller/core/env.ts
@@ -30,6 +30,8 @@
   soon(fn: () => void): void;
   timer(ms: number, fn: () => void): Timer;
   call(call: Call, done: (reply: Reply) => void): void;
+  /** Sockets are not short: a call that could be spared may be made. */
+  mayCall(to: string): boolean;
   /** Best effort; a frame to another controller may be lost. */
   sendPeer(host: string, frame: Buffer): void;
 }
--- a/src/controller/core/node-env.ts
+++ b/src/controller/core/node-env.ts
@@ -1,10 +1,12 @@
 import net from 'node:net';
 import { HttpClient } from '../http/client.js';
+import type { Sockets } from '../http/sockets.js';
 import { frame } from '../peers/peers.js';
 import { decodeBody, encodeBody } from '../wire/cbor.js';
 import type { Call, Env, Reply, Timer } from './env.js';
 
 export interface NodeEnvOptions {
+  sockets: Sockets;
   random: () => number;
   peers: { host: string; addr: string }[];
   /** A connection to a peer is tried again after this time. */
@@ -14,12 +16,17 @@
 /** The world as Node gives it: clocks, timers, sockets. */
 export class NodeEnv implements Env {
   private readonly client: HttpClient;
+  private readonly sockets: Sockets;
   private readonly links = new Map<string, PeerLink>();
   readonly random: () => number;
 
   constructor(options: NodeEnvOptions) {
     this.random = options.random;
-    this.client = new HttpClient({ perHost: 12, idleMs: 30_000, maxBodyBytes: 16 * 1024 * 1024 });
+    this.sockets = options.sockets;
+    this.client = new HttpClient({
+      ...{ sockets: options.sockets, perHost: 12, idleMs: 30_000 },
+      maxBodyBytes: 16 * 1024 * 1024,
+    });
     for (const p of options.peers)
       this.links.set(p.host, new PeerLink(p.addr, options.peerRetryMs));
   }
@@ -56,6 +63,10 @@
     });
   }
 
+  mayCall(to: string): boolean {
+    return !this.sockets.short || this.client.connected(to);
+  }
+
   sendPeer(host: string, bytes: Buffer): void {
     this.links.get(host)?.send(frame(bytes));
   }
--- a/src/controller/fleet/fleet.ts
+++ b/src/controller/fleet/fleet.ts
@@ -202,7 +202,7 @@
         this.core.log.info({ machine: id }, 'machine never came up');
       }
     }
-    const silentMs = this.settings.workerGoneMs * 1.5;
+    const silentMs = this.settings.workerGoneMs * this.settings.get('fleet.silent.ratio');
     const idle = this.settings.workerLeaseMs * this.settings.get('fleet.idle.ratio');
     // While a gang has long lacked room that the cloud refuses, what stands idle may be in its way.
     // Not sooner: a returned machine takes its images along.
--- a/src/controller/http/client.ts
+++ b/src/controller/http/client.ts
@@ -1,7 +1,10 @@
 import net from 'node:net';
 import { formatRequest, Parser, type Message } from './parser.js';
+import type { Sockets } from './sockets.js';
 
 export interface ClientOptions {
+  /** Shared with all else that opens sockets. */
+  sockets: Sockets;
   /** Connections kept or opened to one address. */
   perHost: number;
   /** An unused connection is closed after this time. */
@@ -32,8 +35,26 @@
 /** HTTP/1.1 client on `net` with kept connections. `null` as outcome means no response. */
 export class HttpClient {
   private readonly hosts = new Map<string, Host>();
+  /** Unused connections to all hosts, the longest unused first. */
+  private readonly unused = new Set<Connection>();
 
-  constructor(private readonly options: ClientOptions) {}
+  constructor(private readonly options: ClientOptions) {
+    options.sockets.onShort(() => this.shed());
+  }
+
+  private shed(): boolean {
+    for (const c of this.unused) {
+      this.unused.delete(c);
+      c.socket.destroy();
+      return true;
+    }
+    return false;
+  }
+
+  /** Whether a request would find a connection at once without opening one. */
+  connected(to: string): boolean {
+    return (this.hosts.get(to)?.idle.length ?? 0) > 0;
+  }
 
   request(
     to: string,
@@ -74,9 +95,10 @@
         host.waiting.shift();
         continue;
       }
-      const c = host.idle.pop() ?? this.open(to, host);
+      const c = this.takeIdle(host) ?? this.open(to, host);
       if (c === null) return;
       host.waiting.shift();
+      this.unused.delete(c);
       c.current = first;
       first.connection = c;
       c.socket.setTimeout(0);
@@ -85,6 +107,13 @@
     if (host.connections.size === 0) this.hosts.delete(to);
   }
 
+  private takeIdle(host: Host): Connection | undefined {
+    for (;;) {
+      const c = host.idle.pop();
+      if (c?.socket.destroyed !== true) return c;
+    }
+  }
+
   private open(to: string, host: Host): Connection | null {
     if (host.connections.size >= this.options.perHost) return null;
     const colon = to.lastIndexOf(':');
@@ -102,10 +131,13 @@
       current: null,
     };
     host.connections.add(c);
+    this.options.sockets.add();
     socket.on('data', (bytes) => this.receive(to, host, c, bytes));
     socket.on('error', () => socket.destroy());
     socket.on('timeout', () => socket.destroy());
     socket.on('close', () => {
+      this.options.sockets.remove();
+      this.unused.delete(c);
       host.connections.delete(c);
       host.idle = host.idle.filter((x) => x !== c);
       const p = c.current;
@@ -132,6 +164,7 @@
     if (p === null || !c.parser.idle || !m.keepAlive) c.socket.destroy();
     else {
       host.idle.push(c);
+      this.unused.add(c);
       c.socket.setTimeout(this.options.idleMs);
     }
     if (p !== null) this.settle(p, m, false);
--- a/src/controller/http/server.test.ts
+++ b/src/controller/http/server.test.ts
@@ -3,6 +3,7 @@
 import { after, before, describe, it } from 'node:test';
 import { HttpClient } from './client.js';
 import { HttpServer } from './server.js';
+import { Sockets } from './sockets.js';
 
 const port = 39_471;
 
@@ -16,9 +17,10 @@
             host: '127.0.0.1',
             port,
             limits: { headBytes: 1024, bodyBytes: 64 },
-            maxSockets: 20,
+            sockets: new Sockets(20),
+            maxSockets: 24,
             readMs: 200,
-            idleMs: 2000,
+            idleMs: () => 2000,
           },
           (request, respond) => {
             if (request.path === '/silent') return;
@@ -49,8 +51,28 @@
     assert.equal(await raw('POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab'), '');
   });
 
+  // With 885 workers at one node of 1200 sockets new connections were refused, those of workers too.
+  it('closes the longest idle connection when sockets are short, and serves the new one', async () => {
+    const closed: number[] = [];
+    const open: net.Socket[] = [];
+    const answered = (i: number): Promise<void> =>
+      new Promise((resolve) => {
+        const socket = net.connect({ host: '127.0.0.1', port });
+        socket.on('error', () => undefined);
+        socket.on('close', () => closed.push(i));
+        socket.on('data', () => resolve());
+        socket.write('POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nx');
+        open.push(socket);
+      });
+    for (let i = 0; i < 23; i++) await answered(i);
+    assert.deepEqual(closed, [0, 1, 2]);
+    for (const s of open) s.destroy();
+  });
+
   it('keeps connections, and reports no answer as none', async () => {
-    const client = new HttpClient({ perHost: 1, idleMs: 50, maxBodyBytes: 1024 });
+    const client = new HttpClient({
+      ...{ sockets: new Sockets(10), perHost: 1, idleMs: 50, maxBodyBytes: 1024 },
+    });
     const call = (path: string, body: string, ms: number): Promise<string | null> =>
       new Promise((resolve) => {
         client.request(`127.0.0.1:${port}`, 'POST', path, Buffer.from(body), ms, (m) =>
--- a/src/controller/http/server.ts
+++ b/src/controller/http/server.ts
@@ -7,17 +7,20 @@
   type Message,
   type Response,
 } from './parser.js';
+import type { Sockets } from './sockets.js';
 
 export interface ServerOptions {
   host: string;
   port: number;
   limits: Limits;
-  /** Sockets at once; further ones are closed on arrival. */
+  /** Shared with all else that opens sockets. */
+  sockets: Sockets;
+  /** Connections at once; further ones are closed on arrival. */
   maxSockets: number;
   /** A started request has to be whole within this time. */
   readMs: number;
-  /** An idle connection is closed after this time. */
-  idleMs: number;
+  /** An idle connection is closed after this time, by the path last asked for ('' before any). */
+  idleMs: (path: string) => number;
 }
 
 export type Handler = (request: Message, respond: (r: Response) => void) => void;
@@ -27,7 +30,8 @@
 /** Serves HTTP/1.1 on `net`: one request at a time a connection, answered in order. */
 export class HttpServer {
   private readonly server: net.Server;
-  private sockets = 0;
+  /** Connections without a request in progress, the longest idle first. */
+  private readonly idle = new Set<net.Socket>();
 
   constructor(
     private readonly options: ServerOptions,
@@ -35,6 +39,16 @@
   ) {
     this.server = net.createServer({ noDelay: true }, (socket) => this.accept(socket));
     this.server.maxConnections = options.maxSockets;
+    options.sockets.onShort(() => this.shed());
+  }
+
+  private shed(): boolean {
+    for (const socket of this.idle) {
+      this.idle.delete(socket);
+      socket.destroy();
+      return true;
+    }
+    return false;
   }
 
   listen(done: () => void, failed: (err: Error) => void): void {
@@ -42,16 +56,15 @@
     this.server.listen(this.options.port, this.options.host, done);
   }
 
-  get open(): number {
-    return this.sockets;
-  }
-
   close(): void {
     this.server.close();
   }
 
   private accept(socket: net.Socket): void {
-    this.sockets++;
+    const { sockets, idleMs } = this.options;
+    sockets.add();
+    this.idle.add(socket);
+    let patience = idleMs('');
     const parser = new Parser('request', this.options.limits);
     let busy = false;
     let ended = false;
@@ -91,7 +104,12 @@
       if (request === null) return;
       const { keepAlive } = request;
       busy = true;
+      this.idle.delete(socket);
       watch();
+      if (idleMs(request.path) !== patience) {
+        patience = idleMs(request.path);
+        socket.setTimeout(patience);
+      }
       let answered = false;
       this.handler(request, (r) => {
         if (answered) return;
@@ -101,13 +119,14 @@
         socket.write(formatResponse(r, !keepAlive));
         if (!keepAlive) finish();
         else {
+          this.idle.add(socket);
           socket.resume();
           pump();
         }
       });
     };
 
-    socket.setTimeout(this.options.idleMs, () => socket.destroy());
+    socket.setTimeout(patience, () => socket.destroy());
     socket.on('data', (bytes) => {
       if (ended) return;
       parser.push(bytes);
@@ -118,7 +137,8 @@
     socket.on('error', () => socket.destroy());
     socket.on('close', () => {
       ended = true;
-      this.sockets--;
+      sockets.remove();
+      this.idle.delete(socket);
       if (deadline !== null) clearTimeout(deadline);
     });
   }
--- /dev/null
+++ b/src/controller/http/sockets.ts
@@ -0,0 +1,34 @@
+/**
+ * The sockets of a process, which the platform limits. Users, workers and calls share them by need:
+ * when they run short, connections that idle are closed, those missed least first, so that a new
+ * one is always taken. Whoever lost an idle connection opens another when it has something to say.
+ */
+export class Sockets {
+  private count = 0;
+  private readonly shedders: (() => boolean)[] = [];
+
+  constructor(private readonly limit: number) {}
+
+  get open(): number {
+    return this.count;
+  }
+
+  /** Calls that can wait for another way are better not made just now. */
+  get short(): boolean {
+    return this.count >= this.limit;
+  }
+
+  /** `shed` closes an idle connection, if there is any. Those added first are asked first. */
+  onShort(shed: () => boolean): void {
+    this.shedders.push(shed);
+  }
+
+  add(): void {
+    this.count++;
+    if (this.count > this.limit) this.shedders.some((shed) => shed());
+  }
+
+  remove(): void {
+    this.count--;
+  }
+}
--- a/src/controller/operators/client.ts
+++ b/src/controller/operators/client.ts
@@ -1,4 +1,5 @@
 import { HttpClient } from '../http/client.js';
+import { Sockets } from '../http/sockets.js';
 import { decodeBody, encodeBody, isMap } from '../wire/cbor.js';
 
 const TIMEOUT_MS = 5000;
@@ -28,7 +29,12 @@
   path: string,
   body: unknown,
 ): Promise<Outcome> {
-  const client = new HttpClient({ perHost: 1, idleMs: 10, maxBodyBytes: 1024 * 1024 });
+  const client = new HttpClient({
+    sockets: new Sockets(Infinity),
+    perHost: 1,
+    idleMs: 10,
+    maxBodyBytes: 1024 * 1024,
+  });
   const bytes = body === undefined ? null : encodeBody(body);
   return new Promise((resolve) => {
     client.request(api, method, path, bytes, TIMEOUT_MS, (m) => {
--- a/src/controller/placement/guarantee.test.ts
+++ b/src/controller/placement/guarantee.test.ts
@@ -58,6 +58,7 @@
       timer: () => ({ cancel: nothing }),
       call: nothing,
       sendPeer: nothing,
+      mayCall: () => true,
     };
     const core = new Core(env, silent);
     const records = storedAtOnce();
--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -1,10 +1,11 @@
 import net from 'node:net';
 import { randomBytes } from 'node:crypto';
-import { Controller } from './controller.js';
+import { Controller, REPORT_PATH } from './controller.js';
 import { makeLog, LOG_LEVELS } from './core/log.js';
 import { NodeEnv } from './core/node-env.js';
 import { uniform } from './core/random.js';
 import { HttpServer } from './http/server.js';
+import { Sockets } from './http/sockets.js';
 import { Unframer } from './peers/peers.js';
 import type { Settings } from './settings/settings.js';
 import { encodeBody } from './wire/cbor.js';
@@ -24,7 +25,11 @@
   const log = makeLog(LOG_LEVELS.includes(wanted) ? wanted : 'info', platform.host);
   const seed = randomBytes(8);
   const identity = `${platform.host}-${seed.toString('hex')}`;
+  const sockets = new Sockets(
+    Math.floor(platform.quota.sockets * settings.get('http.sockets.ratio')),
+  );
   const env = new NodeEnv({
+    sockets,
     random: uniform(seed.readInt32LE(0)),
     peers: platform.peers,
     peerRetryMs: settings.reportMs / 3,
@@ -43,9 +48,11 @@
     {
       ...split(platform.api),
       limits: { headBytes: 16 * 1024, bodyBytes: BODY_BYTES },
-      maxSockets: Math.floor(platform.quota.sockets * settings.get('http.sockets.ratio')),
+      sockets,
+      maxSockets: platform.quota.sockets,
       readMs: 10_000,
-      idleMs: 120_000,
+      // Workers that are well report often: of one long silent only the connection is left.
+      idleMs: (path) => (path === REPORT_PATH ? settings.reportMs * 2.5 : 60_000),
     },
     (request, respond) => {
       controller.request(request.method, request.path, request.body, (a) => {
--- a/src/controller/settings/properties.ts
+++ b/src/controller/settings/properties.ts
@@ -163,6 +163,12 @@
     max: 100,
     text: 'A machine that is not up after this ratio of its nominal boot time is returned.',
   },
+  'fleet.silent.ratio': {
+    value: 3,
+    min: 1,
+    max: 10000,
+    text: "A machine silent for this ratio of the workers' lease is returned; the cloud tells of those that failed.",
+  },
   'fleet.backoff.s': {
     value: 8,
     min: 0.5,
@@ -182,10 +188,10 @@
     text: 'Final states kept in memory by each controller; the rest are read when asked for.',
   },
   'http.sockets.ratio': {
-    value: 0.8,
+    value: 0.94,
     min: 0.1,
-    max: 0.95,
-    text: 'Sockets for users and workers, as a ratio to the platform limit.',
+    max: 0.98,
+    text: 'Sockets for users, workers and calls, as a ratio to the platform limit; beyond it idle connections are closed.',
   },
   'state.followers.requests.ratio': {
     value: 0.5,
--- a/src/controller/store/records.test.ts
+++ b/src/controller/store/records.test.ts
@@ -45,6 +45,7 @@
       },
       call: nothing,
       sendPeer: nothing,
+      mayCall: () => true,
     };
     this.core = new Core(env, silent);
     this.core.onBatchEnd(() => this.records.flush());
--- a/src/controller/workers/machine.ts
+++ b/src/controller/workers/machine.ts
@@ -39,6 +39,8 @@
    * nothing, and `clear` has to come with a higher token.
    */
   readonly direct = new Map<string, number>();
+  /** Direct commands that have not been answered. */
+  directOpen = 0;
   cpus = 0;
   gpus = 0;
   memoryGb = 0;
--- a/src/controller/workers/workers.test.ts
+++ b/src/controller/workers/workers.test.ts
@@ -46,6 +46,7 @@
       soon: (fn) => this.soon.push(fn),
       timer: () => ({ cancel: () => undefined }),
       call: (call, done) => this.calls.push({ call, done }),
+      mayCall: () => true,
       sendPeer: () => undefined,
     };
     this.core = new Core(env, silent);
--- a/src/controller/workers/workers.ts
+++ b/src/controller/workers/workers.ts
@@ -31,6 +31,9 @@
 /** Workers report at least this often, in times of the report interval (PROTOCOL), with a little over. */
 const LATEST = 1.35;
 
+/** Direct commands to one machine that wait for its answer: a machine that is cut off takes no more sockets. */
+const DIRECT_OPEN = 2;
+
 /** Machines remembered after they are gone. */
 const LEFT = 10_000;
 
@@ -666,7 +669,8 @@
    * be carried out at most until the token is raised or the session ends.
    */
   private sendDirect(m: Machine): void {
-    if (m.addr === '') return;
+    // The answers to reports say the same a little later.
+    if (m.addr === '' || m.directOpen >= DIRECT_OPEN || !this.core.env.mayCall(m.addr)) return;
     const orders: Order[] = [];
     const starts: Assignment[] = [];
     const startable = m.synced && m.noticeAt === null && m.epoch < EPOCHS - 2 && this.alive(m);
@@ -688,6 +692,7 @@
       m.direct.set(attemptName(a.name, a.attempt), this.token(m));
     }
     const { session } = m;
+    m.directOpen++;
     this.core.env.call(
       {
         to: m.addr,
@@ -696,7 +701,12 @@
         body: writeDirect(this.token(m), session, orders),
         timeoutMs: this.settings.reportMs,
       },
-      (reply) => this.core.post('direct', () => this.directDone(m, session, starts, reply)),
+      (reply) => {
+        this.core.post('direct', () => {
+          m.directOpen--;
+          this.directDone(m, session, starts, reply);
+        });
+      },
     );
   }
 
--- a/test/world/sim.ts
+++ b/test/world/sim.ts
@@ -258,6 +258,11 @@
     this.net.call(this.host, call, () => this.alive, done);
   }
 
+  /** Now and then sockets are short. */
+  mayCall(): boolean {
+    return this.sim.random() < 0.95;
+  }
+
   sendPeer(host: string, frame: Buffer): void {
     if (!this.alive) return;
     this.net.send(
