--- a/src/controller/workers/workers.ts
+++ b/src/controller/workers/workers.ts
@@ -28,6 +28,12 @@
 /** Starts that may be lost with their answers before a machine is taken to hear nothing. */
 const DROPPED = 2;
 
+/** Workers report at least this often, in times of the report interval (PROTOCOL), with a little over. */
+const LATEST = 1.35;
+
+/** Direct commands to one machine that wait for its answer: a machine that is cut off takes no more sockets. */
+const DIRECT_OPEN = 2;
+
 /** Machines remembered after they are gone. */
 const LEFT = 10_000;
 
@@ -611,6 +617,22 @@
     return this.core.now() - Math.max(m.lastReportAt, m.firstSeen, this.answeringFrom);
   }
 
+  /**
+   * Share of the machines whose reports are overdue by `ms`, though they would have been answered;
+   * of those that may still report. `before`: only of those that have reported in this term.
+   */
+  overdue(ms: number, before: boolean): number {
+    let all = 0;
+    let late = 0;
+    for (const m of this.machines.values()) {
+      if (m.session < m.minSession || m.listed === 'failed') continue;
+      if (before && m.lastReportAt === -Infinity) continue;
+      all++;
+      if (this.silentMs(m) > this.settings.reportMs * LATEST + ms) late++;
+    }
+    return all === 0 ? 0 : late / all;
+  }
+
   /** How long the machine has been answered without showing that it hears. */
   deafMs(m: Machine): number {
     return m.synced ? 0 : this.core.now() - Math.max(m.unsyncedFrom, this.answeringFrom);
@@ -647,7 +669,8 @@
    * be carried out at most until the token is raised or the session ends.
    */
   private sendDirect(m: Machine): void {
-    if (m.addr === '') return;
+    // The answers to reports say the same a little later.
+    if (m.addr === '' || m.directOpen >= DIRECT_OPEN || !this.core.env.mayCall(m.addr)) return;
     const orders: Order[] = [];
     const starts: Assignment[] = [];
     const startable = m.synced && m.noticeAt === null && m.epoch < EPOCHS - 2 && this.alive(m);
@@ -669,6 +692,7 @@
       m.direct.set(attemptName(a.name, a.attempt), this.token(m));
     }
     const { session } = m;
+    m.directOpen++;
     this.core.env.call(
       {
         to: m.addr,
@@ -677,7 +701,12 @@
         body: writeDirect(this.token(m), session, orders),
         timeoutMs: this.settings.reportMs,
       },
-      (reply) => this.core.post('direct', () => this.directDone(m, session, starts, reply)),
+      (reply) => {
+        this.core.post('direct', () => {
+          m.directOpen--;
+          this.directDone(m, session, starts, reply);
+        });
+      },
     );
   }
 
