--- a/test/world/sim.ts
+++ b/test/world/sim.ts
@@ -218,6 +218,8 @@
 /** A controller process's world; everything stops when the process is killed. */
 export class ProcessEnv implements Env {
   alive = true;
+  /** Stands still until then, while its clocks run on; what comes meanwhile is taken afterwards. */
+  private frozenUntil = 0;
   private readonly drift: number;
   private readonly offset: number;
 
@@ -248,14 +250,23 @@
   }
 
   timer(ms: number, fn: () => void): Timer {
-    return this.sim.after(ms / this.drift, () => {
-      if (this.alive) fn();
-    });
+    return this.sim.after(ms / this.drift, () => this.whenAwake(fn));
+  }
+
+  freeze(ms: number): void {
+    this.frozenUntil = Math.max(this.frozenUntil, this.sim.now + ms);
+  }
+
+  whenAwake(fn: () => void): void {
+    if (!this.alive) return;
+    if (this.sim.now >= this.frozenUntil) fn();
+    else this.sim.after(this.frozenUntil - this.sim.now, () => this.whenAwake(fn));
   }
 
   call(call: Call, done: (reply: Reply) => void): void {
     if (!this.alive) return;
-    this.net.call(this.host, call, () => this.alive, done);
+    const later = (r: Reply): void => this.whenAwake(() => done(r));
+    this.net.call(this.host, call, () => this.alive, later);
   }
 
   /** Now and then sockets are short. */
--- a/test/world/state-service.ts
+++ b/test/world/state-service.ts
@@ -35,6 +35,7 @@
   private ledger = 0;
   private permits = 0;
   private down = false;
+  private slowUntil = 0;
   private readonly refused = new Set<string>();
   private readonly requestTokens: Tokens;
   private readonly putTokens: Tokens;
@@ -65,6 +66,11 @@
     });
   }
 
+  /** Answers come late for a time, now and then by seconds. */
+  slow(ms: number): void {
+    this.slowUntil = Math.max(this.slowUntil, this.sim.now + ms);
+  }
+
   /** One node alone gets 503, and its leases run out. */
   refuse(host: string, ms: number): void {
     this.refused.add(host);
@@ -119,7 +125,10 @@
     });
   }
 
-  private serve(from: string, call: Arrival, respond: Respond): void {
+  private serve(from: string, call: Arrival, answer: Respond): void {
+    const slow = this.sim.now < this.slowUntil && this.sim.random() < 0.3;
+    const lateMs = slow ? this.sim.between(50, 2000) : 0;
+    const respond: Respond = slow ? (r) => this.sim.after(lateMs, () => answer(r)) : answer;
     if (this.down || this.refused.has(from)) return respond({ status: 503, body: null });
     const multi = call.path === '/multi' ? (call.body() as Multi) : null;
     const puts = multi?.writes?.length ?? 0;
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -128,10 +128,12 @@
     };
     const controller = new Controller(env, log, settings, `${host}-${this.starts++}`);
     this.processes.set(host, { controller, env });
-    this.peers.set(host, (bytes) => controller.peerFrame(bytes));
+    this.peers.set(host, (bytes) => env.whenAwake(() => controller.peerFrame(bytes)));
     this.net.listen(this.shared.apiOf(host), host, (_, request, respond) => {
-      controller.request(request.method, request.path, request.bytes, (a) => {
-        if (env.alive) respond({ status: a.status, body: a.body ?? null });
+      env.whenAwake(() => {
+        controller.request(request.method, request.path, request.bytes, (a) => {
+          if (env.alive) respond({ status: a.status, body: a.body ?? null });
+        });
       });
     });
     controller.start();
@@ -170,7 +172,7 @@
     const worker: Worker | undefined = workers.length > 0 ? sim.pick(workers) : undefined;
     const long = sim.between(1000, 45_000);
     const restart = sim.random() < 0.3 ? sim.between(100, 600) : 6000;
-    switch (Math.floor(sim.between(0, 15))) {
+    switch (Math.floor(sim.between(0, 20))) {
       case 0:
         return this.kill(host, restart);
       case 1:
@@ -202,6 +204,16 @@
         return this.isolate(host, long);
       case 13:
         return this.killElected();
+      case 14:
+        return this.freeze(host, long);
+      case 15:
+        return this.state.slow(long);
+      case 16:
+        return this.refusePeers(long);
+      case 17:
+        return this.cutMachines(0.3, long);
+      case 18:
+        return this.roll(sim.between(2000, 15_000));
       default:
         if (worker?.spot === true) {
           worker.warn(10_000);
@@ -222,11 +234,57 @@
   }
 
   /** A controller loses the state service and its peers, but not its workers. */
-  private isolate(host: string, ms: number): void {
+  isolate(host: string, ms: number): void {
     this.cutFor(host, 'state', ms);
     for (const h of this.scenario.hosts) if (h !== host) this.cutFor(host, h, ms);
   }
 
+  /** A controller stands still. */
+  freeze(host: string, ms: number): void {
+    this.processes.get(host)?.env.freeze(ms);
+  }
+
+  /** The controllers are restarted one after the other. */
+  roll(everyMs: number): void {
+    for (const [i, h] of this.scenario.hosts.entries())
+      this.sim.after(i * everyMs, () => this.kill(h, 6000));
+  }
+
+  /** Connections between controllers are refused. */
+  refusePeers(ms: number): void {
+    const { hosts } = this.scenario;
+    for (const a of hosts) for (const b of hosts) if (a < b) this.net.cut(a, b, 'reset');
+    this.sim.after(ms, () => {
+      for (const a of hosts) for (const b of hosts) if (a < b) this.net.heal(a, b);
+    });
+  }
+
+  private some(share: number): Worker[] {
+    const up = this.cloud.up.filter((w) => !w.gone);
+    return up.filter(() => this.sim.random() < share);
+  }
+
+  /** A share of the machines loses the network, and what was held back is delivered afterwards. */
+  cutMachines(share: number, ms: number): void {
+    for (const w of this.some(share)) {
+      for (const h of this.scenario.hosts) this.net.cut(h, w.id, 'hold');
+      this.sim.after(ms, () => {
+        for (const h of this.scenario.hosts) this.net.heal(h, w.id);
+      });
+    }
+  }
+
+  /** Many machines stop at once. */
+  killMachines(share: number): void {
+    for (const w of this.some(share)) w.die();
+  }
+
+  /** Spot machines are taken in a wave, without notice. */
+  takeSpot(share: number, overMs: number): void {
+    for (const w of this.some(share))
+      if (w.spot) this.sim.after(this.sim.between(0, overMs), () => this.cloud.take(w.id));
+  }
+
   /** The host that leads, as it believes itself. */
   get leader(): string | null {
     for (const [host, { controller }] of this.processes) if (controller.leads) return host;
@@ -244,7 +302,7 @@
   }
 
   /** The leader ends, and so do those who follow, each in the midst of its election; all are soon back. */
-  private killElected(): void {
+  killElected(): void {
     const { sim } = this;
     let times = 4;
     const again = (): void => {
