--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -526,6 +526,17 @@
       this.records.set(holdKey(job.spec.id), machines, false);
     const since = hold?.since ?? pass.now;
     job.hold = { machines, since, fillAt, readyAt: found.readyAt, soughtAt: pass.now };
+    const { guaranteed } = job;
+    this.core.log.debug(
+      {
+        job: job.spec.id,
+        guaranteed,
+        machines,
+        fillMs: fillAt - pass.now,
+        stops: found.victims.length,
+      },
+      'hold',
+    );
     return found;
   }
 
--- a/src/controller/placement/targets.ts
+++ b/src/controller/placement/targets.ts
@@ -124,6 +124,10 @@
     return found;
   }
 
+  private get keptMs(): number {
+    return this.settings.reportMs * this.settings.get('placement.hold.kept.ratio');
+  }
+
   private cost(
     s: Search,
     room: Room | undefined,
@@ -137,7 +141,7 @@
     if (s.made && fill.victims.length === 0 && !fill.stopping) return Infinity;
     const { machine } = room;
     // Holds last: a machine already held is left only for one clearly better.
-    const kept = held.has(machine.id) ? this.settings.reportMs : 0;
+    const kept = held.has(machine.id) ? this.keptMs : 0;
     const fetch = this.estimates.fetchMs(s.job.spec, machine, s.now);
     return fill.fillAt + fetch - kept + LOST_WEIGHT * fill.lostMs + s.prefer(room);
   }
--- a/src/controller/settings/properties.ts
+++ b/src/controller/settings/properties.ts
@@ -109,6 +109,12 @@
     max: 10,
     text: 'A hold looks for better machines this often, as a ratio to the report interval.',
   },
+  'placement.hold.kept.ratio': {
+    value: 3,
+    min: 0,
+    max: 100,
+    text: 'A hold leaves a machine only for one that is sooner by this ratio of the report interval.',
+  },
   'placement.backfill.ratio': {
     value: 0.9,
     min: 0,
