--- a/src/controller/placement/estimates.ts
+++ b/src/controller/placement/estimates.ts
@@ -4,11 +4,20 @@
 import type { Assignment } from '../workers/assignment.js';
 import type { Machine } from '../workers/machine.js';
 
-/** Weight of the newest run in a class's correction. */
+/** Weight of the newest run in what is known of a class. */
 const LEARN = 0.15;
 const BOUND = 4;
 /** Classes remembered; users name them, so they could be many. */
 const CLASSES = 40;
+/** How far owners are off, as the standard deviation of a logarithm, before anything is known: by half. */
+const USUAL_ERROR = 0.5;
+const LEAST_ERROR = 0.1;
+
+/** How a class's runs compare with its owners' estimates, in logarithms. */
+interface Seen {
+  mean: number;
+  variance: number;
+}
 
 /** The task may still be waiting for its image. */
 function fetches(a: Assignment): a is Assignment & { job: Job } {
@@ -17,36 +26,48 @@
 
 /**
  * How long things take. Owners err by half, and on some days all one way, so their estimates are
- * corrected by what each class was seen to take.
+ * corrected by what each class was seen to take, and trusted as far as it was seen to agree.
  */
 export class Estimates {
-  private readonly logRatio = new Map<string, number>();
+  private readonly seen = new Map<string, Seen>();
 
   observe(spec: JobSpec, tookMs: number): void {
     if (spec.estimateS <= 0 || tookMs <= 0) return;
-    const seen = Math.log(Math.min(BOUND, Math.max(1 / BOUND, tookMs / (spec.estimateS * 1000))));
-    const old = this.logRatio.get(spec.class) ?? 0;
-    this.logRatio.delete(spec.class);
-    this.logRatio.set(spec.class, old + LEARN * (seen - old));
-    if (this.logRatio.size > CLASSES) {
-      const oldest = this.logRatio.keys().next();
-      if (oldest.done !== true) this.logRatio.delete(oldest.value);
+    const now = Math.log(Math.min(BOUND, Math.max(1 / BOUND, tookMs / (spec.estimateS * 1000))));
+    const { mean, variance } = this.of(spec.class);
+    const off = now - mean;
+    this.seen.delete(spec.class);
+    this.seen.set(spec.class, {
+      mean: mean + LEARN * off,
+      variance: (1 - LEARN) * (variance + LEARN * off * off),
+    });
+    if (this.seen.size > CLASSES) {
+      const oldest = this.seen.keys().next();
+      if (oldest.done !== true) this.seen.delete(oldest.value);
     }
   }
 
+  private of(cls: string): Seen {
+    return this.seen.get(cls) ?? { mean: 0, variance: USUAL_ERROR ** 2 };
+  }
+
   /** What has been learned, for the leader after this one. */
-  export(): Record<string, number> {
-    return Object.fromEntries([...this.logRatio].filter(([cls]) => cls.length <= 64));
+  export(): Record<string, [number, number]> {
+    const short = [...this.seen].filter(([cls]) => cls.length <= 64);
+    return Object.fromEntries(short.map(([cls, s]) => [cls, [s.mean, s.variance]]));
   }
 
   import(learned: unknown): void {
     if (!isMap(learned)) return;
-    for (const [cls, ratio] of Object.entries(learned))
-      if (typeof ratio === 'number') this.logRatio.set(cls, ratio);
+    for (const [cls, s] of Object.entries(learned)) {
+      const [mean, variance] = Array.isArray(s) ? (s as unknown[]) : [];
+      if (typeof mean === 'number' && typeof variance === 'number')
+        this.seen.set(cls, { mean, variance });
+    }
   }
 
   ratio(cls: string): number {
-    return Math.exp(this.logRatio.get(cls) ?? 0);
+    return Math.exp(this.of(cls).mean);
   }
 
   runMs(spec: JobSpec): number {
@@ -92,9 +113,21 @@
     const { spec } = a.job;
     if (a.runningAt === null && a.state !== 'running')
       return this.fetchMs(spec, a.machine, now) + this.runMs(spec);
-    const elapsed = now - (a.runningAt ?? a.since);
-    const left = this.runMs(spec) - elapsed;
-    // Overdue work tends to go on for a share of what it has taken so far.
-    return left > 0 ? left : Math.max(1000, 0.25 * elapsed);
+    return this.leftMs(spec, now - (a.runningAt ?? a.since));
+  }
+
+  /**
+   * What a run that has taken so long should take yet: the median of the rest where runs spread about
+   * the estimate as a log-logistic distribution does. So a class whose owners err much is not taken to
+   * be nearly done because its estimate says so, nor because it is over.
+   */
+  private leftMs(spec: JobSpec, elapsedMs: number): number {
+    const runMs = this.runMs(spec);
+    if (!Number.isFinite(runMs)) return runMs;
+    if (runMs <= 0) return Math.max(1000, elapsedMs / 4);
+    const error = Math.max(LEAST_ERROR, Math.sqrt(this.of(spec.class).variance));
+    const shape = Math.PI / (Math.sqrt(3) * error);
+    const longest = (1 + 2 * (elapsedMs / runMs) ** shape) ** (1 / shape);
+    return Number.isFinite(longest) ? runMs * longest - elapsedMs : elapsedMs / 4;
   }
 }
--- a/src/controller/placement/placement.test.ts
+++ b/src/controller/placement/placement.test.ts
@@ -154,6 +154,37 @@
   });
 });
 
+describe('what is left of a run', () => {
+  const m = new Machine('n-1', 0);
+  m.type = type;
+  const run = (e: Estimates, s: JobSpec, elapsed: number): number => {
+    const a = { job: new Job(s, 0, 1, 0), machine: m, stop: null, state: 'running', since: 0 };
+    return e.remainingMs({ ...a, runningAt: 0, phase: 'seen' } as unknown as Assignment, elapsed);
+  };
+
+  // Fleet day busy: gangs of owners who err much seemed nearly done for minutes, and holds waited
+  // for them instead of making room.
+  it('is more for a class whose owners err more, and never nothing', () => {
+    const sure = new Estimates();
+    const unsure = new Estimates();
+    const s = spec({ estimateS: 100 });
+    for (let i = 0; i < 60; i++) {
+      sure.observe(s, 100_000 * (i % 2 === 0 ? 1.05 : 0.95));
+      unsure.observe(s, 100_000 * (i % 2 === 0 ? 2 : 0.5));
+    }
+    for (const elapsed of [50_000, 90_000, 100_000, 150_000, 1e9]) {
+      assert.ok(run(sure, s, elapsed) > 0);
+      assert.ok(run(unsure, s, elapsed) > run(sure, s, elapsed));
+    }
+    assert.ok(Math.abs(run(sure, s, 0) - 100_000) < 5000);
+    assert.ok(run(sure, s, 90_000) < 20_000);
+    assert.ok(run(unsure, s, 100_000) > 40_000);
+    const heir = new Estimates();
+    heir.import(unsure.export());
+    assert.equal(run(heir, s, 50_000), run(unsure, s, 50_000));
+  });
+});
+
 describe('teams', () => {
   const team = { name: 'red', cpus: 0, gpus: 4, cpusMax: 0, gpusMax: 6 };
   it('counts every task that is not surely gone against the limit', () => {
