Rooms are filled by waiting for what may not be stopped and stopping the rest in time

Cause: with hundreds of machines most run some guaranteed task; holds therefore waited for whole machines of other gangs, whose ends are the least known. Tests: the pass decides as a plain one; arrays and images; waiting and stopping.

--- a/src/controller/placement/guarantee.test.ts
+++ b/src/controller/placement/guarantee.test.ts
@@ -38,6 +38,12 @@
 const nothing = (): void => undefined;
 const silent: Logger = { info: nothing, debug: nothing, warn: nothing, error: nothing };
 
+class Forgetful extends Array<unknown> {
+  override push(): number {
+    return 0;
+  }
+}
+
 /** Two machines, placement and workers, with records stored at once and obedient workers. */
 class Cluster {
   now = 0;
@@ -49,7 +55,7 @@
   private readonly machines = ['n-1', 'n-2'];
   private readonly there = new Map<string, TaskReport[]>(this.machines.map((m) => [m, []]));
 
-  constructor() {
+  constructor(private readonly plain = false) {
     const env: Env = {
       now: () => this.now,
       wall: () => this.now,
@@ -128,10 +134,37 @@
         else tasks.splice(at, 1);
       }
     }
-    this.placement.pass();
+    if (this.plain) this.plainPass();
+    else this.placement.pass();
     this.workers.flush();
   }
 
+  /** A pass that remembers nothing of what it has tried: every room is looked at for every job. */
+  private plainPass(): void {
+    this.placement.begin();
+    const { current } = this.placement as unknown as { current: Record<string, unknown> };
+    Object.assign(current, { failed: new Forgetful(), fruitless: new Forgetful() });
+    this.placement.advance(Infinity);
+  }
+
+  /** What every machine has, in words. */
+  get state(): string[] {
+    return [...this.there].map(([m, tasks]) =>
+      [m, ...tasks.map((t) => `${t.name}@${t.attempt} ${t.state}`).sort()].join(' '),
+    );
+  }
+
+  /** One task of the job completes; false if none runs. */
+  complete(id: string): boolean {
+    for (const tasks of this.there.values()) {
+      const t = tasks.find((x) => x.name.startsWith(`${id}/`) && x.state === 'running');
+      if (t === undefined) continue;
+      tasks.splice(tasks.indexOf(t), 1, { ...t, state: 'exited', cause: 'done' });
+      return true;
+    }
+    return false;
+  }
+
   running(id: string): number {
     return [...this.there.values()]
       .flat()
@@ -171,3 +204,79 @@
     );
   });
 });
+
+describe('images', () => {
+  // Fleet days: every array task took the next free place anywhere, and a third of all GPUs waited
+  // for images that the next machine had.
+  it('an array with time leaves a place without its image to one that has it there', () => {
+    const c = new Cluster();
+    for (let i = 0; i < 3; i++) c.step();
+    const array = { deadlineS: 50_000, estimateS: 500 };
+    c.add({ ...array, id: 'req-x', image: 'x', tasks: 4 });
+    c.add({ ...array, id: 'req-y', image: 'y', tasks: 4 });
+    for (let i = 0; i < 3; i++) c.step();
+    c.add({ ...array, id: 'req-first', image: 'y' });
+    c.step();
+    c.add({ ...array, id: 'req-second', image: 'x' });
+    assert.ok(c.complete('req-x'));
+    for (let i = 0; i < 4; i++) c.step();
+    assert.deepEqual([c.running('req-first'), c.running('req-second')], [0, 1]);
+    // Nobody else wants the next one: nothing stands idle for the image.
+    assert.ok(c.complete('req-x'));
+    for (let i = 0; i < 4; i++) c.step();
+    assert.equal(c.running('req-first'), 1);
+  });
+
+  it('an array whose time is short has its turn by rank alone', () => {
+    const c = new Cluster();
+    for (let i = 0; i < 3; i++) c.step();
+    const array = { deadlineS: 50_000, estimateS: 500 };
+    c.add({ ...array, id: 'req-x', image: 'x', tasks: 4 });
+    c.add({ ...array, id: 'req-y', image: 'y', tasks: 4 });
+    for (let i = 0; i < 3; i++) c.step();
+    c.add({ ...array, id: 'req-first', image: 'y', deadlineS: 700 });
+    c.step();
+    c.add({ ...array, id: 'req-second', image: 'x' });
+    for (let i = 0; i < 30; i++) c.step();
+    assert.ok(c.complete('req-x'));
+    for (let i = 0; i < 4; i++) c.step();
+    assert.deepEqual([c.running('req-first'), c.running('req-second')], [1, 0]);
+  });
+});
+
+describe('the pass', () => {
+  it('decides as one does that remembers nothing of what it has tried', () => {
+    const anyJob = fc.record({
+      kind: fc.constantFrom<'array' | 'gang'>('array', 'gang'),
+      team: fc.constantFrom('owner', 'guest'),
+      tasks: fc.integer({ min: 1, max: 6 }),
+      gpus: fc.constantFrom(0, 1, 2, 4),
+      cpus: fc.constantFrom(1, 2, 5),
+      priority: fc.constantFrom<'low' | 'normal' | 'high'>('low', 'normal', 'high'),
+      image: fc.constantFrom('x', 'y', 'z'),
+      deadlineS: fc.constantFrom(null, 600, 5000),
+    });
+    const life = fc.array(
+      fc.record({ jobs: fc.array(anyJob, { maxLength: 4 }), ends: fc.nat(20) }),
+      {
+        minLength: 4,
+        maxLength: 12,
+      },
+    );
+    fc.assert(
+      fc.property(life, (steps) => {
+        const both = [new Cluster(), new Cluster(true)];
+        for (const { jobs, ends } of steps) {
+          for (const c of both) {
+            for (const j of jobs) c.add(j);
+            for (let i = 0; i < 2; i++) c.step();
+            c.complete(`req-${ends}`);
+            c.step();
+          }
+          assert.deepEqual(both[0]?.state, both[1]?.state);
+        }
+      }),
+      { seed: 8, numRuns: 80 },
+    );
+  });
+});
--- a/src/controller/placement/placement.test.ts
+++ b/src/controller/placement/placement.test.ts
@@ -9,7 +9,11 @@
 import { Estimates } from './estimates.js';
 import { compareRank, compareTurn, rankTime, turnOf, type RankSettings } from './rank.js';
 import { needOf, Room } from './room.js';
+import { Targets } from './targets.js';
 import { Guarantees, Teams } from './teams.js';
+import { alone } from '../../../test/platform.js';
+import { defaultProperties } from '../settings/properties.js';
+import { Settings } from '../settings/settings.js';
 
 const type: MachineType = {
   ...{ name: 'big', cpus: 16, gpus: 4, memoryGb: 64, cacheGb: 10 },
@@ -185,6 +189,41 @@
   });
 });
 
+describe('filling a room', () => {
+  // Fleet day restart: most machines ran one task within its team's guarantee beside borrowed ones;
+  // holds took them for machines that had to be waited for whole.
+  it('waits for what may not be stopped, and stops what would go on longer', () => {
+    const settings = new Settings(alone(), defaultProperties());
+    const estimates = new Estimates();
+    const teams = new Teams([]);
+    const m = new Machine('n-1', 0);
+    m.type = type;
+    const assign = (team: string, guaranteed: boolean, estimateS: number): Assignment => {
+      const owner = job({ kind: 'array', team, estimateS }, 0);
+      owner.guaranteed = guaranteed;
+      const a = {
+        ...{ name: owner.spec.id, job: owner, team, task: 0, attempt: 1, machine: m, session: 1 },
+        ...{ need: needOf(owner.spec), saveS: 0, since: 0, phase: 'seen', state: 'running' },
+        ...{ runningAt: 0, stop: null },
+      } as unknown as Assignment;
+      m.assignments.set(a.name, a);
+      m.take(a);
+      return a;
+    };
+    const kept = assign('other', true, 80);
+    const borrowed = [assign('red', false, 900), assign('red', false, 900)];
+    const brief = assign('red', false, 70);
+    const now = 60_000;
+    const gang = job({ priority: 'high', gpus: 4, cpus: 4, tasks: 1 }, now);
+    const [target] = new Targets(settings, estimates, teams).find({
+      ...{ now, job: gang, rooms: [new Room(m, 10_000)], count: 1, made: false, prefer: () => 0 },
+    });
+    assert.deepEqual(new Set(target?.victims), new Set(borrowed));
+    assert.ok(!target?.victims.includes(brief) && !target?.victims.includes(kept));
+    assert.equal(target?.fillAt, now + estimates.remainingMs(kept, now));
+  });
+});
+
 describe('teams', () => {
   const team = { name: 'red', cpus: 0, gpus: 4, cpusMax: 0, gpusMax: 6 };
   it('counts every task that is not surely gone against the limit', () => {
--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -74,6 +74,9 @@
 /** Share of its estimate by which a run is allowed to take longer when its latest start is set. */
 const RUN_MARGIN = 1.3;
 
+/** Work is stopped for a gang this long before its hold should be full, in report intervals. */
+const STOP_AHEAD = 3;
+
 /** Tasks of one array that room is made for in one pass. */
 const ROOM_A_PASS = 8;
 
@@ -548,8 +551,10 @@
     const machines = new Set(rooms).size;
     const there = `${rooms.length} of ${job.spec.tasks} places on ${machines} machines`;
     this.block(job, waited ? `cannot fill yet: holds ${there}` : '');
-    // Stopping work pays only if the whole gang can start then.
-    if (rooms.length === job.spec.tasks) this.stopAll(victims, job);
+    // Stopping work pays only if the whole gang can start then, and soon: what else its rooms wait
+    // for takes its time, and until then the work may go on.
+    const soon = fillAt - pass.now <= this.settings.reportMs * STOP_AHEAD;
+    if (rooms.length === job.spec.tasks && soon) this.stopAll(victims, job);
   }
 
   private block(job: Job, why: string): void {
--- a/src/controller/placement/targets.ts
+++ b/src/controller/placement/targets.ts
@@ -19,6 +19,9 @@
   room: Room;
 }
 
+/** Tasks that may not be stopped and are waited for in a room, while others are stopped. */
+const WAITS = 4;
+
 const NOBODY: readonly Assignment[] = [];
 
 function plain(fillAt: number, stopping = false): Fill {
@@ -201,39 +204,74 @@
     const mightStop = this.mightStop(s, look);
     if (!look.stopping && used.size === 0 && !mightStop) return plain(natural);
     free.start(room, need, taken);
-    let fillAt = now + reportMs;
+    let coming = now + reportMs;
     for (const { a, at } of look.ends) {
-      if (a.stop !== null) fillAt = Math.max(fillAt, at);
-      else if (used.has(a)) fillAt = Math.max(fillAt, now + reportMs + a.saveS * 1000);
+      if (a.stop !== null) coming = Math.max(coming, at);
+      else if (used.has(a)) coming = Math.max(coming, now + reportMs + a.saveS * 1000);
       else continue;
       free.add(a.need);
     }
-    if (free.enough(need)) return plain(fillAt, true);
+    if (free.enough(need)) return plain(coming, true);
     if (!mightStop) return plain(natural);
-    const choice: Assignment[] = [];
-    for (const { a } of look.ends)
-      if (a.stop === null && !used.has(a) && this.mayStop(s, a)) choice.push(a);
+    const choice: Outlook['ends'] = [];
+    const others: Outlook['ends'] = [];
+    for (const end of look.ends) {
+      if (end.a.stop !== null || used.has(end.a)) continue;
+      (this.mayStop(s, end.a) ? choice : others).push(end);
+    }
+    if (choice.length === 0) return plain(natural);
     // m03 §7: borrowed room first, the newest first.
     choice.sort(
-      (x, y) => Number(this.teams.borrows(y)) - Number(this.teams.borrows(x)) || y.since - x.since,
+      ({ a: x }, { a: y }) =>
+        Number(this.teams.borrows(y)) - Number(this.teams.borrows(x)) || y.since - x.since,
     );
+    // What may not be stopped is waited for, and the rest stopped: as few waits as will do.
+    for (let waits = 0; waits <= others.length && waits <= WAITS; waits++) {
+      const last = others[waits - 1];
+      if (last !== undefined) {
+        coming = Math.max(coming, last.at);
+        free.add(last.a.need);
+      }
+      if (coming >= natural || (s.made && waits > 0)) break;
+      const made = this.stopping(need, choice, coming, now);
+      if (made === null) continue;
+      // Waiting may cost less than stopping.
+      return natural < made.fillAt + LOST_WEIGHT * made.lostMs ? plain(natural) : made;
+    }
+    return plain(natural);
+  }
+
+  /** What is to be stopped, of what has not ended by itself by then, for room that lacks only that. */
+  private stopping(need: Need, choice: Outlook['ends'], coming: number, now: number): Fill | null {
+    const { free } = this;
+    const added: Need[] = [];
+    const add = (a: Assignment): void => {
+      free.add(a.need);
+      added.push(a.need);
+    };
+    for (const { a, at } of choice) if (at <= coming) add(a);
+    let fillAt = coming;
     const victims: Assignment[] = [];
-    for (const a of choice) {
+    for (const { a, at } of choice) {
       if (free.enough(need)) break;
+      if (at <= coming) continue;
       victims.push(a);
-      free.add(a.need);
-      fillAt = Math.max(fillAt, now + reportMs + a.saveS * 1000);
+      add(a);
+      fillAt = Math.max(fillAt, now + this.settings.reportMs + a.saveS * 1000);
     }
-    if (!free.enough(need)) return plain(natural);
+    const enough = free.enough(need);
     // Victims that the rest made needless are spared.
-    for (const a of [...victims]) {
-      free.take(a.need);
-      if (free.enough(need)) victims.splice(victims.indexOf(a), 1);
-      else free.add(a.need);
-    }
+    if (enough)
+      for (const a of [...victims]) {
+        free.take(a.need);
+        if (free.enough(need)) {
+          victims.splice(victims.indexOf(a), 1);
+          added.splice(added.indexOf(a.need), 1);
+        } else free.add(a.need);
+      }
+    for (const n of added) free.take(n);
+    if (!enough) return null;
     const lostMs = victims.reduce((sum, a) => sum + this.lostMs(a, now), 0);
-    // Waiting may cost less than stopping.
-    if (natural < fillAt + LOST_WEIGHT * lostMs) return plain(natural);
     return { fillAt, victims, lostMs, stopping: false };
   }
 
