--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -69,6 +69,8 @@
   lacking: Lack[];
   failed: Failed[];
   fruitless: Fruitless[];
+  /** Of the jobs that have tasks on machines: nobody can be stopped for a level that is no higher. */
+  lowest: number;
 }
 
 /** Share of its estimate by which a run is allowed to take longer when its latest start is set. */
@@ -156,12 +158,18 @@
     for (const r of rooms.all) r.closed = !this.usable(r.machine, now);
     this.drain(now);
     const turns: Turn[] = [];
-    for (const job of this.table.jobs.values())
+    let lowest = Infinity;
+    for (const job of this.table.jobs.values()) {
+      if (job.all.size > 0 && job.level < lowest) lowest = job.level;
       if (this.waits(job, now)) turns.push(turnOf(job, this.rank, now));
+    }
     turns.sort(compareTurn);
     const lackingClasses = new Set(this.lacking.map((l) => l.job.spec.class));
     this.reserve.plan(rooms, lackingClasses, now);
-    this.current = { now, rooms, turns, next: 0, lacking: [], failed: [], fruitless: [] };
+    this.current = {
+      ...{ now, rooms, turns, next: 0, lowest },
+      ...{ lacking: [], failed: [], fruitless: [] },
+    };
   }
 
   /** Goes on with the pass until `deadline`; true once it is over. */
@@ -331,7 +339,7 @@
     else {
       pass.lacking.push({ job, tasks: left });
       const every = this.settings.reportMs * this.settings.get('placement.hold.refresh.ratio');
-      if ((job.guaranteed || job.level > 0) && pass.now - job.soughtAt >= every) {
+      if ((job.guaranteed || job.level > pass.lowest) && pass.now - job.soughtAt >= every) {
         job.soughtAt = pass.now;
         this.makeRoom(pass, job, left);
       }
--- a/src/controller/settings/properties.ts
+++ b/src/controller/settings/properties.ts
@@ -110,7 +110,7 @@
     text: 'A hold looks for better machines this often, as a ratio to the report interval.',
   },
   'placement.hold.kept.ratio': {
-    value: 3,
+    value: 1.5,
     min: 0,
     max: 100,
     text: 'A hold leaves a machine only for one that is sooner by this ratio of the report interval.',
@@ -194,7 +194,7 @@
     text: 'Final states kept in memory by each controller; the rest are read when asked for.',
   },
   'http.sockets.ratio': {
-    value: 0.94,
+    value: 0.9,
     min: 0.1,
     max: 0.98,
     text: 'Sockets for users, workers and calls, as a ratio to the platform limit; beyond it idle connections are closed.',
