Workers are answered only on a view of cancellations that is young enough

A leader's lease may be renewed while its view of live jobs is old (watch refused, held up or slow): it went on renewing workers that ran cancelled tasks. Now whoever answers a worker vouches by an answered read of the state service that no cancellation older than a bound is unknown; bound + lease + answer < cancel_s, from settings, or the start is refused. After a gap (lease renewed late, standstill) a read sent after it must have come back before the leader answers, orders, places or rents. Jobs known to have ended are not taken up again from an older read; older attempts of a vanished job are stopped too.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -1,6 +1,7 @@
 import { Core } from './core/core.js';
 import type { Env, Logger } from './core/env.js';
 import { Fleet } from './fleet/fleet.js';
+import { JobFeed, LIVE } from './jobs/feed.js';
 import { Frontend, type Answer } from './jobs/frontend.js';
 import { JobTable } from './jobs/table.js';
 import { Leadership, LEADER_KEY } from './leadership/leadership.js';
@@ -32,7 +33,10 @@
 /** Reports at other nodes that show that workers are there, as a share of all that are usual. */
 const STRAYS = 0.1;
 
-type ReadAll = (prefix: string, then: (items: Item[], revision: number) => void) => void;
+type ReadAll = (
+  prefix: string,
+  then: (items: Item[], revision: number, sentAt: number) => void,
+) => void;
 
 export type MetricsSink = Pick<Metrics, 'request' | 'pass' | 'preemptions' | 'gauge' | 'text'>;
 
@@ -63,6 +67,7 @@
     readonly workers: Workers,
     readonly placement: Placement,
     readonly fleet: Fleet,
+    readonly feed: JobFeed,
   ) {}
 }
 
@@ -107,6 +112,7 @@
     this.client = new StateClient(core, settings);
     this.leadership = new Leadership(core, settings, this.client, identity, {
       elected: (term) => this.elected(term),
+      resumed: () => this.reign?.feed.catchUp(),
       deposed: () => this.deposed(),
     });
     const { platform } = settings;
@@ -249,7 +255,7 @@
     });
     const table: JobTable = new JobTable(core, settings, client, records, {
       torn: (job) => workers.stopJob(job, 0, 'gang lost a part'),
-      vanished: (job) => workers.stopJob(job, 0, 'job ended'),
+      vanished: (job) => workers.stopAll(job, 'job ended'),
       closed: (job) => {
         workers.jobClosed(job);
         if (records.has(holdKey(job.spec.id))) records.set(holdKey(job.spec.id), undefined, false);
@@ -296,9 +302,22 @@
       table,
       workers,
       placement,
-      () => this.leadership.acting,
+      () => this.entitled,
     );
-    const reign = new Reign(term, core.now(), records, table, workers, placement, fleet);
+    const feed = new JobFeed(core, settings, client, {
+      all: (items) => {
+        const there = new Set(items.map((i) => i.key));
+        for (const i of items) this.jobLive(table, i.key, i.value, i.version);
+        for (const id of [...table.jobs.keys()]) if (!there.has(LIVE + id)) table.removed(id);
+      },
+      changes: (events) => {
+        for (const e of events) {
+          if (e.kind === 'put') this.jobLive(table, e.key, e.value, e.version);
+          else table.removed(e.key.slice(LIVE.length));
+        }
+      },
+    });
+    const reign = new Reign(term, core.now(), records, table, workers, placement, fleet, feed);
     this.reign = reign;
     this.load(reign);
   }
@@ -308,12 +327,14 @@
     if (reign === null) return;
     reign.closed = true;
     reign.records.close();
+    reign.feed.close();
     this.reign = null;
   }
 
   /** Reads what the leaders before have left. From the election on none of them can change it. */
   private load(reign: Reign): void {
     const read: ReadAll = (prefix, then) => {
+      const sentAt = this.core.now();
       this.client.range(prefix, 3000, (got) => {
         if (reign.closed) return;
         if (got.kind === 'failed') {
@@ -322,11 +343,11 @@
           });
           return;
         }
-        then(got.value.items, got.value.revision);
+        then(got.value.items, got.value.revision, sentAt);
       });
     };
-    read('live/', (jobs, revision) => {
-      for (const i of jobs) reign.table.add(i.key.slice('live/'.length), i.value, i.version);
+    read(LIVE, (jobs, revision, sentAt) => {
+      for (const i of jobs) this.jobLive(reign.table, i.key, i.value, i.version);
       read(PAGES, (pages) => {
         reign.records.load(pages);
         for (const { value } of reign.records.list(LEARNED_KEY)) this.learn(value);
@@ -339,7 +360,7 @@
           { term: reign.term, jobs: jobs.length, machines: reign.workers.machines.size },
           'leading',
         );
-        this.followJobs(reign, revision);
+        reign.feed.start(revision, sentAt);
         this.placeSoon();
         this.shareCatalogue(reign);
       });
@@ -352,44 +373,19 @@
     this.reserve.import(value['arrivals'], this.core.now(), this.core.env.wall());
   }
 
-  /** Submissions and cancellations of all nodes, as the state service tells them. */
-  private followJobs(reign: Reign, from: number): void {
-    if (reign.closed) return;
-    this.client.follow('live/', from, this.settings.leaderLeaseMs, (got) => {
-      if (reign.closed) return;
-      if (got.kind === 'too-old') return this.reloadJobs(reign);
-      if (got.kind === 'failed') {
-        this.core.after(200, 'follow-jobs', () => this.followJobs(reign, from));
-        return;
-      }
-      for (const e of got.value.events) {
-        const id = e.key.slice('live/'.length);
-        if (e.kind === 'put') reign.table.add(id, e.value, e.version);
-        else reign.table.removed(id);
-      }
-      // Changes that come together are taken together.
-      this.core.after(this.settings.reportMs / 20, 'follow-jobs', () =>
-        this.followJobs(reign, got.value.revision),
-      );
-    });
+  /** A job that was live when the state service said so; its end may have been heard of before. */
+  private jobLive(table: JobTable, key: string, value: unknown, version: number): void {
+    const id = key.slice(LIVE.length);
+    if (this.frontend.ended(id) === null) table.add(id, value, version);
   }
 
-  private reloadJobs(reign: Reign): void {
-    this.client.range('live/', 3000, (got) => {
-      if (reign.closed) return;
-      if (got.kind === 'failed') {
-        this.core.after(500, 'reload', () => this.reloadJobs(reign));
-        return;
-      }
-      const there = new Set<string>();
-      for (const i of got.value.items) {
-        const id = i.key.slice('live/'.length);
-        there.add(id);
-        reign.table.add(id, i.value, i.version);
-      }
-      for (const id of [...reign.table.jobs.keys()]) if (!there.has(id)) reign.table.removed(id);
-      this.followJobs(reign, got.value.revision);
-    });
+  /**
+   * Whether this node may answer workers, order, place and rent: its lease as leader runs, and no
+   * cancellation confirmed longer ago than the settings allow is unknown to it.
+   */
+  private get entitled(): boolean {
+    const { reign } = this;
+    return reign !== null && reign.ready && this.leadership.acting && reign.feed.current;
   }
 
   private placeSoon(): void {
@@ -399,8 +395,7 @@
 
   private batchEnd(): void {
     const { reign } = this;
-    if (reign === null || !reign.ready || reign.closed) return;
-    if (!this.leadership.acting) return;
+    if (reign === null || reign.closed || !this.entitled) return;
     if (this.types !== null) this.place(reign);
     reign.table.flush();
     reign.workers.flush();
@@ -455,8 +450,8 @@
     }
     const { reign } = this;
     if (!reign?.ready) return;
-    reign.workers.answering(this.leadership.acting, this.settings.reportMs / 3);
-    if (!this.leadership.acting) return;
+    reign.workers.answering(this.entitled, this.settings.reportMs / 3);
+    if (!this.entitled) return;
     if (this.cutOff(reign, heard)) {
       this.leadership.handOver('workers do not reach this node');
       return;
@@ -664,7 +659,7 @@
     const common = { settings, term, table, workers, placement, fleet, types: this.types };
     respond({
       status: 200,
-      body: clusterView({ ...common, acting: this.leadership.acting, now: this.core.now() }),
+      body: clusterView({ ...common, acting: this.entitled, now: this.core.now() }),
     });
   }
 
@@ -672,7 +667,7 @@
     const { metrics, reign } = this;
     if (metrics === null)
       return respond({ status: 503, body: { error: 'starting' }, retryAfterS: 5 });
-    metrics.gauge('leading', '1 on the leader.', this.leadership.acting ? 1 : 0);
+    metrics.gauge('leading', '1 on the leader.', this.entitled ? 1 : 0);
     metrics.gauge('term', 'Term of the leader known here.', this.leadership.leader?.term ?? 0);
     metrics.gauge('memory_bytes', 'Memory that the process holds.', process.memoryUsage.rss());
     if (reign !== null) {
@@ -721,8 +716,7 @@
       return respond({ status: 421, body: other ? { foreman: leader.host } : {} });
     }
     // Elected but not entitled yet, or not any more: the worker tries on.
-    if (!reign.ready || !this.leadership.acting || this.types === null)
-      return respond({ status: 503, body: {} });
+    if (!this.entitled || this.types === null) return respond({ status: 503, body: {} });
     const answer = reign.workers.report(report);
     if (this.reign !== reign) return respond({ status: 503, body: {} });
     respond(answer.status === 200 ? answer : { status: 503, body: {} });
--- /dev/null
+++ b/src/controller/jobs/feed.ts
@@ -0,0 +1,110 @@
+import type { Core } from '../core/core.js';
+import type { Settings } from '../settings/settings.js';
+import type { StateClient } from '../store/client.js';
+import type { Event, Item } from '../wire/state.js';
+
+export const LIVE = 'live/';
+
+export interface FeedHooks {
+  /** Every job that has not ended, and nothing else is live: read anew. */
+  all(items: Item[]): void;
+  changes(events: Event[]): void;
+}
+
+/** A watch that has been open for this many times its hold has been lost. */
+const LOST = 2;
+
+/**
+ * The leader's view of which jobs are live, as the state service tells it, and how old that view is.
+ *
+ * A worker that is answered goes on with what it runs for a whole lease. So whoever answers vouches
+ * that every cancellation confirmed to a user is known here, or is younger than a bound from the
+ * settings (`Settings.viewMs`). The leader's own lease doesn't prove that: it may be renewed while
+ * watches are refused, held up or slow. What proves it is a read of the state service that has been
+ * answered: it shows all that was confirmed before the read was sent.
+ */
+export class JobFeed {
+  /** All that was confirmed by then is known, on this node's clock. */
+  private knownAt = -Infinity;
+  /** Nothing may be done on a view from before then: there was a gap. */
+  private since = -Infinity;
+  private revision = -1;
+  /** Guards against answers to reads that later ones have replaced. */
+  private round = 0;
+  private closed = false;
+
+  constructor(
+    private readonly core: Core,
+    private readonly settings: Settings,
+    private readonly client: StateClient,
+    private readonly hooks: FeedHooks,
+  ) {}
+
+  close(): void {
+    this.closed = true;
+  }
+
+  /** Takes up from what was read of all jobs by a read sent at `sentAt`. */
+  start(revision: number, sentAt: number): void {
+    this.revision = revision;
+    this.knownAt = Math.max(this.knownAt, sentAt);
+    this.follow(this.holdMs);
+  }
+
+  /** Whether a worker may be answered, or anything ordered or placed, on this view. */
+  get current(): boolean {
+    return this.knownAt >= this.since && this.ageMs <= this.settings.viewMs;
+  }
+
+  get ageMs(): number {
+    return this.core.now() - this.knownAt;
+  }
+
+  /** There was a gap: the view counts again once a read that is sent from now on has come back. */
+  catchUp(): void {
+    this.since = this.core.now();
+    if (this.revision >= 0) this.follow(0);
+  }
+
+  private get holdMs(): number {
+    return this.settings.leaderLeaseMs;
+  }
+
+  private again(round: number, ms: number, next: () => void): void {
+    this.core.after(ms, 'follow-jobs', () => {
+      if (!this.closed && round === this.round) next();
+    });
+  }
+
+  /** A watch that asks to be held for `holdMs` at most. */
+  private follow(holdMs: number): void {
+    if (this.closed) return;
+    const round = ++this.round;
+    const sentAt = this.core.now();
+    // One that gets lost must not keep the next from being asked for as long as its time-out lasts.
+    if (holdMs > 0) this.again(round, holdMs * LOST, () => this.follow(0));
+    this.client.follow(LIVE, this.revision, holdMs, (got) => {
+      if (this.closed || round !== this.round) return;
+      if (got.kind === 'too-old') return this.reload();
+      if (got.kind === 'failed')
+        return this.again(round, this.settings.reportMs / 20, () => this.follow(0));
+      this.revision = Math.max(this.revision, got.value.revision);
+      this.knownAt = Math.max(this.knownAt, sentAt);
+      this.hooks.changes(got.value.events);
+      // Changes that come together are taken together.
+      this.again(round, this.settings.reportMs / 20, () => this.follow(this.holdMs));
+    });
+  }
+
+  private reload(): void {
+    const round = ++this.round;
+    const sentAt = this.core.now();
+    this.client.range(LIVE, this.holdMs, (got) => {
+      if (this.closed || round !== this.round) return;
+      if (got.kind === 'failed')
+        return this.again(round, this.settings.reportMs / 10, () => this.reload());
+      this.hooks.all(got.value.items);
+      this.start(got.value.revision, sentAt);
+    });
+  }
+}
--- a/src/controller/jobs/frontend.ts
+++ b/src/controller/jobs/frontend.ts
@@ -117,6 +117,11 @@
     if (this.finals.get(id) === undefined && this.live.get(id) === undefined) this.live.set(id, 0);
   }
 
+  /** How a job ended that this node knows to have ended; the end is for ever. */
+  ended(id: string): FinalState | null {
+    return this.finals.get(id) ?? null;
+  }
+
   /** A job has ended, as another controller or this node's leader says. */
   learnFinal(id: string, state: FinalState): void {
     if (this.finals.get(id) !== undefined) return;
--- a/src/controller/leadership/leadership.ts
+++ b/src/controller/leadership/leadership.ts
@@ -15,6 +15,8 @@
 
 export interface LeadershipEvents {
   elected(term: number): void;
+  /** The same reign goes on after a time in which this node might not act. */
+  resumed(): void;
   deposed(): void;
 }
 
@@ -243,13 +245,17 @@
     const { mine } = this;
     if (mine === null) return;
     const sent = this.core.now();
-    const before = this.acting;
     this.client.extend(mine.lease, this.timeout, (r) => {
       if (reign !== this.reign) return;
       if (r === 'ended') return this.stepDown('lease ended');
       if (r === 'ok') {
+        // Told even if the gap came while the renewal was on its way.
+        const gap = !this.acting;
         this.actUntil = Math.max(this.actUntil, sent + this.settings.leaderActsMs);
-        if (!before) this.core.log.info({ term: mine.term }, 'lease renewed after a gap');
+        if (gap) {
+          this.core.log.info({ term: mine.term }, 'lease renewed after a gap');
+          this.events.resumed();
+        }
         this.renewLater(reign, this.settings.renewMs);
       } else this.renewLater(reign, this.settings.renewMs / 4);
     });
--- a/src/controller/settings/properties.ts
+++ b/src/controller/settings/properties.ts
@@ -43,6 +43,12 @@
     max: 0.5,
     text: "Share added to a worker's lease before its tasks are taken to be gone.",
   },
+  'workers.view.ratio': {
+    value: 0.5,
+    min: 0.05,
+    max: 0.9,
+    text: "How old the leader's view of cancellations may be, as a ratio to the time that a worker's lease leaves of cancel_s.",
+  },
   'placement.interval.ratio': {
     value: 0.05,
     min: 0.005,
--- a/src/controller/settings/settings.ts
+++ b/src/controller/settings/settings.ts
@@ -1,15 +1,24 @@
-import type { Platform } from './platform.js';
+import { SettingsError, type Platform } from './platform.js';
 import type { Properties, PropertyName } from './properties.js';
 
 /** Steady clocks of two machines drift apart by at most this (PROTOCOL). */
 export const DRIFT = 0.0005;
 
+/** A worker takes an answer up to this long after it has sent the report (PROTOCOL). */
+const ANSWER_MS = 4000;
+
 /** Both kinds of settings, and the figures that follow from them, in milliseconds. */
 export class Settings {
   readonly reportMs: number;
   readonly workerLeaseMs: number;
   readonly leaderLeaseMs: number;
   readonly renewMs: number;
+  /**
+   * How old the leader's view of cancellations may be when it answers a worker. A task of a job that
+   * was cancelled then may go on for a worker's lease; so this, the lease and the time in which a
+   * stop takes effect are together less than the time in which cancelled tasks have to be gone.
+   */
+  readonly viewMs: number;
   /** Objectives by class: latest starts and ends in milliseconds, and multiples of due times. */
   private readonly objectives = new Map<
     string,
@@ -24,6 +33,16 @@
     this.workerLeaseMs = platform.workers.leaseS * 1000;
     this.leaderLeaseMs = Math.round(this.workerLeaseMs * this.get('leadership.lease.ratio'));
     this.renewMs = this.leaderLeaseMs * this.get('leadership.renew.ratio');
+    const cancelMs = platform.workers.cancelS * 1000 * (1 - 2 * DRIFT);
+    const slackMs = cancelMs - this.workerLeaseMs * (1 + 2 * DRIFT) - ANSWER_MS;
+    this.viewMs = slackMs * this.get('workers.view.ratio');
+    // A view is renewed with each watch; below two of them no leader could keep it.
+    if (this.viewMs < this.leaderLeaseMs * 2)
+      throw new SettingsError(
+        `params.workers.cancel_s: ${platform.workers.cancelS} is too short for lease_s ` +
+          `${platform.workers.leaseS}, leadership.lease.ratio ${this.get('leadership.lease.ratio')} ` +
+          `and workers.view.ratio ${this.get('workers.view.ratio')}: cancelled tasks could outlast it`,
+      );
     for (const o of platform.objectives) {
       if (o.class === null) continue;
       const of = this.objectives.get(o.class) ?? { starts: [], ends: [], deadlines: [] };
--- a/src/controller/workers/workers.ts
+++ b/src/controller/workers/workers.ts
@@ -282,6 +282,12 @@
     this.regroup(job);
   }
 
+  /** The job has ended somehow: older attempts, of which only records tell, are stopped as well. */
+  stopAll(job: Job, reason: string): void {
+    this.stopJob(job, 0, reason);
+    for (const a of [...job.all]) this.stop(a, 0, reason);
+  }
+
   /** The job has ended. Completed gangs end by themselves, all at the same time. */
   jobClosed(job: Job): void {
     for (const a of [...job.all]) {
--- a/src/main.ts
+++ b/src/main.ts
@@ -41,7 +41,12 @@
   const platform = load(files.config, readPlatform);
   const properties =
     files.properties === undefined ? defaultProperties() : load(files.properties, readProperties);
-  return new Settings(platform, properties);
+  try {
+    return new Settings(platform, properties);
+  } catch (err) {
+    if (err instanceof SettingsError) fail(err.message);
+    throw err;
+  }
 }
 
 const program = new Command('bitternvale')
@@ -66,6 +71,7 @@
         `host ${s.platform.host}, ${s.platform.peers.length} peers, ${s.platform.teams.length} teams`,
         `leader lease ${s.leaderLeaseMs} ms, renewed every ${s.renewMs} ms, used for ${Math.round(s.leaderActsMs)} ms`,
         `a silent worker's tasks are gone after ${Math.round(s.workerGoneMs)} ms`,
+        `workers are answered on a view of cancellations at most ${Math.round(s.viewMs)} ms old`,
         '',
       ].join('\n'),
     );
--- a/test/world/rules.ts
+++ b/test/world/rules.ts
@@ -42,6 +42,8 @@
   /** Set once the last trouble is over. */
   calmAt: number | null = null;
   started = 0;
+  /** When cancellations were told of jobs that had tasks on machines. */
+  readonly cancelledRunning: number[] = [];
 
   constructor(
     private readonly teams: Team[],
@@ -91,6 +93,7 @@
     } else if (j.toldDone) this.fail('went_back', `${id} done, then ${state}`);
     if (state === 'aborted') {
       if (!j.cancelAsked) this.fail('went_back', `${id} cancelled by nobody`);
+      if (j.cancelledAt === null && j.on > 0) this.cancelledRunning.push(this.now());
       j.cancelledAt ??= this.now();
       this.leaving.add(j);
     } else if (j.cancelledAt !== null && state !== 'done')
@@ -150,6 +153,11 @@
     use.gpus += by * j.spec.gpus;
   }
 
+  /** Jobs with tasks on machines that nobody has asked to cancel. */
+  running(): string[] {
+    return [...this.jobs.values()].filter((j) => j.on > 0 && !j.cancelAsked).map((j) => j.spec.id);
+  }
+
   taskDone(id: string, task: number): void {
     this.jobs.get(id)?.done.add(task);
   }
--- a/test/world/sim.ts
+++ b/test/world/sim.ts
@@ -120,6 +120,9 @@
   doubled = 0;
   /** How late such a copy may be. */
   latestMs = 40_000;
+  /** Share of the workers' reports of which a copy arrives again, and how many have. */
+  copiedReports = 0;
+  copies = 0;
 
   constructor(private readonly sim: Sim) {}
 
@@ -210,8 +213,15 @@
       () => deliver(back),
       () => finish(none),
     );
-    if (call.method === 'POST' && this.doubled > 0 && this.sim.random() < this.doubled)
-      this.sim.after(this.sim.between(5, this.latestMs), () => deliver(() => undefined));
+    const copy = (fromMs: number): void => {
+      this.sim.after(this.sim.between(fromMs, this.latestMs), () => {
+        this.copies++;
+        deliver(() => undefined);
+      });
+    };
+    if (call.method === 'POST' && this.doubled > 0 && this.sim.random() < this.doubled) copy(5);
+    if (this.copiedReports > 0 && call.path === '/v1/report')
+      if (this.sim.random() < this.copiedReports) copy(2000);
   }
 }
 
--- a/test/world/state-service.ts
+++ b/test/world/state-service.ts
@@ -43,6 +43,11 @@
   requests = 0;
   puts = 0;
   tooMany = 0;
+  /** Share of the transactions that get no answer and are carried out later, and how many were. */
+  lateWrites = 0;
+  late = { applied: 0, refused: 0 };
+  /** Nodes whose watches are refused, and nothing else of theirs. */
+  private readonly unwatched = new Set<string>();
 
   constructor(
     private readonly sim: Sim,
@@ -77,6 +82,26 @@
     this.sim.after(ms, () => this.refused.delete(host));
   }
 
+  /** One node's watches alone get 503. */
+  refuseWatches(host: string, ms: number): void {
+    this.unwatched.add(host);
+    this.sim.after(ms, () => this.unwatched.delete(host));
+  }
+
+  /** Some transactions get no answer and are carried out 2 to 12 s later, after newer ones. */
+  delayWrites(share: number, ms: number): void {
+    this.lateWrites = share;
+    this.sim.after(ms, () => {
+      this.lateWrites = 0;
+    });
+  }
+
+  private later(m: Multi): void {
+    if (this.down) return;
+    if (this.multi(m).status === 200) this.late.applied++;
+    else this.late.refused++;
+  }
+
   private expire(): void {
     this.sim.after(50, () => this.expire());
     if (this.down) return;
@@ -140,6 +165,10 @@
     this.puts += puts;
     const url = new URL(call.path, 'http://state');
     const path = url.pathname;
+    if (multi !== null && this.lateWrites > 0 && this.sim.random() < this.lateWrites) {
+      this.sim.after(this.sim.between(2000, 12_000), () => this.later(multi));
+      return;
+    }
     if (multi !== null) return respond(this.multi(multi));
     if (path === '/holds') {
       const id = ++this.permits;
@@ -157,6 +186,7 @@
       return respond({ status: 200, body: { permit: id } });
     }
     if (path === '/follow') {
+      if (this.unwatched.has(from)) return respond({ status: 503, body: null });
       const oldest = this.log[0]?.stamp ?? 0;
       if (Number(url.searchParams.get('from')) < oldest - 1)
         return respond({ status: 410, body: null });
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -1,7 +1,7 @@
 import { Controller } from '../../src/controller/controller.js';
 import type { Logger } from '../../src/controller/core/env.js';
 import type { Team } from '../../src/controller/settings/platform.js';
-import { defaultProperties } from '../../src/controller/settings/properties.js';
+import { defaultProperties, type Properties } from '../../src/controller/settings/properties.js';
 import { Settings } from '../../src/controller/settings/settings.js';
 import type { MachineType } from '../../src/controller/wire/cloud.js';
 import { writeJob, type JobSpec } from '../../src/controller/wire/jobs.js';
@@ -55,6 +55,8 @@
     seed: number,
     private readonly faults: Faults,
     private readonly log: Logger = quiet,
+    /** The operators' settings of the controllers. */
+    private readonly properties: Properties = defaultProperties(),
   ) {
     this.sim = new Sim(seed);
     this.net = new Network(this.sim);
@@ -117,7 +119,7 @@
     const env = new ProcessEnv(this.sim, this.net, host, this.peers);
     const settings = new Settings(
       oneOf(this.scenario.hosts, host, this.scenario.platform),
-      defaultProperties(),
+      this.properties,
     );
     const log: Logger = {
       ...this.log,
@@ -315,11 +317,29 @@
 
   // ---- users
 
+  /** A job of a kind that this world can run, with what the caller wants of it. */
+  job(part: Partial<JobSpec>): JobSpec {
+    return { ...this.randomJob(), ...part };
+  }
+
   /** A random job of a kind that this world can run. */
   randomJob(): JobSpec {
     return this.scenario.job(this.sim, `req-${String(this.jobCount++).padStart(6, '0')}`);
   }
 
+  /** A user calls the job off, at `host` where one is named, until told that it has ended. */
+  cancel(id: string, host?: string): void {
+    this.rules.cancelAsked(id);
+    const again = (): void => {
+      this.ask('POST', `/submissions/${id}/abort`, undefined, told, host);
+    };
+    const told = (status: number, state: string): void => {
+      this.rules.answered(id, status, state, false);
+      if (status !== 200) this.sim.after(1000, again);
+    };
+    again();
+  }
+
   /** A user who submits, polls and perhaps cancels one job, one request at a time. */
   user(spec: JobSpec, cancelAfterMs: number | null): void {
     this.jobs.set(spec.id, { spec, runMs: spec.estimateS * 1000 * this.sim.between(0.4, 1.8) });
@@ -357,11 +377,12 @@
     path: string,
     body: unknown,
     done: (status: number, state: string) => void,
+    host = this.sim.pick(this.scenario.hosts),
   ): void {
     this.net.call(
       'user',
       {
-        to: this.shared.apiOf(this.sim.pick(this.scenario.hosts)),
+        to: this.shared.apiOf(host),
         method,
         path,
         timeoutMs: method === 'GET' ? 2000 : 5000,
