--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -451,6 +451,11 @@
     const { reign } = this;
     if (!reign?.ready) return;
     reign.workers.answering(this.entitled, this.settings.reportMs / 3);
+    if (this.leadership.acting && reign.feed.ageMs > 2 * this.settings.viewMs) {
+      // Its lease keeps the others from leading, and it may not act itself.
+      this.leadership.handOver('no view of the jobs');
+      return;
+    }
     if (!this.entitled) return;
     if (this.cutOff(reign, heard)) {
       this.leadership.handOver('workers do not reach this node');
--- a/src/controller/jobs/frontend.ts
+++ b/src/controller/jobs/frontend.ts
@@ -7,6 +7,7 @@
 import {
   isJobId,
   readJob,
+  readJobId,
   writeAnswer,
   writeJob,
   type FinalState,
@@ -141,18 +142,16 @@
     } catch (err) {
       if (!(err instanceof WireError)) throw err;
       this.core.log.debug({ reason: err.message, body }, 'malformed submission');
-      return respond({ status: 400, body: { error: err.message } });
+      return this.refuse(readJobId(body), { status: 400, body: { error: err.message } }, respond);
     }
     const ended = this.finals.get(spec.id);
     if (ended !== undefined) return this.reply(spec.id, ended, respond);
     const verdict = admit(spec, this.settings.platform.teams, this.hooks.types());
+    if (typeof verdict === 'object')
+      return this.refuse(spec.id, { status: 422, body: { error: verdict.refuse } }, respond);
     if (verdict !== 'accept' || this.live.get(spec.id) !== undefined) {
-      // A job that is known already is recognised before it is judged: teams and machine types may
-      // have changed since it was accepted.
       this.ask(spec.id, (standing) => {
         if (standing !== 'absent') this.reply(spec.id, standing, respond);
-        else if (typeof verdict === 'object')
-          respond({ status: 422, body: { error: verdict.refuse } });
         else this.retryLater(respond);
       });
       return;
@@ -160,6 +159,18 @@
     this.create(spec, respond);
   }
 
+  /**
+   * A job that is known already is recognised before it is judged: teams, machine types and what a
+   * version takes for a submission may have changed since it was accepted.
+   */
+  private refuse(id: string | null, refusal: Answer, respond: Respond): void {
+    if (id === null) return respond(refusal);
+    this.ask(id, (standing) => {
+      if (standing === 'absent') respond(refusal);
+      else this.reply(id, standing, respond);
+    });
+  }
+
   private create(spec: JobSpec, respond: Respond): void {
     if (this.client.down) return this.retryLater(respond);
     const waiting = this.creating.get(spec.id);
--- a/src/controller/jobs/table.ts
+++ b/src/controller/jobs/table.ts
@@ -380,7 +380,7 @@
       const state = got.kind === 'ok' && got.value !== null ? readFinal(got.value.value) : null;
       if (state !== null) this.close(job, state);
       else {
-        this.core.after(200, 'find-end', () => {
+        this.core.after(this.client.down ? 1000 : 200, 'find-end', () => {
           if (job.closed !== null) return;
           if (job.vanished) return this.findEnd(job);
           job.ending = false;
--- a/src/controller/peers/peers.test.ts
+++ b/src/controller/peers/peers.test.ts
@@ -1,7 +1,10 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
-import { decodePeer, encodePeer, frame, Unframer, type PeerMessage } from './peers.js';
+import { Core } from '../core/core.js';
+import type { Env, Logger } from '../core/env.js';
+import { uniform } from '../core/random.js';
+import { decodePeer, encodePeer, frame, Peers, Unframer, type PeerMessage } from './peers.js';
 
 const message: PeerMessage = {
   status: {
@@ -39,6 +42,35 @@
     }
   });
 
+  // A process back in a fraction of a second numbered its requests from 1 again, as the one before.
+  it('takes no answer that was meant for the process before on its host', () => {
+    const nothing = (): void => undefined;
+    const silent: Logger = { info: nothing, debug: nothing, warn: nothing, error: nothing };
+    const ids: number[] = [];
+    for (const seed of [1, 2]) {
+      const random = uniform(seed);
+      const env: Env = {
+        now: () => 0,
+        wall: () => 0,
+        random,
+        soon: nothing,
+        timer: () => ({ cancel: nothing }),
+        call: nothing,
+        mayCall: () => true,
+        sendPeer: (_, bytes) => ids.push(decodePeer(bytes).request?.id ?? -1),
+      };
+      const { status } = message;
+      assert.ok(status);
+      const peers = new Peers(new Core(env, silent), ['kiln-2'], () => status, {
+        ...{ accepted: nothing, status: nothing, final: nothing, progress: nothing },
+        request: nothing,
+      });
+      for (let i = 0; i < 100; i++)
+        peers.forward('kiln-2', 'GET', '/submissions/req-1', Buffer.alloc(0), 1000, nothing);
+    }
+    assert.equal(new Set(ids).size, 200);
+  });
+
   it('refuses broken bytes without harm', () => {
     fc.assert(
       fc.property(fc.uint8Array({ maxLength: 60 }), (bytes) => {
--- a/src/controller/peers/peers.ts
+++ b/src/controller/peers/peers.ts
@@ -214,6 +214,9 @@
 
 const PER_MESSAGE = 200;
 
+/** From how many the first id of a forwarded request is drawn. */
+const FIRST_IDS = 2 ** 48;
+
 export class Peers {
   private readonly known = new Map<string, Known>();
   private finals: PeerMessage['finals'] = [];
@@ -221,14 +224,17 @@
   private sending = false;
   private newsMs = 0;
   private readonly asked = new Map<number, (r: ForwardedReply | null) => void>();
-  private lastId = 0;
+  private lastId: number;
 
   constructor(
     private readonly core: Core,
     private readonly hosts: string[],
     private readonly own: () => PeerStatus,
     private readonly events: PeerEvents,
-  ) {}
+  ) {
+    // The process before on this host has counted too, and answers to it may still be on their way.
+    this.lastId = Math.floor(core.env.random() * FIRST_IDS);
+  }
 
   start(statusMs: number, newsMs: number): void {
     this.newsMs = newsMs;
--- a/src/controller/wire/jobs.ts
+++ b/src/controller/wire/jobs.ts
@@ -1,7 +1,7 @@
 import {
   amount,
   amountOrNull,
-  flagOrFalse,
+  flag,
   isMap,
   smallInt,
   text,
@@ -93,15 +93,24 @@
   return names;
 }
 
+/** The id that a submission names, whatever else is wrong with it. */
+export function readJobId(body: unknown): string | null {
+  const id = isMap(body) ? body['id'] : null;
+  return typeof id === 'string' && isJobId(id) ? id : null;
+}
+
 export function readJob(body: unknown): JobSpec {
   if (!isMap(body)) throw new WireError('body: expected a map');
   const id = text(body, 'id');
   if (!isJobId(id)) throw new WireError('id: not a job id');
+  const kind = oneOf(kinds, body, 'shape');
+  const estimateS = amount(body, 'expect_s');
+  if (estimateS === 0 && kind !== 'service') throw new WireError('expect_s: must not be 0');
   return {
     id,
     class: name(body, 'shift'),
     team: name(body, 'crew'),
-    kind: oneOf(kinds, body, 'shape'),
+    kind,
     priority: oneOf(priorities, body, 'urgency'),
     tasks: smallInt(body, 'duties', 1, MAX_TASKS),
     cpus: amount(body, 'cores'),
@@ -111,12 +120,12 @@
     imageGb: amount(body, 'pull_gb'),
     types: typeNames(body),
     zone: body['hall'] == null ? null : name(body, 'hall'),
-    oneZone: flagOrFalse(body, 'same_place'),
-    spread: flagOrFalse(body, 'scatter'),
-    spot: flagOrFalse(body, 'loaners'),
-    estimateS: amount(body, 'expect_s'),
-    checkpointS: amountOrNull(body, 'bookmark_s') ?? 0,
-    saveS: amountOrNull(body, 'stow_s') ?? 0,
+    oneZone: flag(body, 'same_place'),
+    spread: flag(body, 'scatter'),
+    spot: flag(body, 'loaners'),
+    estimateS,
+    checkpointS: amount(body, 'bookmark_s'),
+    saveS: amount(body, 'stow_s'),
     deadlineS: amountOrNull(body, 'due_s'),
   };
 }
--- a/src/controller/wire/wire.test.ts
+++ b/src/controller/wire/wire.test.ts
@@ -62,6 +62,12 @@
       ['hall', 'x'.repeat(300)],
       ['same_place', 'yes'],
       ['expect_s', null],
+      ['expect_s', 0],
+      ['bookmark_s', null],
+      ['stow_s', -1],
+      ['loaners', null],
+      ['scatter', 0],
+      ['due_s', 'soon'],
       ['crew', ''],
     ];
     for (const [name, value] of bad)
@@ -81,6 +87,13 @@
       'cards',
       'mem_gb',
       'recipe',
+      'pull_gb',
+      'same_place',
+      'scatter',
+      'loaners',
+      'expect_s',
+      'bookmark_s',
+      'stow_s',
     ])
       assert.throws(() => readJob({ ...submission, [name]: undefined }), WireError, name);
     for (const body of [null, [], 'text', 5]) assert.throws(() => readJob(body), WireError);
--- a/src/controller/workers/workers.test.ts
+++ b/src/controller/workers/workers.test.ts
@@ -176,6 +176,20 @@
     assert.ok(b.job.pending.has(0));
   });
 
+  // An attempt that gave up waiting was started again under its number; then a report from before
+  // arrived at a new leader, which took the attempt for ended and placed the task once more.
+  it('does not believe from before its term that an attempt has ended, unless it is done', () => {
+    const b = new Bench(spec({}), recorded);
+    const old = makeToken(TERM - 1, 3);
+    b.report(old, [task(5, { state: 'exited', cause: 'alone' })]);
+    assert.equal(b.job.assigned.size, 1);
+    assert.deepEqual(b.report(makeToken(TERM, 0), [task(5)])?.orders, []);
+    assert.equal(b.job.assigned.size, 1);
+    const other = new Bench(spec({}), recorded);
+    other.report(old, [task(5, { state: 'exited', cause: 'done' })]);
+    assert.equal(other.job.doneCount, 1);
+  });
+
   it('ignores late reports, and never renews by them', () => {
     const b = new Bench(spec({}));
     assert.ok(b.report(0, [], { session: 2 }));
--- a/src/controller/workers/workers.ts
+++ b/src/controller/workers/workers.ts
@@ -426,7 +426,7 @@
 
     const orders: Order[] = [];
     this.reports++;
-    for (const t of r.tasks) this.taskReport(m, t, orders);
+    for (const t of r.tasks) this.taskReport(m, t, current, orders);
     // Ending one takes it from the map, which a loop over a map allows for.
     for (const a of m.assignments.values()) {
       if (current && a.reportedIn !== this.reports && a.phase !== 'ended')
@@ -481,10 +481,13 @@
     if (!m.synced && m.dropped >= DROPPED) this.end(a, 'unsent');
   }
 
-  private taskReport(m: Machine, t: TaskReport, orders: Order[]): void {
+  private taskReport(m: Machine, t: TaskReport, current: boolean, orders: Order[]): void {
     const a = m.assignments.get(t.name);
     if (a?.attempt === t.attempt && a.session === m.session) {
       a.reportedIn = this.reports;
+      // A report from before our term may be as old as any. That a task is done stays true; but one
+      // that had ended otherwise may have been cleared and started again under the same attempt.
+      if (!current && t.state === 'exited' && t.cause !== 'done') return;
       if (t.cause === 'alone' && this.waitsOn(a)) {
         // Its part of the gang came too early: the others still fetch their image. It starts again
         // under the same attempt; tearing the gang down would throw those fetches away.
--- a/test/planted.test.ts
+++ b/test/planted.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import type { JobSpec } from '../src/controller/wire/jobs.js';
-import { Rules, type Place } from './world/rules.js';
+import { Rules, type FreeRoom, type Place } from './world/rules.js';
 
 // The simulated world is worth what its checks catch: one planted violation of each rule.
 
@@ -28,6 +28,10 @@
   deadlineS: null,
 };
 const a: Place = { machine: 'n-1', type: 'big', zone: 'a', spot: false };
+const free: FreeRoom = {
+  ...{ type: 'big', zone: 'a', spot: false, recalled: false },
+  ...{ cpus: 16, gpus: 4, memoryGb: 128 },
+};
 const team = { name: 'red', cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 4 };
 
 function broken(plant: (r: Rules, time: { now: number }) => void): string[] {
@@ -53,6 +57,23 @@
     assert.deepEqual(found, []);
   });
 
+  it('none where a job waits for room that no machine has, or for its team', () => {
+    const waits = (room: FreeRoom, use: (r: Rules) => void = () => undefined): string[] =>
+      broken((r, time) => {
+        r.answered('req-1', 201, 'pending', true);
+        use(r);
+        for (; time.now <= 200_000; time.now += 1000) r.waiting([room]);
+      });
+    assert.deepEqual(waits({ ...free, gpus: 3 }), []);
+    assert.deepEqual(waits({ ...free, type: 'small' }), []);
+    assert.deepEqual(waits({ ...free, spot: true }), []);
+    const other = (r: Rules): void => {
+      r.submitted({ ...spec, id: 'req-2' });
+      r.taskOn('req-2', 0, a);
+    };
+    assert.deepEqual(waits(free, other), []);
+  });
+
   const cases: [string, (r: Rules, time: { now: number }) => void][] = [
     [
       'ran_twice',
@@ -121,6 +142,25 @@
       },
     ],
     ['went_back', (r) => r.answered('req-1', 200, 'aborted', false)],
+    [
+      'forgotten',
+      (r, time) => {
+        r.answered('req-1', 201, 'pending', true);
+        r.calmAt = time.now;
+        r.answered('req-1', 503, '', false);
+        time.now = 76_000;
+        r.tick();
+      },
+    ],
+    [
+      'left_waiting',
+      (r, time) => {
+        r.answered('req-1', 201, 'pending', true);
+        r.calmAt = time.now;
+        for (; time.now <= 91_000; time.now += 1000) r.waiting([free]);
+      },
+    ],
+    ['accepted_odd', (r) => r.acceptedOdd('req-odd-1')],
   ];
   for (const [i, [rule, plant]] of cases.entries())
     it(`${rule} is caught (${i})`, () => {
--- a/test/world/machines.ts
+++ b/test/world/machines.ts
@@ -1,7 +1,7 @@
 import type { Timer } from '../../src/controller/core/env.js';
 import type { MachineType } from '../../src/controller/wire/cloud.js';
 import type { JobSpec } from '../../src/controller/wire/jobs.js';
-import type { Rules } from './rules.js';
+import type { FreeRoom, Rules } from './rules.js';
 import type { Arrival, Network, Respond, Sim } from './sim.js';
 
 export interface WorkerSettings {
@@ -25,6 +25,8 @@
   gangs: Gangs;
   /** Chance that a task fails. */
   errors: number;
+  /** How often a worker's lease has run out. */
+  leasesLost: number;
 }
 
 interface Order {
@@ -80,8 +82,6 @@
 
 /** Stand-in for a machine and its worker, after PROTOCOL. */
 export class Worker {
-  /** How often its lease has run out. */
-  leasesLost = 0;
   private session = 1;
   private seq = 0;
   private token = 0;
@@ -96,6 +96,7 @@
   private lastSent = -Infinity;
   private notice: number | null = null;
   private hungUntil = 0;
+  private mutedUntil = 0;
   private plannedAt = Infinity;
   private blocked: (() => void)[] = [];
   gone = false;
@@ -151,6 +152,31 @@
     });
   }
 
+  /** Reaches no controller for a time, while direct commands reach it and are answered. */
+  mute(ms: number): void {
+    this.mutedUntil = Math.max(this.mutedUntil, this.shared.sim.now + ms);
+  }
+
+  /** What no task takes. */
+  get free(): FreeRoom {
+    const { name, cpus, gpus, memoryGb } = this.type;
+    const room = { cpus, gpus, memoryGb };
+    for (const t of this.tasks.values()) {
+      const s = this.shared.job(t.id);
+      if (t.status === 'exited' || s === undefined) continue;
+      room.cpus -= s.cpus;
+      room.gpus -= s.gpus;
+      room.memoryGb -= s.memoryGb;
+    }
+    return {
+      ...room,
+      type: name,
+      zone: this.zone,
+      spot: this.spot,
+      recalled: this.notice !== null,
+    };
+  }
+
   private get hung(): boolean {
     return this.shared.sim.now < this.hungUntil;
   }
@@ -167,7 +193,7 @@
     if (this.gone) return;
     const { sim, settings } = this.shared;
     if (this.leaseFrom + settings.leaseMs <= sim.now) {
-      this.leasesLost++;
+      this.shared.leasesLost++;
       this.nextSession();
     }
     sim.after(Math.max(1, this.leaseFrom + settings.leaseMs - sim.now), () => this.watchLease());
@@ -246,6 +272,14 @@
     const sentAt = sim.now;
     const { session } = this;
     const host = controllers[this.node] ?? '';
+    if (sim.now < this.mutedUntil) {
+      sim.after(1, () => {
+        this.inFlight = false;
+        this.tryNext();
+        this.plan();
+      });
+      return;
+    }
     net.call(
       this.id,
       {
--- a/test/world/rules.ts
+++ b/test/world/rules.ts
@@ -8,6 +8,17 @@
   spot: boolean;
 }
 
+/** What a machine has free. */
+export interface FreeRoom {
+  type: string;
+  zone: string;
+  spot: boolean;
+  recalled: boolean;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
 interface Known {
   spec: JobSpec;
   submittedAt: number;
@@ -23,8 +34,13 @@
   on: number;
   /** When as many of its tasks were on machines at one time as a gang has, or the first of an array. */
   begunAt: number | null;
+  /** Since when none of its tasks has been on a machine though there was room for them. */
+  couldRunFrom: number | null;
 }
 
+/** Troubles over, no job may wait longer than this beside room for it. */
+const WAITING_MS = 90_000;
+
 /** After this time without any answer a job counts as forgotten, once troubles are over. */
 const UNANSWERED_MS = 75_000;
 /** The largest jobs of a class have to begin within this time. */
@@ -60,7 +76,7 @@
       this.jobs.set(spec.id, {
         ...{ spec, submittedAt: this.now(), accepted: false, cancelAsked: false },
         ...{ cancelledAt: null, toldDone: false, done: new Set(), unansweredFrom: null },
-        ...{ zones: new Map(), on: 0, begunAt: null },
+        ...{ zones: new Map(), on: 0, begunAt: null, couldRunFrom: null },
       });
   }
 
@@ -159,7 +175,78 @@
   }
 
   taskDone(id: string, task: number): void {
-    this.jobs.get(id)?.done.add(task);
+    const j = this.jobs.get(id);
+    if (j === undefined) return;
+    j.done.add(task);
+    if (j.done.size === j.spec.tasks && j.accepted && !j.cancelAsked) this.ending(id);
+  }
+
+  /** Told as the last task of a job ends. */
+  ending: (id: string) => void = () => undefined;
+
+  /** Jobs that were accepted and not called off. */
+  known(): string[] {
+    return this.counted().map((j) => j.spec.id);
+  }
+
+  toldDone(id: string): boolean {
+    return this.jobs.get(id)?.toldDone === true;
+  }
+
+  /** Jobs that users were told have ended so. */
+  endedAs(state: 'done' | 'cancelled'): number {
+    const told = (j: Known): boolean => (state === 'done' ? j.toldDone : j.cancelledAt !== null);
+    return [...this.jobs.values()].filter(told).length;
+  }
+
+  machinesOf(id: string): string[] {
+    const found: string[] = [];
+    for (const [name, places] of this.on)
+      if (name.startsWith(`${id}/`)) found.push(...places.keys());
+    return found;
+  }
+
+  /** A submission that can't run, or lacks a field, was accepted. */
+  acceptedOdd(id: string): void {
+    this.fail('accepted_odd', id);
+  }
+
+  /** The operators' rule: troubles over, no job waits for long beside room for it, within its limit. */
+  waiting(free: readonly FreeRoom[]): void {
+    for (const j of this.jobs.values()) {
+      const open = j.accepted && !j.cancelAsked && j.done.size < j.spec.tasks;
+      if (!open || j.on > 0 || !this.couldRun(j, free)) j.couldRunFrom = null;
+      else j.couldRunFrom ??= this.now();
+      if (j.couldRunFrom !== null && this.now() - j.couldRunFrom > WAITING_MS)
+        this.fail('left_waiting', `${j.spec.id} (${j.spec.kind} of ${j.spec.tasks})`);
+    }
+  }
+
+  private couldRun(j: Known, free: readonly FreeRoom[]): boolean {
+    const { spec } = j;
+    const t = this.teams.find((x) => x.name === spec.team);
+    const use = this.use.get(spec.team) ?? { cpus: 0, gpus: 0 };
+    const most = (limit: number, used: number, need: number): number =>
+      limit > 0 && need > 0 ? Math.floor((limit - used + 1e-6) / need) : Infinity;
+    const wanted = spec.kind === 'gang' ? spec.tasks : 1;
+    if (t === undefined || most(t.cpusMax, use.cpus, spec.cpus) < wanted) return false;
+    if (most(t.gpusMax, use.gpus, spec.gpus) < wanted) return false;
+    const zones = new Map<string, number>();
+    for (const m of free) {
+      if (m.recalled || (m.spot && !spec.spot)) continue;
+      if (spec.types !== null && !spec.types.includes(m.type)) continue;
+      if (spec.zone !== null && spec.zone !== m.zone) continue;
+      const n = Math.min(
+        spec.cpus > 0 ? Math.floor((m.cpus + 1e-6) / spec.cpus) : Infinity,
+        spec.gpus > 0 ? Math.floor((m.gpus + 1e-6) / spec.gpus) : Infinity,
+        spec.memoryGb > 0 ? Math.floor((m.memoryGb + 1e-6) / spec.memoryGb) : Infinity,
+      );
+      zones.set(m.zone, (zones.get(m.zone) ?? 0) + Math.max(0, n));
+    }
+    const counts = [...zones.values()];
+    if (spec.oneZone) return Math.max(0, ...counts) >= wanted;
+    const perZone = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
+    return counts.reduce((sum, n) => sum + Math.min(n, perZone), 0) >= wanted;
   }
 
   private quota(team: string): void {
--- /dev/null
+++ b/test/world/users.ts
@@ -0,0 +1,83 @@
+import type { Timer } from '../../src/controller/core/env.js';
+import { writeJob, type JobSpec } from '../../src/controller/wire/jobs.js';
+import type { Rules } from './rules.js';
+import type { Sim } from './sim.js';
+
+/** How a user asks a controller; `host`: a certain one. */
+export type Ask = (
+  method: 'GET' | 'POST',
+  path: string,
+  body: unknown,
+  done: (status: number, state: string) => void,
+  host?: string,
+) => void;
+
+/** A user who submits, polls and perhaps calls off one job, one request at a time. */
+export class User {
+  private accepted = false;
+  private asking = false;
+  private next: Timer | null = null;
+  private wish: 'none' | 'cancel' | 'repeat' = 'none';
+  private host: string | undefined;
+  private readonly body: unknown;
+
+  constructor(
+    private readonly sim: Sim,
+    private readonly rules: Rules,
+    private readonly ask: Ask,
+    private readonly spec: JobSpec,
+    cancelAfterMs: number | null,
+  ) {
+    this.body = writeJob(spec);
+    rules.submitted(spec);
+    if (cancelAfterMs !== null) sim.after(cancelAfterMs, () => this.cancel());
+    this.step();
+  }
+
+  /** Calls the job off, at `host` where one is named, until told that it has ended. */
+  cancel(host?: string): void {
+    this.host = host;
+    this.want('cancel');
+  }
+
+  /** Submits the job once more. */
+  repeat(): void {
+    this.want('repeat');
+  }
+
+  private want(wish: 'cancel' | 'repeat'): void {
+    if (this.wish !== 'cancel') this.wish = wish;
+    if (!this.accepted || this.asking) return;
+    this.next?.cancel();
+    this.step();
+  }
+
+  private step(): void {
+    const { id } = this.spec;
+    const cancel = this.accepted && this.wish === 'cancel';
+    // Now and then the submission is repeated long after it was accepted.
+    const submit =
+      !this.accepted || (!cancel && (this.wish === 'repeat' || this.sim.random() < 0.1));
+    if (cancel) this.rules.cancelAsked(id);
+    if (submit && this.wish === 'repeat') this.wish = 'none';
+    this.asking = true;
+    this.ask(
+      submit || cancel ? 'POST' : 'GET',
+      submit ? '/submissions' : `/submissions/${id}${cancel ? '/abort' : ''}`,
+      submit ? this.body : undefined,
+      (status, state) => {
+        this.asking = false;
+        this.rules.answered(id, status, state, submit);
+        const answered = status === 200 || status === 201;
+        if (answered) this.accepted = true;
+        if (cancel && answered) this.wish = 'none';
+        const end = state === 'done' || state === 'aborted';
+        const { sim } = this;
+        const pause = end ? sim.between(10_000, 40_000) : this.accepted ? 4000 : 1200;
+        const soon = this.accepted && this.wish !== 'none';
+        this.next = sim.after(soon ? 1000 : pause, () => this.step());
+      },
+      cancel ? this.host : undefined,
+    );
+  }
+}
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -10,6 +10,7 @@
 import { Rules } from './rules.js';
 import type { Scenario } from './scenario.js';
 import { Network, ProcessEnv, Sim } from './sim.js';
+import { User, type Ask } from './users.js';
 import { StateService } from './state-service.js';
 
 const quiet: Logger = {
@@ -44,7 +45,10 @@
   private readonly processes = new Map<string, Process>();
   private readonly peers = new Map<string, (bytes: Buffer) => void>();
   private readonly jobs = new Map<string, { spec: JobSpec; runMs: number }>();
+  private readonly users = new Map<string, User>();
   private readonly teams: Team[];
+  /** How often the controllers have logged each text. */
+  readonly said = new Map<string, number>();
   private starts = 0;
   private jobCount = 0;
   /** No new faults from then on. */
@@ -91,6 +95,7 @@
       runMs: (id) => this.jobs.get(id)?.runMs ?? 1000,
       gangs: new Gangs(this.sim),
       errors: faults.errors,
+      leasesLost: 0,
     };
     this.cloud = new Cloud(
       this.shared,
@@ -123,6 +128,10 @@
     );
     const log: Logger = {
       ...this.log,
+      info: (fields, text) => {
+        this.said.set(text, (this.said.get(text) ?? 0) + 1);
+        this.log.info(fields, text);
+      },
       error: (fields, text) => {
         const { err } = fields as { err?: Error };
         this.errors.push(`${text}: ${err?.stack ?? JSON.stringify(fields)}`);
@@ -225,16 +234,51 @@
   }
 
   /** The machine's reports arrive, but neither answers nor commands get to it. */
-  private deafen(worker: Worker | undefined, ms: number): void {
+  deafen(worker: Worker | undefined, ms: number, mode?: 'hold' | 'reset'): void {
     if (worker === undefined) return;
     const { hosts } = this.scenario;
     for (const h of hosts)
-      this.net.cutWay(h, worker.id, this.sim.random() < 0.5 ? 'hold' : 'reset');
+      this.net.cutWay(h, worker.id, mode ?? (this.sim.random() < 0.5 ? 'hold' : 'reset'));
+    this.sim.after(ms, () => {
+      for (const h of hosts) this.net.heal(h, worker.id);
+    });
+  }
+
+  /** What the machine says is held back, reports and answers; what it is told arrives. */
+  hush(worker: Worker, ms: number): void {
+    const { hosts } = this.scenario;
+    for (const h of hosts) this.net.cutWay(worker.id, h, 'hold');
     this.sim.after(ms, () => {
       for (const h of hosts) this.net.heal(h, worker.id);
     });
   }
 
+  /** A zone goes on by itself, with its workers and the leader in it. */
+  cutZone(zone: string, ms: number): void {
+    const { hosts } = this.scenario;
+    const inside = this.leader ?? hosts[0] ?? '';
+    const cut = (a: string, b: string): void => {
+      this.net.cut(a, b, 'hold');
+      this.sim.after(ms, () => this.net.heal(a, b));
+    };
+    for (const other of ['state', 'user', 'cloud']) cut(inside, other);
+    for (const h of hosts) if (h !== inside) cut(inside, h);
+    for (const w of this.workers)
+      for (const h of hosts) if ((w.zone === zone) !== (h === inside)) cut(w.id, h);
+  }
+
+  get hosts(): readonly string[] {
+    return this.scenario.hosts;
+  }
+
+  get workers(): Worker[] {
+    return this.cloud.up.filter((w) => !w.gone);
+  }
+
+  worker(id: string): Worker | undefined {
+    return this.workers.find((w) => w.id === id);
+  }
+
   /** A controller loses the state service and its peers, but not its workers. */
   isolate(host: string, ms: number): void {
     this.cutFor(host, 'state', ms);
@@ -300,23 +344,46 @@
 
   /** How often a worker's lease has run out. */
   get leasesLost(): number {
-    return this.cloud.up.reduce((sum, w) => sum + w.leasesLost, 0);
+    return this.shared.leasesLost;
   }
 
   /** The leader ends, and so do those who follow, each in the midst of its election; all are soon back. */
-  killElected(): void {
+  killElected(times = 4, overMs = 6000): void {
     const { sim } = this;
-    let times = 4;
+    let left = times;
     const again = (): void => {
       for (const [host, { controller }] of [...this.processes])
         if (controller.leads) this.kill(host, sim.between(50, 400));
-      if (--times > 0) sim.after(sim.between(20, 3000), again);
+      if (--left > 0) sim.after(sim.between(20, (2 * overMs) / times), again);
     };
     again();
   }
 
   // ---- users
 
+  /** Users who repeat, cancel what is done, ask for what can't run or leave a field out. */
+  oddRequests(ms: number): void {
+    const { sim, rules } = this;
+    const until = sim.now + ms;
+    const again = (): void => {
+      if (sim.now > until) return;
+      sim.after(sim.between(300, 900), again);
+      const known = rules.known();
+      const id = known.length > 0 ? sim.pick(known) : '';
+      const spec = this.jobs.get(id)?.spec;
+      if (spec === undefined) return;
+      if (rules.toldDone(id)) return this.cancel(id);
+      if (sim.random() < 0.5) return this.users.get(id)?.repeat();
+      const odd = writeJob({ ...spec, id: `req-odd-${this.jobCount++}` });
+      if (sim.random() < 0.5) odd['cores'] = 1e6;
+      else Reflect.deleteProperty(odd, sim.pick(['duties', 'loaners', 'scatter', 'expect_s']));
+      this.ask('POST', '/submissions', odd, (status) => {
+        if (status === 200 || status === 201) rules.acceptedOdd(String(odd['id']));
+      });
+    };
+    again();
+  }
+
   /** A job of a kind that this world can run, with what the caller wants of it. */
   job(part: Partial<JobSpec>): JobSpec {
     return { ...this.randomJob(), ...part };
@@ -327,49 +394,16 @@
     return this.scenario.job(this.sim, `req-${String(this.jobCount++).padStart(6, '0')}`);
   }
 
-  /** A user calls the job off, at `host` where one is named, until told that it has ended. */
+  /** The job's user calls it off, at `host` where one is named. */
   cancel(id: string, host?: string): void {
-    this.rules.cancelAsked(id);
-    const again = (): void => {
-      this.ask('POST', `/submissions/${id}/abort`, undefined, told, host);
-    };
-    const told = (status: number, state: string): void => {
-      this.rules.answered(id, status, state, false);
-      if (status !== 200) this.sim.after(1000, again);
-    };
-    again();
+    this.users.get(id)?.cancel(host);
   }
 
-  /** A user who submits, polls and perhaps cancels one job, one request at a time. */
+  /** A user who submits, polls and perhaps cancels one job. */
   user(spec: JobSpec, cancelAfterMs: number | null): void {
     this.jobs.set(spec.id, { spec, runMs: spec.estimateS * 1000 * this.sim.between(0.4, 1.8) });
-    const start = this.sim.now;
-    let accepted = false;
-    let asked = false;
-    const body = writeJob(spec);
-    this.rules.submitted(spec);
-    const step = (): void => {
-      const cancel = accepted && cancelAfterMs !== null && this.sim.now > start + cancelAfterMs;
-      // Now and then the submission is repeated long after it was accepted.
-      const submit = !accepted || (!cancel && this.sim.random() < 0.1);
-      const path = submit ? '/submissions' : `/submissions/${spec.id}${cancel ? '/abort' : ''}`;
-      if (cancel && !asked) {
-        asked = true;
-        this.rules.cancelAsked(spec.id);
-      }
-      this.ask(
-        submit || cancel ? 'POST' : 'GET',
-        path,
-        submit ? body : undefined,
-        (status, state) => {
-          this.rules.answered(spec.id, status, state, submit);
-          if (status === 200 || status === 201) accepted = true;
-          const end = state === 'done' || state === 'aborted';
-          this.sim.after(end ? this.sim.between(10_000, 40_000) : accepted ? 4000 : 1200, step);
-        },
-      );
-    };
-    step();
+    const ask: Ask = (...args) => this.ask(...args);
+    this.users.set(spec.id, new User(this.sim, this.rules, ask, spec, cancelAfterMs));
   }
 
   ask(
@@ -408,6 +442,7 @@
       if (this.sim.now >= nextTick) {
         nextTick = this.sim.now + 1000;
         this.rules.tick();
+        if (this.rules.calmAt !== null) this.rules.waiting(this.workers.map((w) => w.free));
       }
       if (this.rules.broken.length > 0 || this.errors.length > 0)
         throw new Error([...this.rules.broken, ...this.errors].join('\n'));
