Quarantines and pauses after errors end before a job has waited too long beside room

Quarantine doubled up to 64 leases: a job that only such a machine fits could wait beside its room for long. Now at most three leases; a machine that fails again on trial goes back at its first strike.

--- a/src/controller/workers/workers.test.ts
+++ b/src/controller/workers/workers.test.ts
@@ -220,6 +220,28 @@
     assert.ok(!b.job.regrouping);
   });
 
+  // Quarantines doubled up to 64 leases; a job that only such a machine fits waited beside its room.
+  it('lets a machine out of quarantine soon enough, and back in when it fails again', () => {
+    const b = new Bench(spec({ tasks: 3 }));
+    const token = makeToken(TERM, 0);
+    b.report(0, []);
+    const m = b.workers.machine('n-1');
+    for (let i = 0; i < 6; i++) {
+      b.now = Math.max(b.now, m.noPlacingBefore);
+      b.job.errors = 0;
+      b.job.failedOn.clear();
+      b.job.pending.drop(0);
+      b.workers.assign(b.job, 0, 9 + i, m);
+      b.workers.flush();
+      b.report(token + i, []);
+      b.report(token + i, [task(9 + i, { state: 'exited', cause: 'error' })]);
+      assert.ok(m.noPlacingBefore - b.now <= 3 * settings.workerLeaseMs);
+      if (i === 0) m.quarantines = 1;
+      else assert.ok(m.noPlacingBefore > b.now, `failure ${i}`);
+      assert.ok(b.job.notBefore - b.now <= 2 * settings.workerLeaseMs);
+    }
+  });
+
   it('puts a gang of one task back when it is lost', () => {
     const b = new Bench(spec({ kind: 'gang', tasks: 1 }), recorded);
     b.report(makeToken(TERM, 0), [], { session: 2 });
--- a/src/controller/workers/workers.ts
+++ b/src/controller/workers/workers.ts
@@ -34,6 +34,12 @@
 /** Direct commands to one machine that wait for its answer: a machine that is cut off takes no more sockets. */
 const DIRECT_OPEN = 2;
 
+/**
+ * A quarantine lasts no longer than this many leases: the machine may be the only one that fits a
+ * job, and no job may be left waiting beside room for long.
+ */
+const QUARANTINE_LEASES = 3;
+
 /** Machines remembered after they are gone. */
 const LEFT = 10_000;
 
@@ -323,6 +329,7 @@
     if (outcome === 'done' && job?.closed === null) {
       if (a.runningAt !== null) this.hooks.ran(a, this.core.now() - a.runningAt);
       m.strikes.clear();
+      m.quarantines = 0;
       // Tasks of a gang complete together.
       if (job.spec.kind === 'gang')
         for (let t = 0; t < job.spec.tasks; t++) this.table.markDone(job, t);
@@ -363,13 +370,16 @@
       job.errors++;
       job.failedOn.add(m.id);
       job.notBefore =
-        now + Math.min(pause * 2 ** Math.min(job.errors, 5), this.settings.workerLeaseMs * 4);
+        now + Math.min(pause * 2 ** Math.min(job.errors, 5), this.settings.workerLeaseMs * 2);
       // A job that has failed on several machines is itself at fault: it strikes no more of them.
       if (job.failedOn.size <= this.settings.get('fleet.strikes')) m.strikes.add(job.spec.id);
-      if (m.strikes.size >= this.settings.get('fleet.strikes')) {
+      // One that was let out on trial and fails again goes back at once.
+      const strikes = m.quarantines > 0 ? 1 : this.settings.get('fleet.strikes');
+      if (m.strikes.size >= strikes) {
         m.quarantines++;
         m.strikes.clear();
-        m.noPlacingBefore = now + this.settings.workerLeaseMs * 2 ** Math.min(m.quarantines, 6);
+        const leases = Math.min(2 ** m.quarantines, QUARANTINE_LEASES);
+        m.noPlacingBefore = now + this.settings.workerLeaseMs * leases;
         this.core.log.warn({ machine: m.id }, 'machine quarantined');
       }
     } else if (outcome === 'no_room') m.noPlacingBefore = Math.max(m.noPlacingBefore, now + pause);
