Standing services; values and transactions within the limits to come; records of machines smaller

Sizes are now kept within the smaller of today's limits and state.next; rates until the service refuses; a 400 for a size is told from 'no such lease' and halves what is written. What was learned is a record for each class, where production reads it too. A machine's record groups its tasks by attempt and time, tasks of an array share attempts. Services: 422 by all replicas together, never done, each replica that ends is replaced elsewhere at once and its machine left out for that service, spread over machines where that costs no fetch, not on spot machines while others have room, moved before a machine goes; first in the pass where of the highest priority. View and metrics show them. Formats: nothing new between controllers; records as production reads them.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -13,7 +13,7 @@
 import { holdKey, Placement } from './placement/placement.js';
 import type { Settings } from './settings/settings.js';
 import { StateClient } from './store/client.js';
-import { PAGES } from './store/pages.js';
+import { PAGES, sizeOf } from './store/pages.js';
 import { Records } from './store/records.js';
 import { Rate } from './store/shares.js';
 import { decodeBody, encodeBody, isMap, WireError } from './wire/cbor.js';
@@ -466,18 +466,7 @@
     reign.passDue = true;
     if (this.core.now() - reign.learnedAt > this.settings.workerLeaseMs / 4) {
       reign.learnedAt = this.core.now();
-      reign.records.set(
-        LEARNED_KEY,
-        {
-          ratios: this.estimates.export(),
-          arrivals: this.reserve.export(
-            this.core.now(),
-            this.core.env.wall(),
-            this.settings.platform.stateLimits.valueKb * 512,
-          ),
-        },
-        false,
-      );
+      this.recordLearned(reign);
     }
     this.tellProgress(reign);
   }
@@ -501,6 +490,25 @@
     return heard.length === 0 && workers.overdue(reportMs, true) > 0.9;
   }
 
+  /**
+   * What was learned, a record for each class: all classes together may be larger than a value. The
+   * versions before read every record under this key, and wrote a single one.
+   */
+  private recordLearned(reign: Reign): void {
+    const ratios = this.estimates.export();
+    const arrivals = this.reserve.export(this.core.now(), this.core.env.wall());
+    for (const cls of new Set([...Object.keys(ratios), ...arrivals.keys()])) {
+      const ratio = ratios[cls];
+      const value = {
+        ratios: ratio === undefined ? {} : { [cls]: ratio },
+        arrivals: arrivals.get(cls) ?? null,
+      };
+      if (sizeOf(value) < this.settings.valueBytes / 2)
+        reign.records.set(`${LEARNED_KEY}/${cls}`, value, false);
+    }
+    reign.records.set(LEARNED_KEY, undefined, false);
+  }
+
   /** Counts for display, of the jobs that have changed. */
   private tellProgress(reign: Reign): void {
     const changed: JobProgress[] = [];
@@ -684,6 +692,13 @@
         'Tasks that wait for room.',
         jobs.reduce((n, j) => n + j.pending.length, 0),
       );
+      const services = jobs.filter((j) => j.standing);
+      metrics.gauge('services', 'Services that run until they are cancelled.', services.length);
+      metrics.gauge(
+        'replicas_missing',
+        'Replicas of services that are not running.',
+        services.reduce((n, j) => n + j.missing, 0),
+      );
       metrics.gauge('machines', 'Machines known.', reign.workers.machines.size);
       metrics.gauge('booting', 'Machines rented and not up yet.', reign.fleet.booting);
       metrics.preemptions(reign.placement.preemptions);
--- a/src/controller/fleet/fleet.ts
+++ b/src/controller/fleet/fleet.ts
@@ -398,8 +398,10 @@
       const holds = Math.min(tasks, whole(need, type.cpus, type.gpus, type.memoryGb));
       if (holds < 1) continue;
       // Work without GPUs on a GPU machine pays for what it cannot use, and blocks others.
+      // A replica on a spot machine is down each time that it is taken.
+      const kept = spot && spec.kind !== 'service';
       const price =
-        ((spot ? type.spotPrice : type.price) / holds) * (need.gpus === 0 && type.gpus > 0 ? 3 : 1);
+        ((kept ? type.spotPrice : type.price) / holds) * (need.gpus === 0 && type.gpus > 0 ? 3 : 1);
       // Equal offers: the zone with the fewest machines, as scattered work needs several.
       const crowded = price * (1 + offer.crowd * (spec.spread ? 1 : 1e-3));
       if (crowded < bestPrice) {
--- a/src/controller/jobs/admission.ts
+++ b/src/controller/jobs/admission.ts
@@ -23,7 +23,9 @@
 ): Verdict {
   const team = teams.find((t) => t.name === spec.team);
   if (team === undefined) return { refuse: 'unknown team' };
-  const at = spec.kind === 'gang' ? spec.tasks : 1;
+  // A gang's tasks run at the same time, and so do a service's replicas.
+  const together = spec.kind !== 'array';
+  const at = together ? spec.tasks : 1;
   const epsilon = 1e-9;
   if (at * spec.cpus > Settings.cap(team.cpusMax) + epsilon)
     return { refuse: 'more CPUs than the team may use' };
@@ -34,11 +36,11 @@
   const { zone } = spec;
   const zones = new Set(fits.flatMap((t) => t.zones).filter((z) => zone === null || z === zone));
   if (zones.size === 0) return { refuse: 'a task fits no allowed machine type' };
-  // A gang runs whole, so its tasks must find zones enough at one time.
-  if (spec.kind === 'gang' && spec.spread && spec.tasks > 1) {
+  // They must find zones enough at one time.
+  if (together && spec.spread && spec.tasks > 1) {
     const perZone = Math.ceil(spec.tasks / 2);
     const usable = spec.oneZone ? 1 : zones.size;
-    if (perZone * usable < spec.tasks) return { refuse: 'too few zones to scatter a gang over' };
+    if (perZone * usable < spec.tasks) return { refuse: 'too few zones to scatter its tasks over' };
   }
   return 'accept';
 }
--- a/src/controller/jobs/frontend.test.ts
+++ b/src/controller/jobs/frontend.test.ts
@@ -67,11 +67,15 @@
 
 describe('submissions', () => {
   const { loaners, ...lacking } = submission;
+  const standing = { ...submission, shape: 'standing', expect_s: 0 };
   const cases: [string, unknown, number][] = [
     ['can run', submission, 201],
     ['lacks a field', lacking, 400],
     ['has a field of a wrong type', { ...submission, loaners: String(loaners) }, 400],
     ['asks for more than its team may have', { ...submission, cores: 9 }, 422],
+    ['is a service within its limit', { ...standing, duties: 8 }, 201],
+    ['is a service beyond its limit', { ...standing, duties: 9 }, 422],
+    ['is an array without an estimate', { ...submission, expect_s: 0 }, 400],
     ['fits no machine', { ...submission, hall: 'b' }, 422],
   ];
   for (const [what, body, status] of cases) {
--- a/src/controller/jobs/frontend.ts
+++ b/src/controller/jobs/frontend.ts
@@ -105,12 +105,12 @@
     this.finals = new Bounded(cache);
     this.live = new Bounded(cache);
     const common = { timeoutMs: CALL_MS, queueMs: CALL_MS };
-    this.writes = new Batcher(core, settings, client, {
+    this.writes = new Batcher(core, client, {
       ...{ ...common, reserve: reserve.submissions, everyMs: 0 },
     });
     const polls = { ...common, reserve: reserve.polls, everyMs: settings.reportMs / 25 };
-    this.ends = new Batcher(core, settings, client, polls);
-    this.unknown = new Batcher(core, settings, client, polls);
+    this.ends = new Batcher(core, client, polls);
+    this.unknown = new Batcher(core, client, polls);
   }
 
   /** Another controller has accepted the job. */
--- a/src/controller/jobs/table.ts
+++ b/src/controller/jobs/table.ts
@@ -105,11 +105,16 @@
   errors = 0;
   /** Machines on which tasks of the job failed. */
   readonly failedOn = new Set<string>();
+  /** Machines on which replicas of a service ended by themselves: how often, and left out until when. */
+  readonly avoided = new Map<string, { times: number; until: number }>();
   /** Since when the job has had something to place, for rank and for renting. */
   waitingSince: number;
   blocked = '';
   /** Machines that the job's hold is on, for a gang that cannot start yet. */
   hold: Hold | null = null;
+  /** The attempt under which tasks start one by one, and those that have. */
+  private attempt = 0;
+  private readonly started = new Set<number>();
   /** When room was last sought that could be made for an array's tasks. */
   soughtAt = -Infinity;
 
@@ -126,10 +131,33 @@
     this.waitingSince = now;
   }
 
+  /** Its tasks run until the job is cancelled; each that ends is replaced. */
+  get standing(): boolean {
+    return this.spec.kind === 'service';
+  }
+
+  /** Replicas of a service that are not running. */
+  get missing(): number {
+    return this.standing ? this.spec.tasks - this.running : 0;
+  }
+
   get level(): number {
     return levels[this.spec.priority];
   }
 
+  /**
+   * An attempt under which the task has not been started. Tasks that start one by one share one, which
+   * keeps the records of their machines small.
+   */
+  attemptFor(task: number, next: () => number): number {
+    if (this.attempt === 0 || this.started.has(task)) {
+      this.attempt = next();
+      this.started.clear();
+    }
+    this.started.add(task);
+    return this.attempt;
+  }
+
   get complete(): boolean {
     return this.doneCount === this.spec.tasks;
   }
@@ -230,6 +258,7 @@
   }
 
   private loadChunk(job: Job, chunk: number, value: string): void {
+    if (job.standing) return;
     const bits = Buffer.from(value, 'base64');
     for (let i = 0; i < CHUNK; i++) {
       const task = chunk * CHUNK + i;
@@ -299,7 +328,7 @@
 
   /** A report shows the task done. It may be cleared once that is on record. */
   markDone(job: Job, task: number): void {
-    if (job.closed !== null || job.done[task] === 1) return;
+    if (job.closed !== null || job.standing || job.done[task] === 1) return;
     job.done[task] = 1;
     job.doneCount++;
     job.changed = true;
--- a/src/controller/operators/view.ts
+++ b/src/controller/operators/view.ts
@@ -73,6 +73,18 @@
         fills_in_s: seconds(j.hold?.fillAt ?? Infinity),
         blocked: j.blocked,
       })),
+    services: jobs
+      .filter((j) => j.standing)
+      .sort((a, b) => b.missing - a.missing)
+      .slice(0, LISTED)
+      .map((j) => ({
+        job: j.spec.id,
+        class: j.spec.class,
+        replicas: j.spec.tasks,
+        missing: j.missing,
+        machines: [...j.assigned.values()].map((a) => a.machine.id),
+        exits: j.exits,
+      })),
     lacking: s.placement.lacking
       .slice(0, LISTED)
       .map(({ job, tasks }) => ({ job: job.spec.id, class: job.spec.class, tasks })),
--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -4,11 +4,12 @@
 import type { Records } from '../store/records.js';
 import type { Assignment, Need } from '../workers/assignment.js';
 import type { Machine } from '../workers/machine.js';
-import { recordBytes, type Workers } from '../workers/workers.js';
+import { recordCost, recordRoom } from '../workers/record.js';
+import type { Workers } from '../workers/workers.js';
 import type { Estimates } from './estimates.js';
 import { compareTurn, turnOf, type RankSettings, type Turn } from './rank.js';
 import type { Reserve } from './reserve.js';
-import { needOf, Rooms, type Room } from './room.js';
+import { allowed, needOf, Rooms, whole, type Room } from './room.js';
 import { Targets, type Target } from './targets.js';
 import { Guarantees } from './teams.js';
 
@@ -79,6 +80,9 @@
 /** Work is stopped for a gang this long before its hold should be full, in report intervals. */
 const STOP_AHEAD = 3;
 
+/** A replica leaves a machine that goes at least this long before, in report intervals. */
+const MOVE_AHEAD = 1.5;
+
 /** Tasks of one array that room is made for in one pass. */
 const ROOM_A_PASS = 8;
 
@@ -154,7 +158,7 @@
   begin(): void {
     const now = this.core.now();
     this.guarantees.mark(this.table.jobs.values());
-    const rooms = new Rooms(this.workers.machines.values(), this.workers.recordLimit);
+    const rooms = new Rooms(this.workers.machines.values(), recordRoom(this.settings));
     for (const r of rooms.all) r.closed = !this.usable(r.machine, now);
     this.drain(now);
     const turns: Turn[] = [];
@@ -237,7 +241,8 @@
     if (t === null) return Infinity;
     let score = 0;
     if (spec.gpus === 0 && t.gpus > 0) score += 30;
-    if (spec.spot && !m.spot) score += 15;
+    // Cheap machines are for work that can be done again; a replica there is down with each that goes.
+    if (spec.spot && m.spot === job.standing) score += 15;
     if (job.failedOn.has(m.id)) score += 60;
     if (spec.kind === 'gang' && room.intrudes(spec)) score += 25;
     const left =
@@ -257,13 +262,14 @@
     const name = nameOf(kinds);
     if (pass.failed.some((f) => f.kinds === name && atLeast(need, f))) return found;
     const backfill = this.settings.get('placement.backfill.ratio');
-    const record = recordBytes(spec.id, spec.team);
+    const record = recordCost({ jobId: spec.id, team: spec.team, need, saveS: spec.saveS });
     const soonest = pass.now + this.settings.reportMs / 2 + this.estimates.runMs(spec);
     let any = false;
     for (const rooms of kinds)
       for (const room of rooms) {
         if (!room.admits(need)) continue;
         any = true;
+        if ((job.avoided.get(room.machine.id)?.until ?? 0) > pass.now) continue;
         if (warmOnly && this.estimates.cold(spec, room.machine)) continue;
         const fetch = this.estimates.fetchMs(spec, room.machine, pass.now);
         const count = room.fits(spec, job.level, soonest + fetch, backfill, pass.now, record);
@@ -296,13 +302,15 @@
     return this.workers.term * ATTEMPTS + this.attempts;
   }
 
-  private put(job: Job, room: Room, count: number, attempt: number): void {
+  /** `attempt`: of a gang; other tasks start one by one. */
+  private put(job: Job, room: Room, count: number, attempt?: number): void {
+    room.outlook = null;
     for (let i = 0; i < count; i++) {
       const task = job.pending.pop();
       if (task === undefined) return;
-      this.workers.assign(job, task, attempt, room.machine);
+      const own = attempt ?? job.attemptFor(task, () => this.nextAttempt());
+      this.workers.assign(job, task, own, room.machine);
     }
-    room.outlook = null;
   }
 
   /**
@@ -323,13 +331,12 @@
     if (left === 0) return;
     const limited = job.spec.oneZone || job.spec.spread;
     const zones = limited ? this.zones(job) : new Map<string, number>();
-    let attempt = -1;
-    for (const { room, count } of this.candidates(pass, job, warmOnly)) {
+    const found = this.candidates(pass, job, warmOnly);
+    for (const { room, count } of job.standing ? this.apart(job, found) : found) {
       const { zone } = room.machine;
       const n = Math.min(left, count, limited ? this.zoneRoom(job, zone, zones) : Infinity);
       if (n <= 0) continue;
-      if (attempt < 0) attempt = this.nextAttempt();
-      this.put(job, room, n, attempt);
+      this.put(job, room, n);
       zones.set(zone, (zones.get(zone) ?? 0) + n);
       left -= n;
       if (left === 0) break;
@@ -346,6 +353,41 @@
     }
   }
 
+  /**
+   * A service's places, one replica at a time, on as many machines as costs no fetch: so that the loss
+   * of one takes few.
+   */
+  private apart(job: Job, found: Candidate[]): Candidate[] {
+    const replicas = new Map<string, number>();
+    for (const a of job.all)
+      if (a.phase !== 'ended') replicas.set(a.machine.id, (replicas.get(a.machine.id) ?? 0) + 1);
+    const places: (Candidate & { cold: boolean; there: number })[] = [];
+    for (const c of found) {
+      const { machine } = c.room;
+      const cold = !machine.images.has(job.spec.image);
+      const there = replicas.get(machine.id) ?? 0;
+      for (let i = 0; i < Math.min(c.count, job.spec.tasks); i++)
+        places.push({ ...c, count: 1, cold, there: there + i });
+    }
+    return places.sort(
+      (a, b) => Number(a.cold) - Number(b.cold) || a.there - b.there || a.score - b.score,
+    );
+  }
+
+  /** Whether a replica stopped now would start elsewhere at once: room there, and its image. */
+  private canMove(a: Assignment & { job: Job }, now: number): boolean {
+    const { spec } = a.job;
+    const need = needOf(spec);
+    for (const m of this.workers.machines.values()) {
+      const { type, zone, spot } = m;
+      if (m === a.machine || type === null || !m.images.has(spec.image)) continue;
+      if (!allowed(spec, { type, zone, spot }) || !this.usable(m, now)) continue;
+      if (whole(need, type.cpus - m.cpus, type.gpus - m.gpus, type.memoryGb - m.memoryGb) > 0)
+        return true;
+    }
+    return false;
+  }
+
   /**
    * Room for an array's tasks one by one, where work may be stopped for them: so that work inside a
    * guarantee need not wait for what others run on borrowed room.
@@ -598,6 +640,9 @@
         if (a.stop !== null || a.phase === 'ended' || a.job === null) continue;
         const { spec } = a.job;
         if (this.estimates.remainingMs(a, now) < left - this.settings.reportMs) continue;
+        // A replica moves as soon as it can start elsewhere at once, and else as late as is safe.
+        const late = left < this.settings.reportMs * MOVE_AHEAD;
+        if (a.job.standing && !late && !this.canMove({ ...a, job: a.job }, now)) continue;
         const saves = spec.checkpointS > 0 && a.state === 'running';
         const grace = saves ? spec.saveS : 0;
         if (spec.kind === 'gang') this.workers.stopJob(a.job, grace, 'machine goes');
--- a/src/controller/placement/rank.ts
+++ b/src/controller/placement/rank.ts
@@ -1,4 +1,4 @@
-import type { Job } from '../jobs/table.js';
+import { levels, type Job } from '../jobs/table.js';
 
 export interface RankSettings {
   /** A wait this long counts like one priority class (m03's aging). */
@@ -55,14 +55,20 @@
   );
 }
 
+/** A service of the highest priority with replicas missing: it takes little, and each second counts. */
+function standing({ job }: Turn): boolean {
+  return job.standing && job.level === levels.production;
+}
+
 /**
- * Whose turn it is. First those for whom work was just stopped: its victims may well rank higher, by
+ * Whose turn it is. First services that must not be down, then those for whom work was just stopped: its victims may well rank higher, by
  * their submission or by having been stopped, and would take the room back in the next pass. Then
  * work inside its team's guarantee, which must not wait for what other teams borrow, nor for their
  * holds. Then rank.
  */
 export function compareTurn(a: Turn, b: Turn): number {
   return (
+    Number(standing(b)) - Number(standing(a)) ||
     Number(b.granted) - Number(a.granted) ||
     Number(b.job.guaranteed) - Number(a.job.guaranteed) ||
     compareRank(a, b)
--- a/src/controller/placement/reserve.ts
+++ b/src/controller/placement/reserve.ts
@@ -1,5 +1,4 @@
 import { levels, type Job } from '../jobs/table.js';
-import { sizeOf } from '../store/pages.js';
 import { isMap } from '../wire/cbor.js';
 import { readJob, writeJob, type JobSpec } from '../wire/jobs.js';
 import type { Estimates } from './estimates.js';
@@ -86,21 +85,28 @@
     c.occupancyMs = c.occupancyMs === 0 ? occupancyMs : 0.85 * c.occupancyMs + 0.15 * occupancyMs;
   }
 
-  /** What has been seen of the classes that came last, for the leader after this one. */
-  export(now: number, wall: number, maxBytes: number): unknown {
+  /** What has been seen of the classes that came last, by class, for the leader after this one. */
+  export(now: number, wall: number): Map<string, unknown> {
     const recent = [...this.classes.values()].sort((a, b) => b.at - a.at).slice(0, EXPORTED);
-    let bytes = 0;
-    const classes = recent
-      .map((c) => ({
-        job: writeJob(c.spec),
-        weight: c.weight,
-        at: wall - (now - c.at),
-        together: c.together,
-        images: Object.fromEntries(c.images),
-        stay: c.occupancyMs,
-      }))
-      .filter((c) => (bytes += sizeOf(c)) <= maxBytes);
-    return { since: wall - (now - this.startedAt), classes };
+    const since = wall - (now - this.startedAt);
+    return new Map(
+      recent.map((c) => [
+        c.spec.class,
+        {
+          since,
+          classes: [
+            {
+              job: writeJob(c.spec),
+              weight: c.weight,
+              at: wall - (now - c.at),
+              together: c.together,
+              images: Object.fromEntries(c.images),
+              stay: c.occupancyMs,
+            },
+          ],
+        },
+      ]),
+    );
   }
 
   /** A leader that comes without this would let small work flood the room of large classes. */
@@ -112,11 +118,14 @@
       if (!isMap(c) || !isMap(c['images'])) continue;
       try {
         const spec = readJob(c['job']);
+        // Versions have written this in different places: the newest counts.
+        const at = onClock(c['at']);
+        if (at < (this.classes.get(spec.class)?.at ?? -Infinity)) continue;
         this.classes.set(spec.class, {
           spec,
           level: levels[spec.priority],
           weight: Number(c['weight']),
-          at: onClock(c['at']),
+          at,
           together: Number(c['together']),
           images: new Map(Object.entries(c['images']).map(([i, n]) => [i, Number(n)])),
           occupancyMs: Number(c['stay']),
--- a/src/controller/placement/room.ts
+++ b/src/controller/placement/room.ts
@@ -2,6 +2,9 @@
 import type { MachineType } from '../wire/cloud.js';
 import type { Assignment, Need } from '../workers/assignment.js';
 import type { Machine } from '../workers/machine.js';
+import type { RecordCost } from '../workers/record.js';
+
+const FREE: RecordCost = { fixed: 0, each: 1 };
 
 /** Amounts are decimals. */
 export const EPS = 1e-6;
@@ -75,7 +78,7 @@
     endsAt: number,
     backfill: number,
     now: number,
-    record = 1,
+    record: RecordCost = FREE,
   ): number {
     if (this.closed) return 0;
     let { cpus, gpus, memoryGb } = this;
@@ -86,7 +89,8 @@
       gpus -= c.gpus;
       memoryGb -= c.memoryGb;
     }
-    const slots = Math.floor((this.recordLimit - this.machine.recordBytes) / record);
+    const bytes = this.recordLimit - this.machine.record.bytes - record.fixed;
+    const slots = Math.floor(bytes / record.each);
     return Math.max(0, Math.min(slots, whole(spec, cpus, gpus, memoryGb)));
   }
 
--- a/src/controller/settings/platform.ts
+++ b/src/controller/settings/platform.ts
@@ -19,11 +19,20 @@
     gangPeerS: number;
     cancelS: number;
   };
-  stateLimits: { rps: number; writeRps: number; valueKb: number; txnOps: number };
+  stateLimits: StateLimits;
+  /** Limits that the state service will have from some moment on, without notice. */
+  stateNext: StateLimits;
   cloudLimits: { rps: number; listLagS: number };
   quota: { cores: number; ramMb: number; sockets: number };
 }
 
+export interface StateLimits {
+  rps: number;
+  writeRps: number;
+  valueKb: number;
+  txnOps: number;
+}
+
 /** What is expected for a class; kinds that this version doesn't know are kept and not used. */
 export interface Objective {
   kind: string;
@@ -83,6 +92,15 @@
   return n;
 }
 
+function readStateLimits(from: Table, path: string, others?: StateLimits): StateLimits {
+  return {
+    rps: num(from, 'rps', path, 1, others?.rps),
+    writeRps: num(from, 'write_rps', path, 1, others?.writeRps),
+    valueKb: num(from, 'value_kb', path, 1, others?.valueKb),
+    txnOps: num(from, 'txn_ops', path, 2, others?.txnOps),
+  };
+}
+
 export function readPlatform(source: string): Platform {
   let root: Table;
   try {
@@ -98,6 +116,8 @@
   const cloud = table(params, 'cloud', 'params.');
   const quota = table(params, 'quota', 'params.');
   const w = 'params.workers.';
+  const stateLimits = readStateLimits(state, 'params.state.');
+  const next = state['next'] === undefined ? {} : table(state, 'next', 'params.state.');
   return {
     host: str(root, 'host_name', ''),
     zone: str(root, 'site', ''),
@@ -130,12 +150,8 @@
       gangPeerS: num(workers, 'gang_peer_s', w, 0.1),
       cancelS: num(workers, 'cancel_s', w, 1),
     },
-    stateLimits: {
-      rps: num(state, 'rps', 'params.state.', 1),
-      writeRps: num(state, 'write_rps', 'params.state.', 1),
-      valueKb: num(state, 'value_kb', 'params.state.', 1),
-      txnOps: num(state, 'txn_ops', 'params.state.', 2),
-    },
+    stateLimits,
+    stateNext: readStateLimits(next, 'params.state.next.', stateLimits),
     cloudLimits: {
       rps: num(cloud, 'rps', 'params.cloud.', 0.1),
       listLagS: num(cloud, 'list_lag_s', 'params.cloud.', 0, 0),
--- a/src/controller/settings/settings.ts
+++ b/src/controller/settings/settings.ts
@@ -57,6 +57,12 @@
     return this.properties[name];
   }
 
+  /** Largest value at the state service, now and after its limits have changed. */
+  get valueBytes(): number {
+    const { stateLimits, stateNext } = this.platform;
+    return Math.min(stateLimits.valueKb, stateNext.valueKb) * 1024;
+  }
+
   /** How long after sending a renewal the leader may act on it. */
   get leaderActsMs(): number {
     return this.leaderLeaseMs * (1 - 2 * DRIFT - this.get('leadership.margin.ratio'));
--- a/src/controller/store/batcher.ts
+++ b/src/controller/store/batcher.ts
@@ -1,5 +1,4 @@
 import type { Core } from '../core/core.js';
-import type { Settings } from '../settings/settings.js';
 import type { Condition, Write } from '../wire/state.js';
 import type { StateClient, TxnResult } from './client.js';
 import { sizeOf } from './pages.js';
@@ -43,7 +42,6 @@
 
   constructor(
     private readonly core: Core,
-    private readonly settings: Settings,
     private readonly client: StateClient,
     private readonly options: BatcherOptions,
   ) {
@@ -79,7 +77,7 @@
     const now = this.core.now();
     if (now < this.nextAt) return this.later(this.nextAt - now);
     const { reserve } = this.options;
-    const { txnOps } = this.settings.platform.stateLimits;
+    const { txnOps } = this.client.limits.inForce;
     const wait = this.client.tokens.waitMs(1, reserve);
     if (wait > 0) return this.later(wait);
     this.nextAt = now + this.options.everyMs;
@@ -136,7 +134,7 @@
   }
 
   private settle(batch: Queued[], result: TxnResult): void {
-    if (result.kind === 'no-lease' && batch.length > 1) {
+    if (result.kind === 'too-large' && batch.length > 1) {
       // Refused as malformed: one entry's fault must not be that of all in its batch.
       this.single = true;
       this.again(batch);
--- a/src/controller/store/client.ts
+++ b/src/controller/store/client.ts
@@ -1,12 +1,14 @@
 import type { Core } from '../core/core.js';
 import type { Reply } from '../core/env.js';
 import { Tokens } from '../core/tokens.js';
+import { Limits } from './limits.js';
 import { Rate, writeShare, type Part } from './shares.js';
 import type { Settings } from '../settings/settings.js';
 import {
   readEvents,
   readFailed,
   readItem,
+  isNoLease,
   readLease,
   readRange,
   readRevision,
@@ -34,6 +36,8 @@
   | { kind: 'refused' }
   /** The lease named in a put has ended. Not carried out. */
   | { kind: 'no-lease' }
+  /** A value or the whole is larger than the service takes, or it finds fault. Not carried out. */
+  | { kind: 'too-large' }
   /** No response: carried out, or not, or later. */
   | { kind: 'unknown' };
 
@@ -43,6 +47,7 @@
 export class StateClient {
   readonly tokens: Tokens;
   readonly writeTokens: Tokens;
+  readonly limits: Limits;
   private okAt = -Infinity;
   private failedAt = -Infinity;
   private failing = 0;
@@ -59,6 +64,7 @@
     private readonly settings: Settings,
   ) {
     const now = (): number => core.now();
+    this.limits = new Limits(settings.platform);
     this.tokens = new Tokens(now, 1, 1);
     this.writeTokens = new Tokens(now, 1, 1);
     this.written = new Rate(now, WANTED_MS);
@@ -67,11 +73,11 @@
 
   /** The followers share a part of the requests among them; the leader has what they leave. */
   setRole(leader: boolean): void {
-    const { stateLimits, peers } = this.settings.platform;
+    const { peers } = this.settings.platform;
     const followers = this.settings.get('state.followers.requests.ratio');
     const theirs = peers.length > 0 ? followers : 0;
     const share = leader ? 1 - theirs : theirs / Math.max(1, peers.length);
-    const rps = stateLimits.rps * this.settings.get('state.headroom.ratio') * share;
+    const rps = this.limits.inForce.rps * this.settings.get('state.headroom.ratio') * share;
     this.tokens.setRate(rps, rps);
     this.leads = leader;
     this.shareWrites([]);
@@ -84,8 +90,8 @@
 
   /** Puts are shared by what each node wants, as far as the others have told. */
   shareWrites(heard: readonly Part[]): void {
-    const { stateLimits, peers } = this.settings.platform;
-    const limit = stateLimits.writeRps * this.settings.get('state.headroom.ratio');
+    const { peers } = this.settings.platform;
+    const limit = this.limits.inForce.writeRps * this.settings.get('state.headroom.ratio');
     const parts = peers.map((_, i) => heard[i] ?? null);
     const followers = this.settings.get('state.followers.writes.ratio');
     const rate = limit * writeShare(this.part, parts, followers, limit);
@@ -136,6 +142,10 @@
           } else if (reply.status === 429) {
             this.tokens.rejected(100);
             this.writeTokens.rejected(100);
+            if (this.limits.tooMany(this.core.now())) {
+              this.core.log.info(this.limits.inForce, 'the state service has lowered its rates');
+              this.setRole(this.leads);
+            }
           } else {
             this.failing = 0;
             this.okAt = this.core.now();
@@ -176,7 +186,15 @@
       this.core.log.warn({ err }, 'broken answer from the state service');
       return { kind: 'unknown' };
     }
-    if (r.status === 400) return { kind: 'no-lease' };
+    if (r.status === 400) {
+      if (isNoLease(r.body)) return { kind: 'no-lease' };
+      this.core.log.warn(
+        { answer: r.body, ...this.limits.inForce },
+        'refused by the state service',
+      );
+      this.limits.tooLarge();
+      return { kind: 'too-large' };
+    }
     return { kind: r.status === 429 || r.status === 503 ? 'refused' : 'unknown' };
   }
 
--- a/src/controller/store/pages.ts
+++ b/src/controller/store/pages.ts
@@ -33,8 +33,13 @@
 
 export const PAGES = 'page/';
 
-/** Room of a page that new entries fill, as a share of the largest value. Small pages cost little to rewrite. */
+/**
+ * Room of a page that new entries fill, as a share of the largest value. Small pages cost little to
+ * rewrite; but where values are small themselves, each put should carry what it can.
+ */
 const FILL = 0.4;
+const FILL_SMALL = 0.8;
+const SMALL_BYTES = 2048;
 /** A page is filled again once no more than this share of that room is still in use. */
 const REUSE = 0.25;
 /** JSON of a page without entries, and of an entry beside its key and text. */
@@ -58,10 +63,18 @@
   private head: Page | null = null;
   private sequence = 0;
   private number = 0;
-  private readonly fill: number;
 
-  constructor(valueBytes: number) {
-    this.fill = valueBytes * FILL;
+  /** `valueBytes`: the largest value, which may become smaller. */
+  constructor(private readonly valueBytes: () => number) {}
+
+  private get fill(): number {
+    const most = this.valueBytes();
+    return Math.min(most * FILL_SMALL, Math.max(most * FILL, SMALL_BYTES));
+  }
+
+  /** Whether the entry can be written at all. */
+  writable(e: Entry): boolean {
+    return HEAD_BYTES + e.bytes <= this.valueBytes();
   }
 
   /** All pages as they were read at takeover. */
--- a/src/controller/store/records.ts
+++ b/src/controller/store/records.ts
@@ -56,7 +56,7 @@
     private readonly client: StateClient,
     private readonly options: RecordsOptions,
   ) {
-    this.pages = new Pages(settings.platform.stateLimits.valueKb * 1024);
+    this.pages = new Pages(() => client.limits.valueBytes);
   }
 
   close(): void {
@@ -133,7 +133,7 @@
   }
 
   private commit(pagesDue: boolean, lazyDue: boolean): void {
-    const { txnOps } = this.settings.platform.stateLimits;
+    const { txnOps } = this.client.limits.inForce;
     const now = this.core.now();
     const conditions: Condition[] = [this.options.fence];
     const pages = new Set<Page>();
@@ -147,6 +147,10 @@
       this.client.writeTokens.waitMs(w, reserve.records) === 0;
     // False: no room is left for it in this transaction.
     const add = (e: Entry, newPages: boolean): boolean => {
+      if (!this.pages.writable(e)) {
+        this.holdBack(e);
+        return true;
+      }
       const target = this.pages.target(e);
       const grows = e.page === target ? 0 : e.bytes;
       if (pages.has(target)) {
@@ -183,6 +187,16 @@
     this.send(conditions, [...pages], [...taken], extras);
   }
 
+  /**
+   * Larger than the service takes: of a leader before, under other limits. What is stored is left as
+   * it is, an upper bound of what runs, until a value is set that fits.
+   */
+  private holdBack(e: Entry): void {
+    this.urgent.delete(e);
+    this.lazy.delete(e);
+    this.core.log.warn({ key: e.key, bytes: e.bytes }, 'record too large to be written');
+  }
+
   /** Ends of jobs, as many as there is room for: their users are waiting. */
   private takeExtras(
     room: (writes: number, conditions: number, size: number) => boolean,
--- a/src/controller/wire/cbor.ts
+++ b/src/controller/wire/cbor.ts
@@ -30,6 +30,10 @@
   );
 }
 
+export function isList(value: unknown): value is unknown[] {
+  return Array.isArray(value);
+}
+
 export class WireError extends Error {}
 
 export function text(map: Fields, name: string): string {
--- a/src/controller/wire/state.ts
+++ b/src/controller/wire/state.ts
@@ -49,6 +49,11 @@
   });
 }
 
+/** Of the answers with 400, the one that tells of an ended lease. */
+export function isNoLease(body: unknown): boolean {
+  return isMap(body) && body['error'] === 'no such lease';
+}
+
 export function readLease(body: unknown): number {
   return smallInt(fields(body), 'permit', 0, MAX);
 }
--- a/src/controller/workers/machine.ts
+++ b/src/controller/workers/machine.ts
@@ -1,5 +1,7 @@
 import type { MachineType } from '../wire/cloud.js';
+import type { Settings } from '../settings/settings.js';
 import type { Assignment } from './assignment.js';
+import { RecordSize } from './record.js';
 
 export class Machine {
   addr = '';
@@ -44,8 +46,8 @@
   cpus = 0;
   gpus = 0;
   memoryGb = 0;
-  /** Bytes that its tasks may take in its record. */
-  recordBytes = 0;
+  /** How large its record is. */
+  readonly record: RecordSize;
   /** Tasks that take room, and how many of each class. */
   tasks = 0;
   readonly classes = new Map<string, number>();
@@ -65,7 +67,9 @@
   constructor(
     readonly id: string,
     now: number,
+    settings: Settings,
   ) {
+    this.record = new RecordSize(settings);
     this.leaseFrom = now;
     this.firstSeen = now;
     this.unsyncedFrom = now;
--- a/src/controller/workers/workers.test.ts
+++ b/src/controller/workers/workers.test.ts
@@ -242,6 +242,26 @@
     }
   });
 
+  for (const cause of ['done', 'error', 'other'] as const)
+    it(`replaces a replica that ended with ${cause}, elsewhere and at once`, () => {
+      const b = new Bench(spec({ kind: 'service', tasks: 2, estimateS: 0 }));
+      const token = makeToken(TERM, 0);
+      b.report(0, []);
+      const m = b.workers.machine('n-1');
+      b.job.pending.drop(0);
+      b.workers.assign(b.job, 0, 9, m);
+      b.workers.flush();
+      b.report(token, []);
+      b.report(token, [task(9)]);
+      assert.equal(b.job.running, 1);
+      assert.equal(b.job.missing, 1);
+      b.report(token, [task(9, { state: 'exited', cause })]);
+      assert.ok(b.job.pending.has(0));
+      assert.equal(b.job.doneCount, 0);
+      assert.ok(b.job.notBefore <= b.now, 'the service itself does not wait');
+      assert.ok((b.job.avoided.get('n-1')?.until ?? 0) > b.now, 'the machine is left out');
+    });
+
   it('puts a gang of one task back when it is lost', () => {
     const b = new Bench(spec({ kind: 'gang', tasks: 1 }), recorded);
     b.report(makeToken(TERM, 0), [], { session: 2 });
--- a/src/controller/workers/workers.ts
+++ b/src/controller/workers/workers.ts
@@ -16,8 +16,9 @@
   type Report,
   type TaskReport,
 } from '../wire/workers.js';
-import type { Assignment, Need } from './assignment.js';
+import type { Assignment } from './assignment.js';
 import { Machine } from './machine.js';
+import { readRecord, writeRecord } from './record.js';
 import { EPOCHS, makeToken, termOf } from './token.js';
 
 const MACHINES = 'm/';
@@ -43,14 +44,6 @@
 /** Machines remembered after they are gone. */
 const LEFT = 10_000;
 
-/** Bytes that a task takes at most in its machine's record, beside the names of its job and team. */
-const TASK_BYTES = 80;
-
-/** Bytes of a machine's record that one more task of the job may take. */
-export function recordBytes(jobId: string, team: string): number {
-  return TASK_BYTES + jobId.length + team.length;
-}
-
 export interface WorkersHooks {
   type(name: string): MachineType | undefined;
   higherTerm(term: number): void;
@@ -63,6 +56,11 @@
 /** Why an assignment ended. `lost`: the machine or its session is gone, or the start never arrived. */
 type Outcome = Cause | 'lost' | 'unsent';
 
+/** Ends of a service's replica that say something of it or of its machine. */
+const SELF_ENDED: ReadonlySet<Outcome> = new Set<Outcome>([
+  ...(['done', 'error', 'busy', 'unknown', 'other'] as const),
+]);
+
 /** A report that came too late or from a session that is over gets no 200: it must not renew. */
 export type ReportAnswer = { status: 200; body: unknown } | { status: 503 };
 
@@ -99,7 +97,7 @@
   machine(id: string): Machine {
     let m = this.machines.get(id);
     if (m === undefined) {
-      m = new Machine(id, this.core.now());
+      m = new Machine(id, this.core.now(), this.settings);
       m.echo = this.token(m);
       this.machines.set(id, m);
     }
@@ -116,34 +114,6 @@
 
   // ---- records
 
-  private value(m: Machine): unknown {
-    const now = this.core.now();
-    const wall = this.core.env.wall();
-    const jobs = new Map<string, unknown[]>();
-    for (const a of m.assignments.values()) {
-      let entry = jobs.get(a.jobId);
-      if (entry === undefined) {
-        const { cpus, gpus, memoryGb } = a.need;
-        entry = [a.jobId, a.team, cpus, gpus, memoryGb, a.saveS];
-        jobs.set(a.jobId, entry);
-      }
-      // By attempt: when, by time of day, and which tasks.
-      let attempt = entry.find((x) => Array.isArray(x) && x[0] === a.attempt) as
-        number[] | undefined;
-      if (attempt === undefined) {
-        attempt = [a.attempt, Math.round(wall - (now - a.since))];
-        entry.push(attempt);
-      }
-      attempt.push(a.task);
-    }
-    return [m.session, m.typeName, m.zone, m.spot ? 1 : 0, m.addr, ...jobs.values()];
-  }
-
-  /** How many bytes the tasks of a machine may take in its record, which has to fit a value. */
-  get recordLimit(): number {
-    return this.settings.platform.stateLimits.valueKb * 1024 * 0.9 - 500;
-  }
-
   /** What the leaders before have left, read at takeover. */
   load(): void {
     for (const { key, value } of this.records.list(MACHINES))
@@ -158,45 +128,27 @@
   }
 
   private loadMachine(id: string, value: unknown): void {
-    if (!Array.isArray(value)) return;
-    const m = this.machine(id);
-    const [session, type, zone, spot, addr, ...jobs] = value as unknown[];
-    m.session = Number(session);
-    this.setType(m, String(type), String(zone), spot === 1, String(addr));
     const wall = this.core.env.wall();
-    for (const entry of jobs) {
-      if (!Array.isArray(entry)) continue;
-      const [jobId, team, cpus, gpus, memoryGb, saveS, ...attempts] = entry as unknown[];
-      const need: Need = { cpus: Number(cpus), gpus: Number(gpus), memoryGb: Number(memoryGb) };
-      for (const tasks of attempts) {
-        if (!Array.isArray(tasks)) continue;
-        const [attempt = 0, at = wall, ...numbers] = tasks as number[];
-        for (const task of numbers) {
-          const job = this.table.jobs.get(String(jobId)) ?? null;
-          const a: Assignment = {
-            name: taskName(String(jobId), task),
-            jobId: String(jobId),
-            job,
-            team: String(team),
-            task,
-            attempt,
-            machine: m,
-            session: m.session,
-            need,
-            saveS: Number(saveS),
-            since: this.core.now() - Math.max(0, wall - at),
-            phase: 'sent',
-            state: null,
-            sentSeq: null,
-            runningAt: null,
-            reportedIn: 0,
-            stop: null,
-          };
-          this.hold(a);
-          if (job === null) this.stop(a, 0, 'job ended');
-          else this.attach(job, a);
-        }
-      }
+    const record = readRecord(value, wall);
+    if (record === null) return;
+    const m = this.machine(id);
+    m.session = record.session;
+    this.setType(m, record.type, record.zone, record.spot, record.addr);
+    for (const { at, ...t } of record.tasks) {
+      const job = this.table.jobs.get(t.jobId) ?? null;
+      const a: Assignment = {
+        ...t,
+        name: taskName(t.jobId, t.task),
+        job,
+        machine: m,
+        session: m.session,
+        since: this.core.now() - Math.max(0, wall - at),
+        phase: 'sent',
+        ...{ state: null, sentSeq: null, runningAt: null, reportedIn: 0, stop: null },
+      };
+      this.hold(a);
+      if (job === null) this.stop(a, 0, 'job ended');
+      else this.attach(job, a);
     }
   }
 
@@ -217,7 +169,7 @@
   private hold(a: Assignment): void {
     const { machine: m, job } = a;
     m.assignments.set(a.name, a);
-    m.recordBytes += recordBytes(a.jobId, a.team);
+    m.record.add(a);
     job?.all.add(a);
     m.take(a);
     this.teams.add(a.team, a.need, 1);
@@ -311,7 +263,7 @@
   private remove(a: Assignment): void {
     if (a.machine.assignments.get(a.name) === a) {
       a.machine.assignments.delete(a.name);
-      a.machine.recordBytes -= recordBytes(a.jobId, a.team);
+      a.machine.record.remove(a);
     }
     a.job?.all.delete(a);
     if (a.job?.assigned.get(a.task) === a) a.job.assigned.delete(a.task);
@@ -326,7 +278,7 @@
     a.phase = 'ended';
     this.release(a);
     this.hooks.changed();
-    if (outcome === 'done' && job?.closed === null) {
+    if (outcome === 'done' && job?.closed === null && !job.standing) {
       if (a.runningAt !== null) this.hooks.ran(a, this.core.now() - a.runningAt);
       m.strikes.clear();
       m.quarantines = 0;
@@ -366,25 +318,40 @@
     const now = this.core.now();
     const { machine: m } = a;
     const pause = this.settings.reportMs;
-    if (outcome === 'error') {
+    if (job.standing && SELF_ENDED.has(outcome)) this.avoid(job, m, now);
+    if (outcome === 'error' && job.standing) {
+      // The service goes on elsewhere at once; only where all machines fail it, it waits.
+      if (job.failedOn.add(m.id).size > this.settings.get('fleet.strikes'))
+        job.notBefore = now + pause;
+      this.strike(m, job);
+    } else if (outcome === 'error') {
       job.errors++;
       job.failedOn.add(m.id);
       job.notBefore =
         now + Math.min(pause * 2 ** Math.min(job.errors, 5), this.settings.workerLeaseMs * 2);
-      // A job that has failed on several machines is itself at fault: it strikes no more of them.
-      if (job.failedOn.size <= this.settings.get('fleet.strikes')) m.strikes.add(job.spec.id);
-      // One that was let out on trial and fails again goes back at once.
-      const strikes = m.quarantines > 0 ? 1 : this.settings.get('fleet.strikes');
-      if (m.strikes.size >= strikes) {
-        m.quarantines++;
-        m.strikes.clear();
-        const leases = Math.min(2 ** m.quarantines, QUARANTINE_LEASES);
-        m.noPlacingBefore = now + this.settings.workerLeaseMs * leases;
-        this.core.log.warn({ machine: m.id }, 'machine quarantined');
-      }
+      this.strike(m, job);
     } else if (outcome === 'no_room') m.noPlacingBefore = Math.max(m.noPlacingBefore, now + pause);
     else if (outcome === 'busy' || outcome === 'unknown' || outcome === 'other')
-      job.notBefore = Math.max(job.notBefore, now + pause);
+      if (!job.standing) job.notBefore = Math.max(job.notBefore, now + pause);
+  }
+
+  /** A replica that ends by itself runs again elsewhere: its machine is left out for a while that grows. */
+  private avoid(job: Job, m: Machine, now: number): void {
+    const times = (job.avoided.get(m.id)?.times ?? 0) + 1;
+    const ms = this.settings.reportMs * 2 ** Math.min(times, 5);
+    job.avoided.set(m.id, { times, until: now + Math.min(ms, 2 * this.settings.workerLeaseMs) });
+  }
+
+  private strike(m: Machine, job: Job): void {
+    // A job that has failed on several machines is itself at fault: it strikes no more of them.
+    if (job.failedOn.size <= this.settings.get('fleet.strikes')) m.strikes.add(job.spec.id);
+    // One that was let out on trial and fails again goes back at once.
+    if (m.strikes.size < (m.quarantines > 0 ? 1 : this.settings.get('fleet.strikes'))) return;
+    m.quarantines++;
+    m.strikes.clear();
+    const leases = Math.min(2 ** m.quarantines, QUARANTINE_LEASES);
+    m.noPlacingBefore = this.core.now() + this.settings.workerLeaseMs * leases;
+    this.core.log.warn({ machine: m.id }, 'machine quarantined');
   }
 
   // ---- reports
@@ -497,7 +464,8 @@
       a.reportedIn = this.reports;
       // A report from before our term may be as old as any. That a task is done stays true; but one
       // that had ended otherwise may have been cleared and started again under the same attempt.
-      if (!current && t.state === 'exited' && t.cause !== 'done') return;
+      const lasts = t.cause === 'done' && a.job?.standing !== true;
+      if (!current && t.state === 'exited' && !lasts) return;
       if (t.cause === 'alone' && this.waitsOn(a)) {
         // Its part of the gang came too early: the others still fetch their image. It starts again
         // under the same attempt; tearing the gang down would throw those fetches away.
@@ -526,7 +494,7 @@
   private unrecorded(t: TaskReport): boolean {
     const { job: id, task } = splitTask(t.name);
     const job = this.table.jobs.get(id);
-    if (job === undefined || task >= job.spec.tasks) return false;
+    if (job === undefined || job.standing || task >= job.spec.tasks) return false;
     if (job.done[task] !== 1 && job.spec.kind !== 'gang') this.table.markDone(job, task);
     return job.recorded[task] !== 1;
   }
@@ -669,7 +637,8 @@
     for (const m of this.dirty) {
       const planned = [...m.assignments.values()].filter((a) => a.phase === 'planned');
       if (m.assignments.size === 0 && !this.records.has(machineKey(m.id))) continue;
-      this.records.set(machineKey(m.id), this.value(m), planned.length > 0, () => {
+      const value = writeRecord(m, this.settings, this.core.now(), this.core.env.wall());
+      this.records.set(machineKey(m.id), value, planned.length > 0, () => {
         for (const a of planned) if (a.phase === 'planned') a.phase = 'recorded';
         this.direct.add(m);
       });
--- a/test/planted.test.ts
+++ b/test/planted.test.ts
@@ -160,6 +160,16 @@
         for (; time.now <= 91_000; time.now += 1000) r.waiting([free]);
       },
     ],
+    [
+      'left_waiting',
+      (r, time) => {
+        r.submitted({ ...spec, id: 'req-2', kind: 'service', tasks: 2, gpus: 1 });
+        r.answered('req-2', 201, 'pending', true);
+        r.calmAt = time.now;
+        r.taskOn('req-2', 0, a);
+        for (; time.now <= 31_000; time.now += 1000) r.waiting([free]);
+      },
+    ],
     ['accepted_odd', (r) => r.acceptedOdd('req-odd-1')],
   ];
   for (const [i, [rule, plant]] of cases.entries())
--- a/test/world/meetings.ts
+++ b/test/world/meetings.ts
@@ -279,6 +279,38 @@
     ],
     happened: (w) => ({ done: w.rules.endedAs('done'), cancelled: w.rules.endedAs('cancelled') }),
   },
+  {
+    name: 'services lose replicas, machines and leaders, and are called off',
+    jobs: {
+      ...{
+        kind: 'service',
+        estimateS: 0,
+        tasks: 3,
+        oneZone: false,
+        spread: false,
+        deadlineS: null,
+      },
+      ...{ cpus: 1, gpus: 0, memoryGb: 1, priority: 'production', checkpointS: 0, saveS: 0 },
+    },
+    count: 8,
+    troubles: (between) => [
+      { kind: 'machines lost', share: 0.3, at: between(1, 5) },
+      { kind: 'ended', who: 'leader', back: between(0.2, 6), at: 6 },
+      { kind: 'cancelled', count: 2, at: 10, hang: 15 },
+      { kind: 'machines cut', share: 0.3, at: 20, for: between(10, 40) },
+      { kind: 'late reports', share: 0.4, at: 0, for: 100 },
+      { kind: 'jobs', count: 10, at: 30 },
+      { kind: 'ended', who: 'leader', back: between(0.2, 6), at: 50 },
+      { kind: 'outage', at: 70, for: between(5, 50) },
+      { kind: 'cancelled', count: 1, at: 75 },
+    ],
+    happened: (w) => ({
+      ended: w.replicasEnded,
+      leaders: leaders(w),
+      cancelled: cancelled(w),
+      copies: w.net.copies,
+    }),
+  },
   {
     name: 'ten leaders in two minutes, also inside an outage',
     jobs: long,
