--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -1,9 +1,10 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { defaultProperties, type Properties } from '../src/controller/settings/properties.js';
+import { defaultProperties } from '../src/controller/settings/properties.js';
 import { meetings, type Meeting } from './world/meetings.js';
 import { small } from './world/scenario.js';
 import { bring } from './world/troubles.js';
+import { present, type Version } from './world/version.js';
 import { World } from './world/world.js';
 
 // Most rules that were ever broken broke when two troubles met (operators' issue "Meetings of
@@ -15,9 +16,9 @@
 const START_MS = 15_000;
 const TROUBLES_MS = 200_000;
 
-function play(m: Meeting, seed: number, properties: Properties = defaultProperties()): World {
+function play(m: Meeting, seed: number, version: Version = present()): World {
   const quiet = { everyMs: Infinity, doubled: 0.01, errors: 0, bootFails: 0 };
-  const world = new World(small, seed, quiet, undefined, properties);
+  const world = new World(small, seed, quiet, undefined, () => version);
   for (let i = 0; i < m.count; i++)
     world.sim.after(world.sim.between(0, START_MS / 2), () => world.user(world.job(m.jobs), null));
   world.play(START_MS);
@@ -40,8 +41,8 @@
 describe('meetings of troubles', () => {
   // Without its bound a leader renews workers for as long as its lease is renewed.
   it('breaks a rule where a leader answers on a view of any age', () => {
-    const properties = { ...defaultProperties(), 'workers.view.ratio': 1000 };
-    assert.throws(() => play(named('whose watches do not'), 1, properties), /ran_cancelled/);
+    const version = present({ ...defaultProperties(), 'workers.view.ratio': 1000 });
+    assert.throws(() => play(named('whose watches do not'), 1, version), /ran_cancelled/);
   });
 
   for (const m of meetings)
--- a/test/platform.ts
+++ b/test/platform.ts
@@ -62,7 +62,12 @@
 }
 
 /** Settings of one of several controllers. */
-export function oneOf(hosts: string[], host: string, parts: PlatformParts): Platform {
+export function oneOf(
+  hosts: string[],
+  host: string,
+  parts: PlatformParts,
+  read = readPlatform,
+): Platform {
   const addr = (h: string, port: number): string => `10.0.0.${hosts.indexOf(h) + 1}:${port}`;
   const peers = hosts
     .filter((h) => h !== host)
@@ -74,5 +79,5 @@
     `internal_addr = "${addr(host, 8081)}"`,
     ...peers,
   ];
-  return readPlatform(toml(head.join('\n'), hosts.length, parts));
+  return read(toml(head.join('\n'), hosts.length, parts));
 }
--- a/test/world/meetings.ts
+++ b/test/world/meetings.ts
@@ -15,7 +15,7 @@
 }
 
 /** Work that has long to go, and of which all can run at one time. */
-const long: Partial<JobSpec> = {
+export const long: Partial<JobSpec> = {
   ...{ estimateS: 120, kind: 'array', tasks: 3, oneZone: false, spread: false },
   ...{ cpus: 1, gpus: 0, memoryGb: 1 },
 };
--- a/test/world/state-service.ts
+++ b/test/world/state-service.ts
@@ -43,6 +43,8 @@
   requests = 0;
   puts = 0;
   tooMany = 0;
+  /** Requests that came in an outage. */
+  missed = 0;
   /** Share of the transactions that get no answer and are carried out later, and how many were. */
   lateWrites = 0;
   late = { applied: 0, refused: 0 };
@@ -154,6 +156,7 @@
     const slow = this.sim.now < this.slowUntil && this.sim.random() < 0.3;
     const lateMs = slow ? this.sim.between(50, 2000) : 0;
     const respond: Respond = slow ? (r) => this.sim.after(lateMs, () => answer(r)) : answer;
+    if (this.down) this.missed++;
     if (this.down || this.refused.has(from)) return respond({ status: 503, body: null });
     const multi = call.path === '/multi' ? (call.body() as Multi) : null;
     const puts = multi?.writes?.length ?? 0;
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -1,8 +1,6 @@
-import { Controller } from '../../src/controller/controller.js';
+import type { Controller } from '../../src/controller/controller.js';
 import type { Logger } from '../../src/controller/core/env.js';
 import type { Team } from '../../src/controller/settings/platform.js';
-import { defaultProperties, type Properties } from '../../src/controller/settings/properties.js';
-import { Settings } from '../../src/controller/settings/settings.js';
 import type { MachineType } from '../../src/controller/wire/cloud.js';
 import { writeJob, type JobSpec } from '../../src/controller/wire/jobs.js';
 import { oneOf } from '../platform.js';
@@ -12,6 +10,7 @@
 import { Network, ProcessEnv, Sim } from './sim.js';
 import { User, type Ask } from './users.js';
 import { StateService } from './state-service.js';
+import { present, type Version } from './version.js';
 
 const quiet: Logger = {
   info: () => undefined,
@@ -49,6 +48,8 @@
   private readonly teams: Team[];
   /** How often the controllers have logged each text. */
   readonly said = new Map<string, number>();
+  /** The versions of the leaders, in the order of their elections. */
+  readonly elected: Version[] = [];
   private starts = 0;
   private jobCount = 0;
   /** No new faults from then on. */
@@ -59,8 +60,8 @@
     seed: number,
     private readonly faults: Faults,
     private readonly log: Logger = quiet,
-    /** The operators' settings of the controllers. */
-    private readonly properties: Properties = defaultProperties(),
+    /** What a host's process runs; asked whenever one starts. */
+    public versionOf: (host: string) => Version = () => present(),
   ) {
     this.sim = new Sim(seed);
     this.net = new Network(this.sim);
@@ -123,14 +124,17 @@
   private startProcess(host: string): void {
     if (this.processes.has(host)) return;
     const env = new ProcessEnv(this.sim, this.net, host, this.peers);
-    const settings = new Settings(
-      oneOf(this.scenario.hosts, host, this.scenario.platform),
-      this.properties,
+    const version = this.versionOf(host);
+    const { hosts, platform } = this.scenario;
+    const settings = new version.Settings(
+      oneOf(hosts, host, platform, version.readPlatform),
+      version.properties,
     );
     const log: Logger = {
       ...this.log,
       info: (fields, text) => {
         this.said.set(text, (this.said.get(text) ?? 0) + 1);
+        if (text === 'elected leader') this.elected.push(version);
         this.log.info(fields, text);
       },
       error: (fields, text) => {
@@ -138,7 +142,7 @@
         this.errors.push(`${text}: ${err?.stack ?? JSON.stringify(fields)}`);
       },
     };
-    const controller = new Controller(env, log, settings, `${host}-${this.starts++}`);
+    const controller = new version.Controller(env, log, settings, `${host}-${this.starts++}`);
     this.processes.set(host, { controller, env });
     this.peers.set(host, (bytes) => env.whenAwake(() => controller.peerFrame(bytes)));
     this.net.listen(this.shared.apiOf(host), host, (_, request, respond) => {
