--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -18,7 +18,7 @@
 
 function play(m: Meeting, seed: number, version: Version = present()): World {
   const quiet = { everyMs: Infinity, doubled: 0.01, errors: 0, bootFails: 0 };
-  const world = new World(small, seed, quiet, undefined, () => version);
+  const world = new World(m.scenario ?? small, seed, quiet, undefined, () => version);
   for (let i = 0; i < m.count; i++)
     world.sim.after(world.sim.between(0, START_MS / 2), () => world.user(world.job(m.jobs), null));
   world.play(START_MS);
--- a/test/mixed.test.ts
+++ b/test/mixed.test.ts
@@ -3,7 +3,7 @@
 import type { JobSpec } from '../src/controller/wire/jobs.js';
 import { long } from './world/meetings.js';
 import { production } from './world/production.js';
-import { small } from './world/scenario.js';
+import { shrinking as deployment } from './world/scenario.js';
 import { bring, type Trouble } from './world/troubles.js';
 import { present, type Version } from './world/version.js';
 import { World } from './world/world.js';
@@ -31,9 +31,9 @@
   private readonly versions = new Map<string, Version>();
 
   constructor(seed: number, versions: readonly Version[]) {
-    for (const [i, h] of small.hosts.entries()) this.versions.set(h, this.at(versions, i));
+    for (const [i, h] of deployment.hosts.entries()) this.versions.set(h, this.at(versions, i));
     const quiet = { everyMs: Infinity, doubled: 0.01, errors: 0, bootFails: 0 };
-    this.world = new World(small, seed, quiet, undefined, (host) => {
+    this.world = new World(deployment, seed, quiet, undefined, (host) => {
       const version = this.versions.get(host);
       assert.ok(version, host);
       this.starts.push({ host, version });
@@ -129,7 +129,7 @@
     ],
     happened: ({ starts }) => {
       const first = starts[0]?.version;
-      return starts.filter((s) => s.version === first).length > small.hosts.length;
+      return starts.filter((s) => s.version === first).length > deployment.hosts.length;
     },
   },
   {
@@ -161,7 +161,7 @@
   ]);
   assert.ok(middle.happened(day), `${middle.name} did not happen`);
   for (const v of [from, to]) assert.ok(elected.includes(v), `${v.name} never led`);
-  for (const host of small.hosts)
+  for (const host of deployment.hosts)
     assert.equal(day.starts.findLast((s) => s.host === host)?.version, to, `${host} is not rolled`);
 }
 
@@ -184,6 +184,20 @@
     });
   }
 
+  // What production has written is larger than the new limits allow to write.
+  it('rolled out, and then the limits of the state service fall', () => {
+    const middle: Middle = {
+      name: 'lower limits',
+      troubles: (between) => [
+        { kind: 'limits fall', at: between(50, 60) },
+        { kind: 'ended', who: 'leader', back: 1, at: between(48, 62) },
+        { kind: 'jobs', count: 10, at: 62 },
+      ],
+      happened: ({ world }) => world.state.tooLarge === 0,
+    };
+    seeds((seed) => rolled(seed, old, current, middle));
+  });
+
   it('take over from each other ten times', () => {
     seeds((seed) => {
       const day = new MixedDay(seed, [old, current, old]);
--- a/test/platform.ts
+++ b/test/platform.ts
@@ -10,6 +10,8 @@
   rps: number;
   writeRps: number;
   txnOps: number;
+  /** TOML of the limits that the state service will have. */
+  next: string;
 }
 
 export const usual: PlatformParts = {
@@ -20,6 +22,7 @@
   rps: 100,
   writeRps: 60,
   txnOps: 16,
+  next: '',
 };
 
 function toml(head: string, count: number, p: PlatformParts): string {
@@ -44,6 +47,7 @@
 write_rps = ${p.writeRps.toFixed(1)}
 value_kb = 16.0
 txn_ops = ${p.txnOps}
+${p.next}
 [params.cloud]
 rps = 5.0
 list_lag_s = 4.0
--- a/test/world/meetings.ts
+++ b/test/world/meetings.ts
@@ -1,4 +1,5 @@
 import type { JobSpec } from '../../src/controller/wire/jobs.js';
+import { shrinking, type Scenario } from './scenario.js';
 import type { Trouble } from './troubles.js';
 import type { World } from './world.js';
 
@@ -8,6 +9,8 @@
   /** What the jobs of the day have in common; the rest is drawn. */
   jobs: Partial<JobSpec>;
   count: number;
+  /** Where it is played, if not in the small deployment. */
+  scenario?: Scenario;
   /** In seconds from when the first work runs; `between` draws. */
   troubles(between: (from: number, to: number) => number): Trouble[];
   /** Each must have happened at least once. */
@@ -311,6 +314,29 @@
       copies: w.net.copies,
     }),
   },
+  {
+    name: 'the limits of the state service fall amid commits, takeovers and an outage',
+    scenario: shrinking,
+    jobs: { estimateS: 15, gpus: 0, cpus: 1, memoryGb: 1 },
+    count: 40,
+    troubles: (between) => [
+      { kind: 'jobs', count: 30, at: between(0, 2) },
+      { kind: 'ended', who: 'leader', back: between(0.2, 3), at: between(1, 3) },
+      { kind: 'limits fall', at: between(2, 5) },
+      { kind: 'late writes', share: 0.3, at: 0, for: 20 },
+      { kind: 'cancelled', count: 4, at: 6 },
+      { kind: 'cancelled', count: 4, at: 33 },
+      { kind: 'ended', who: 'leader', back: between(0.2, 6), at: between(8, 12) },
+      { kind: 'outage', at: 15, for: between(3, 12) },
+      { kind: 'jobs', count: 30, at: 30 },
+      { kind: 'ended', who: 'all', back: 1, at: 35 },
+    ],
+    happened: (w) => ({
+      leaders: leaders(w) - 1,
+      cancelled: cancelled(w),
+      withinLimits: w.state.tooLarge === 0 ? 1 : 0,
+    }),
+  },
   {
     name: 'ten leaders in two minutes, also inside an outage',
     jobs: long,
--- a/test/world/scenario.ts
+++ b/test/world/scenario.ts
@@ -80,6 +80,15 @@
   },
 };
 
+/** The same where the state service will take less from some moment on. */
+export const shrinking: Scenario = {
+  ...small,
+  platform: {
+    ...small.platform,
+    next: '[params.state.next]\nvalue_kb = 2.0\ntxn_ops = 6\nwrite_rps = 25.0\n',
+  },
+};
+
 /** Five controllers and hundreds of machines: many small tasks, and gangs of whole machines. */
 export function grown(machines: number): Scenario {
   const whole: MachineType = { ...big, zones: ['a'], cacheGb: 60, fetchGbPerS: 0.5 };
--- a/test/world/state-service.ts
+++ b/test/world/state-service.ts
@@ -1,4 +1,5 @@
 import { Tokens } from '../../src/controller/core/tokens.js';
+import type { StateLimits } from '../../src/controller/settings/platform.js';
 import type { Arrival, Network, Respond, Sim } from './sim.js';
 
 interface Entry {
@@ -39,6 +40,8 @@
   private readonly refused = new Set<string>();
   private readonly requestTokens: Tokens;
   private readonly putTokens: Tokens;
+  /** Transactions refused for their size. */
+  tooLarge = 0;
   /** Requests, puts and deletes served, and requests refused for being too many. */
   requests = 0;
   puts = 0;
@@ -55,7 +58,7 @@
     private readonly sim: Sim,
     net: Network,
     addr: string,
-    private readonly limits: { rps: number; writeRps: number; txnOps: number; valueKb: number },
+    private limits: StateLimits,
     private readonly pageSize: number,
   ) {
     const now = (): number => sim.now;
@@ -84,6 +87,13 @@
     this.sim.after(ms, () => this.refused.delete(host));
   }
 
+  /** From now on it takes less. What is stored stays. */
+  lower(limits: StateLimits): void {
+    this.limits = limits;
+    this.requestTokens.setRate(limits.rps, limits.rps);
+    this.putTokens.setRate(limits.writeRps, limits.writeRps);
+  }
+
   /** One node's watches alone get 503. */
   refuseWatches(host: string, ms: number): void {
     this.unwatched.add(host);
@@ -240,8 +250,14 @@
     const size = writes.some(
       (w) => JSON.stringify(w.value ?? null).length > this.limits.valueKb * 1024,
     );
-    if (writes.length > this.limits.txnOps || (m.if ?? []).length > 4 * this.limits.txnOps || size)
+    if (
+      writes.length > this.limits.txnOps ||
+      (m.if ?? []).length > 4 * this.limits.txnOps ||
+      size
+    ) {
+      this.tooLarge++;
       return { status: 400, body: { error: 'limits' } };
+    }
     for (const w of writes)
       if (w.permit !== undefined && !this.leases.has(w.permit))
         return { status: 400, body: { error: 'no such lease' } };
--- a/test/world/troubles.ts
+++ b/test/world/troubles.ts
@@ -14,7 +14,7 @@
   (
     | { kind: 'refused'; who: Who }
     | { kind: 'unwatched'; who: Who }
-    | { kind: 'outage' | 'slow' | 'peers refused' | 'elections' | 'odd requests' }
+    | { kind: 'limits fall' | 'outage' | 'slow' | 'peers refused' | 'elections' | 'odd requests' }
     | { kind: 'isolated' | 'standing still' | 'no workers'; who: Who }
     | { kind: 'ended'; who: Who; back: number }
     | { kind: 'late writes' | 'late reports'; share: number }
@@ -67,6 +67,8 @@
       return hostsOf(world, t.who).forEach((h) => state.refuseWatches(h, ms));
     case 'outage':
       return state.outage(ms);
+    case 'limits fall':
+      return state.lower(world.limitsToCome);
     case 'slow':
       return state.slow(ms);
     case 'peers refused':
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -1,6 +1,6 @@
 import type { Controller } from '../../src/controller/controller.js';
 import type { Logger } from '../../src/controller/core/env.js';
-import type { Team } from '../../src/controller/settings/platform.js';
+import type { StateLimits, Team } from '../../src/controller/settings/platform.js';
 import type { MachineType } from '../../src/controller/wire/cloud.js';
 import { writeJob, type JobSpec } from '../../src/controller/wire/jobs.js';
 import { oneOf } from '../platform.js';
@@ -46,6 +46,8 @@
   private readonly jobs = new Map<string, { spec: JobSpec; runMs: number }>();
   private readonly users = new Map<string, User>();
   private readonly teams: Team[];
+  /** Limits that the state service will have, by the controllers' settings. */
+  readonly limitsToCome: StateLimits;
   /** How often the controllers have logged each text. */
   readonly said = new Map<string, number>();
   /** The versions of the leaders, in the order of their elections. */
@@ -71,6 +73,7 @@
     // Copies of old messages come up to several leases late.
     this.net.latestMs = platform.workers.leaseS * 3000;
     this.teams = platform.teams;
+    this.limitsToCome = platform.stateNext;
     const { workers } = platform;
     this.rules = new Rules(this.teams, workers.cancelS * 1000, () => this.sim.now);
     this.state = new StateService(
