--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -6,10 +6,11 @@
 import type { Machine } from '../workers/machine.js';
 import { recordCost, recordRoom } from '../workers/record.js';
 import type { Workers } from '../workers/workers.js';
+import { Drain } from './drain.js';
 import type { Estimates } from './estimates.js';
 import { compareTurn, turnOf, type RankSettings, type Turn } from './rank.js';
 import type { Reserve } from './reserve.js';
-import { allowed, needOf, Rooms, whole, type Room } from './room.js';
+import { needOf, Rooms, type Room } from './room.js';
 import { Targets, type Target } from './targets.js';
 import { Guarantees } from './teams.js';
 
@@ -80,9 +81,6 @@
 /** Work is stopped for a gang this long before its hold should be full, in report intervals. */
 const STOP_AHEAD = 3;
 
-/** A replica leaves a machine that goes at least this long before, in report intervals. */
-const MOVE_AHEAD = 1.5;
-
 /** Tasks of one array that room is made for in one pass. */
 const ROOM_A_PASS = 8;
 
@@ -111,6 +109,7 @@
   private readonly rank: RankSettings;
   private readonly targets: Targets;
   private readonly guarantees: Guarantees;
+  private readonly drain: Drain;
 
   constructor(
     private readonly core: Core,
@@ -124,6 +123,7 @@
   ) {
     this.targets = new Targets(settings, estimates, workers.teams);
     this.guarantees = new Guarantees(settings.platform.teams);
+    this.drain = new Drain(settings, workers, estimates, (m, now) => this.usable(m, now));
     this.rank = {
       agingMs: settings.workerLeaseMs * settings.get('placement.aging.ratio'),
       bonus: settings.get('placement.preempted.bonus.ratio'),
@@ -160,7 +160,7 @@
     this.guarantees.mark(this.table.jobs.values());
     const rooms = new Rooms(this.workers.machines.values(), recordRoom(this.settings));
     for (const r of rooms.all) r.closed = !this.usable(r.machine, now);
-    this.drain(now);
+    this.drain.run(now);
     const turns: Turn[] = [];
     let lowest = Infinity;
     for (const job of this.table.jobs.values()) {
@@ -374,20 +374,6 @@
     );
   }
 
-  /** Whether a replica stopped now would start elsewhere at once: room there, and its image. */
-  private canMove(a: Assignment & { job: Job }, now: number): boolean {
-    const { spec } = a.job;
-    const need = needOf(spec);
-    for (const m of this.workers.machines.values()) {
-      const { type, zone, spot } = m;
-      if (m === a.machine || type === null || !m.images.has(spec.image)) continue;
-      if (!allowed(spec, { type, zone, spot }) || !this.usable(m, now)) continue;
-      if (whole(need, type.cpus - m.cpus, type.gpus - m.gpus, type.memoryGb - m.memoryGb) > 0)
-        return true;
-    }
-    return false;
-  }
-
   /**
    * Room for an array's tasks one by one, where work may be stopped for them: so that work inside a
    * guarantee need not wait for what others run on borrowed room.
@@ -628,26 +614,4 @@
     if (victim.spec.kind === 'gang') this.workers.stopJob(victim, a.saveS, 'preempted');
     else this.workers.stop(a, a.saveS, 'preempted');
   }
-
-  // ---- machines that go
-
-  /** Tasks on machines that will be taken are stopped where that saves something. */
-  private drain(now: number): void {
-    for (const m of this.workers.machines.values()) {
-      if (m.noticeAt === null && !m.leaving) continue;
-      const left = m.noticeAt === null ? Infinity : m.noticeAt - now;
-      for (const a of [...m.assignments.values()]) {
-        if (a.stop !== null || a.phase === 'ended' || a.job === null) continue;
-        const { spec } = a.job;
-        if (this.estimates.remainingMs(a, now) < left - this.settings.reportMs) continue;
-        // A replica moves as soon as it can start elsewhere at once, and else as late as is safe.
-        const late = left < this.settings.reportMs * MOVE_AHEAD;
-        if (a.job.standing && !late && !this.canMove({ ...a, job: a.job }, now)) continue;
-        const saves = spec.checkpointS > 0 && a.state === 'running';
-        const grace = saves ? spec.saveS : 0;
-        if (spec.kind === 'gang') this.workers.stopJob(a.job, grace, 'machine goes');
-        else this.workers.stop(a, grace, 'machine goes');
-      }
-    }
-  }
 }
