--- a/src/controller/jobs/frontend.test.ts
+++ b/src/controller/jobs/frontend.test.ts
@@ -9,7 +9,8 @@
 import { Frontend, liveKey, type Answer } from './frontend.js';
 
 const teams = '[[params.teams]]\nname = "t"\ncpus_max = 8.0\n';
-const settings = new Settings(alone(teams), defaultProperties());
+const next = { rps: 100, writeRps: 60, valueKb: 2, txnOps: 16 };
+const settings = new Settings({ ...alone(teams), stateNext: next }, defaultProperties());
 const nothing = (): void => undefined;
 const silent: Logger = { info: nothing, debug: nothing, warn: nothing, error: nothing };
 
@@ -67,6 +68,7 @@
 
 describe('submissions', () => {
   const { loaners, ...lacking } = submission;
+  const tooMany = Array.from({ length: 60 }, (_, i) => `model-${i}-${'x'.repeat(40)}`);
   const standing = { ...submission, shape: 'standing', expect_s: 0 };
   const cases: [string, unknown, number][] = [
     ['can run', submission, 201],
@@ -76,6 +78,7 @@
     ['is a service within its limit', { ...standing, duties: 8 }, 201],
     ['is a service beyond its limit', { ...standing, duties: 9 }, 422],
     ['is an array without an estimate', { ...submission, expect_s: 0 }, 400],
+    ['is larger than a value may be', { ...submission, models: ['g', ...tooMany] }, 400],
     ['fits no machine', { ...submission, hall: 'b' }, 422],
   ];
   for (const [what, body, status] of cases) {
--- a/src/controller/jobs/frontend.ts
+++ b/src/controller/jobs/frontend.ts
@@ -2,6 +2,7 @@
 import type { Settings } from '../settings/settings.js';
 import { Batcher } from '../store/batcher.js';
 import { reserve, type StateClient } from '../store/client.js';
+import { sizeOf } from '../store/pages.js';
 import { isMap, WireError } from '../wire/cbor.js';
 import type { MachineType } from '../wire/cloud.js';
 import {
@@ -156,7 +157,12 @@
       });
       return;
     }
-    this.create(spec, respond);
+    const value = { job: writeJob(spec), at: Math.round(this.core.env.wall()) };
+    if (sizeOf(value) > this.client.limits.valueBytes) {
+      const refusal = { status: 400, body: { error: 'models: too many or too long' } };
+      return this.refuse(spec.id, refusal, respond);
+    }
+    this.create(spec, value, respond);
   }
 
   /**
@@ -171,7 +177,7 @@
     });
   }
 
-  private create(spec: JobSpec, respond: Respond): void {
+  private create(spec: JobSpec, value: unknown, respond: Respond): void {
     if (this.client.down) return this.retryLater(respond);
     const waiting = this.creating.get(spec.id);
     if (waiting !== undefined) {
@@ -183,13 +189,12 @@
       this.creating.delete(spec.id);
       for (const w of waiters) each(w);
     };
-    const at = Math.round(this.core.env.wall());
     const queued = this.writes.add({
       conditions: [
         { key: liveKey(spec.id), version: 0 },
         { key: finalKey(spec.id), version: 0 },
       ],
-      writes: [{ put: liveKey(spec.id), value: { job: writeJob(spec), at } }],
+      writes: [{ put: liveKey(spec.id), value }],
       done: (r) => {
         if (r.kind === 'ok') {
           this.live.set(spec.id, r.revision);
--- a/src/controller/store/client.ts
+++ b/src/controller/store/client.ts
@@ -64,7 +64,7 @@
     private readonly settings: Settings,
   ) {
     const now = (): number => core.now();
-    this.limits = new Limits(settings.platform);
+    this.limits = new Limits(settings.platform, now, settings.workerLeaseMs * 2);
     this.tokens = new Tokens(now, 1, 1);
     this.writeTokens = new Tokens(now, 1, 1);
     this.written = new Rate(now, WANTED_MS);
@@ -142,7 +142,7 @@
           } else if (reply.status === 429) {
             this.tokens.rejected(100);
             this.writeTokens.rejected(100);
-            if (this.limits.tooMany(this.core.now())) {
+            if (this.limits.tooMany()) {
               this.core.log.info(this.limits.inForce, 'the state service has lowered its rates');
               this.setRole(this.leads);
             }
--- a/src/controller/store/limits.ts
+++ b/src/controller/store/limits.ts
@@ -7,6 +7,7 @@
 /** No value or transaction is split further than this. */
 const LEAST_VALUE_KB = 1;
 const LEAST_OPS = 2;
+const MOST_HALVINGS = 6;
 
 /**
  * The state service's limits as far as this process knows them. Sizes are kept within the smaller of
@@ -14,37 +15,54 @@
  * writable. Rates are used in full until the service refuses, for they are what is scarce.
  */
 export class Limits {
-  private sizes: { valueKb: number; txnOps: number };
   private rates: { rps: number; writeRps: number };
   private refusals: number[] = [];
+  /** How often sizes were halved, and when last. */
+  private halved = 0;
+  private halvedAt = -Infinity;
 
-  constructor(private readonly platform: Pick<Platform, 'stateLimits' | 'stateNext'>) {
-    const { stateLimits: today, stateNext: next } = platform;
-    this.sizes = {
-      valueKb: Math.min(today.valueKb, next.valueKb),
-      txnOps: Math.min(today.txnOps, next.txnOps),
-    };
-    this.rates = { rps: today.rps, writeRps: today.writeRps };
+  constructor(
+    private readonly platform: Pick<Platform, 'stateLimits' | 'stateNext'>,
+    private readonly now: () => number,
+    /** After this time without a refusal twice the size is tried again. */
+    private readonly retryMs: number,
+  ) {
+    const { rps, writeRps } = platform.stateLimits;
+    this.rates = { rps, writeRps };
+  }
+
+  private get halvings(): number {
+    return Math.max(0, this.halved - Math.floor((this.now() - this.halvedAt) / this.retryMs));
   }
 
   get inForce(): StateLimits {
-    return { ...this.sizes, ...this.rates };
+    const { stateLimits: today, stateNext: next } = this.platform;
+    const part = 2 ** this.halvings;
+    const valueKb = Math.min(today.valueKb, next.valueKb);
+    const txnOps = Math.min(today.txnOps, next.txnOps);
+    return {
+      valueKb: Math.max(Math.min(LEAST_VALUE_KB, valueKb), valueKb / part),
+      txnOps: Math.max(LEAST_OPS, Math.floor(txnOps / part)),
+      ...this.rates,
+    };
   }
 
   get valueBytes(): number {
-    return this.sizes.valueKb * 1024;
+    return this.inForce.valueKb * 1024;
   }
 
-  /** The service has refused a value or a transaction for its size: what follows is smaller. */
+  /**
+   * The service has refused a value or a transaction for its size: what follows is smaller. It may
+   * have found another fault; so after a while more is tried again.
+   */
   tooLarge(): void {
-    this.sizes = {
-      valueKb: Math.max(LEAST_VALUE_KB, this.sizes.valueKb / 2),
-      txnOps: Math.max(LEAST_OPS, Math.floor(this.sizes.txnOps / 2)),
-    };
+    this.halved = Math.min(this.halvings + 1, MOST_HALVINGS);
+    this.halvedAt = this.now();
   }
 
   /** The service has refused for too many requests or changes. True: the rates to come are in force. */
-  tooMany(now: number): boolean {
+  tooMany(): boolean {
+    const now = this.now();
     const { rps, writeRps } = this.platform.stateNext;
     if (rps >= this.rates.rps && writeRps >= this.rates.writeRps) return false;
     this.refusals = this.refusals.filter((at) => now - at < WITHIN_MS);
--- a/src/controller/store/records.test.ts
+++ b/src/controller/store/records.test.ts
@@ -29,7 +29,7 @@
   private timers: { at: number; run: () => void }[] = [];
   /** What the service takes, and what the leader knows of it. */
   takes: StateLimits = stateLimits;
-  limits = new Limits(settings.platform);
+  limits = new Limits(settings.platform, () => this.now, 3_600_000);
   tooLarge = 0;
   private readonly random: () => number;
   private readonly core: Core;
@@ -218,7 +218,7 @@
     for (let i = 0; i < 5; i++) s.records.set(`k/${i}`, 'y'.repeat(900), true);
     s.run(2000);
     s.takes = { ...stateLimits, valueKb: 2, txnOps: 8 };
-    s.limits = new Limits({ stateLimits, stateNext: s.takes });
+    s.limits = new Limits({ stateLimits, stateNext: s.takes }, () => s.now, 3_600_000);
     const next = s.elect();
     assert.equal(new Map([...next.list('k/')].map((e) => [e.key, e.value])).get('k/large'), large);
     let stored = 0;
