--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -7,23 +7,23 @@
 import { Leadership, LEADER_KEY } from './leadership/leadership.js';
 import type { Metrics } from './operators/metrics.js';
 import { clusterView } from './operators/view.js';
-import { Peers, type ForwardedReply, type JobProgress, type PeerStatus } from './peers/peers.js';
+import { Peers, type JobProgress, type PeerStatus } from './peers/peers.js';
 import { Estimates } from './placement/estimates.js';
 import { Reserve } from './placement/reserve.js';
 import { holdKey, Placement } from './placement/placement.js';
 import type { Settings } from './settings/settings.js';
 import { StateClient } from './store/client.js';
 import { PAGES, sizeOf } from './store/pages.js';
+import { Routes } from './routes.js';
 import { Records } from './store/records.js';
 import { Rate } from './store/shares.js';
-import { decodeBody, encodeBody, isMap, WireError } from './wire/cbor.js';
+import { encodeBody, isMap } from './wire/cbor.js';
 import { readCatalogue, writeCatalogue, type MachineType } from './wire/cloud.js';
 import type { JobAnswer } from './wire/jobs.js';
 import type { Item } from './wire/state.js';
 import { readReport } from './wire/workers.js';
 import { Workers } from './workers/workers.js';
 
-export const REPORT_PATH = '/v1/report';
 const CATALOGUE_KEY = 'catalogue';
 const LEARNED_KEY = 'learned';
 const NONE = Buffer.alloc(0);
@@ -40,14 +40,6 @@
 
 export type MetricsSink = Pick<Metrics, 'request' | 'pass' | 'preemptions' | 'gauge' | 'text'>;
 
-function fromPeer(r: ForwardedReply): Answer {
-  try {
-    return { status: r.status, ...(r.body.length > 0 ? { body: decodeBody(r.body) } : {}) };
-  } catch {
-    return { status: 503, body: { error: 'broken answer of a peer' } };
-  }
-}
-
 /** What only the leader has; made anew for each term and dropped whole with it. */
 class Reign {
   ready = false;
@@ -78,6 +70,7 @@
   private readonly leadership: Leadership;
   private readonly peers: Peers;
   private readonly frontend: Frontend;
+  private readonly routes: Routes;
   private readonly estimates = new Estimates();
   private readonly reserve: Reserve;
   private readonly progress = new Map<string, JobProgress>();
@@ -138,7 +131,7 @@
           if (state === 'cancelled') this.reign?.table.cancelled(id);
         },
         request: (method, path, body, done) => {
-          this.handle(method, path, body, (a) =>
+          this.routes.handle(method, path, body, (a) =>
             done(a.status, a.body === undefined ? NONE : encodeBody(a.body)),
           );
         },
@@ -162,6 +155,15 @@
         this.reign?.table.cancelled(id);
       },
     });
+    const { client, peers, leadership, frontend } = this;
+    this.routes = new Routes(core, settings, client, peers, leadership, frontend, {
+      leads: () => this.leads,
+      ready: () => this.ready,
+      report: (body, respond) => this.report(body, respond),
+      cluster: (respond) => this.cluster(respond),
+      scrape: (respond) => this.scrape(respond),
+      counted: (route, status, tookMs) => this.metrics?.request(route, status, tookMs),
+    });
   }
 
   start(): void {
@@ -536,131 +538,7 @@
   }
 
   request(method: string, path: string, body: Buffer, respond: (a: Answer) => void): void {
-    this.core.post('request', () => {
-      const from = this.core.now();
-      const route = path.split('/', 2)[1]?.split('?', 1)[0] ?? '';
-      const answer = (a: Answer): void => {
-        const known = a.status !== 404 || route === 'submissions' ? route : 'other';
-        this.metrics?.request(known, a.status, this.core.now() - from);
-        respond(a);
-      };
-      if (route === 'submissions') this.withHelp(method, path, body, answer);
-      else if (route === 'cluster' && this.reign === null)
-        this.askLeader(method, path, body, answer);
-      else this.handle(method, path, body, answer);
-    });
-  }
-
-  /**
-   * Answers a user, with a peer's help where the state service serves the peer and not this node.
-   * The peer is asked when this node has failed, or is late, so that a cut costs the user little.
-   */
-  private withHelp(method: string, path: string, body: Buffer, respond: (a: Answer) => void): void {
-    let answered = false;
-    let own: Answer | null = null;
-    let helping = false;
-    const answer = (a: Answer): void => {
-      if (answered) return;
-      answered = true;
-      late.cancel();
-      respond(a);
-    };
-    const help = (): boolean => {
-      if (answered || helping) return helping;
-      const slow = this.settings.reportMs / 25;
-      if (this.client.failingFor === 0 && this.client.stalledMs < slow) return false;
-      const host = this.peers.served(this.settings.reportMs / 2);
-      if (host === null) return false;
-      helping = true;
-      this.peers.forward(host, method, path, body, this.settings.reportMs / 6, (r) => {
-        helping = false;
-        if (r !== null && r.status !== 503) answer(fromPeer(r));
-        else if (own !== null) answer(own);
-      });
-      return true;
-    };
-    const late = this.core.after(this.settings.reportMs / 25, 'late', () => void help());
-    this.handle(method, path, body, (a) => {
-      if (a.status !== 503) return answer(a);
-      own = a;
-      // Out of tokens is not a reason: the peers' are for their own users.
-      if (helping || (this.client.failingFor > 0 && help())) return;
-      answer(a);
-    });
-  }
-
-  private askLeader(
-    method: string,
-    path: string,
-    body: Buffer,
-    respond: (a: Answer) => void,
-  ): void {
-    const leader = this.leadership.leader?.host;
-    if (leader === undefined || leader === this.settings.platform.host)
-      return this.handle(method, path, body, respond);
-    this.peers.forward(leader, method, path, body, this.settings.reportMs / 2, (r) =>
-      respond(
-        r === null ? { status: 503, body: { error: 'the leader does not answer' } } : fromPeer(r),
-      ),
-    );
-  }
-
-  private handle(method: string, path: string, body: Buffer, respond: (a: Answer) => void): void {
-    try {
-      this.route(method, path, body, respond);
-    } catch (err) {
-      if (err instanceof WireError) respond({ status: 400, body: { error: err.message } });
-      else {
-        this.core.log.error({ path, err }, 'request failed');
-        respond({ status: 500, body: { error: 'internal' } });
-      }
-    }
-  }
-
-  private decode(body: Buffer): unknown {
-    try {
-      return decodeBody(body);
-    } catch {
-      throw new WireError('body: not CBOR');
-    }
-  }
-
-  private route(method: string, target: string, body: Buffer, respond: (a: Answer) => void): void {
-    const path = target.split('?', 1)[0] ?? '';
-    const wrong = (allow: string): void =>
-      respond({ status: 405, body: { error: 'method not allowed' }, allow });
-    if (path === REPORT_PATH) {
-      if (method !== 'POST') return wrong('POST');
-      return this.report(this.decode(body), respond);
-    }
-    if (path === '/ready') {
-      if (method !== 'GET') return wrong('GET');
-      return respond(
-        this.ready
-          ? { status: 200, body: { ready: true } }
-          : { status: 503, body: { ready: false } },
-      );
-    }
-    if (path === '/cluster') {
-      if (method !== 'GET') return wrong('GET');
-      return this.cluster(respond);
-    }
-    if (path === '/metrics') {
-      if (method !== 'GET') return wrong('GET');
-      return this.scrape(respond);
-    }
-    if (path === '/submissions') {
-      if (method !== 'POST') return wrong('POST');
-      return this.frontend.submit(this.decode(body), respond);
-    }
-    const job = /^\/submissions\/([^/]+)(\/abort)?$/.exec(path);
-    if (job !== null) {
-      const id = job[1] ?? '';
-      if (job[2] !== undefined)
-        return method === 'POST' ? this.frontend.cancel(id, respond) : wrong('POST');
-      return method === 'GET' ? this.frontend.poll(id, respond) : wrong('GET');
-    }
-    respond({ status: 404, body: { error: 'no such path' } });
+    this.routes.request(method, path, body, respond);
   }
 
   private cluster(respond: (a: Answer) => void): void {
--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -1,12 +1,13 @@
 import net from 'node:net';
 import { randomBytes } from 'node:crypto';
-import { Controller, REPORT_PATH } from './controller.js';
+import { Controller } from './controller.js';
 import { makeLog, LOG_LEVELS } from './core/log.js';
 import { NodeEnv } from './core/node-env.js';
 import { uniform } from './core/random.js';
 import { HttpServer } from './http/server.js';
 import { Sockets } from './http/sockets.js';
 import { Unframer } from './peers/peers.js';
+import { REPORT_PATH } from './routes.js';
 import type { Settings } from './settings/settings.js';
 import { encodeBody } from './wire/cbor.js';
 
