--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -260,7 +260,7 @@
       vanished: (job) => workers.stopAll(job, 'job ended'),
       closed: (job) => {
         workers.jobClosed(job);
-        if (records.has(holdKey(job.spec.id))) records.set(holdKey(job.spec.id), undefined, false);
+        if (records.has(holdKey(job.spec.id))) records.set(holdKey(job.spec.id), undefined, 'lazy');
         this.progress.delete(job.spec.id);
       },
       // What the leader before knew it has counted itself.
@@ -506,9 +506,9 @@
         arrivals: arrivals.get(cls) ?? null,
       };
       if (sizeOf(value) < this.settings.valueBytes / 2)
-        reign.records.set(`${LEARNED_KEY}/${cls}`, value, false);
+        reign.records.set(`${LEARNED_KEY}/${cls}`, value, 'lazy');
     }
-    reign.records.set(LEARNED_KEY, undefined, false);
+    reign.records.set(LEARNED_KEY, undefined, 'lazy');
   }
 
   /** Counts for display, of the jobs that have changed. */
--- a/src/controller/jobs/table.ts
+++ b/src/controller/jobs/table.ts
@@ -252,7 +252,7 @@
       const [id = '', chunk] = key.slice(PROGRESS.length).split('/');
       const job = this.jobs.get(id);
       // Its job has ended.
-      if (job === undefined) this.records.set(key, undefined, false);
+      if (job === undefined) this.records.set(key, undefined, 'lazy');
       else if (typeof value === 'string') this.loadChunk(job, Number(chunk), value);
     }
   }
@@ -315,7 +315,7 @@
     const chunks = Math.ceil(job.spec.tasks / CHUNK);
     for (let c = 0; c < chunks; c++) {
       const key = progressKey(job.spec.id, c);
-      if (this.records.has(key)) this.records.set(key, undefined, false);
+      if (this.records.has(key)) this.records.set(key, undefined, 'lazy');
     }
     this.core.log.info({ job: job.spec.id, state, exits: job.exits }, 'job ended');
     this.hooks.ended(job.spec.id, state);
@@ -359,14 +359,19 @@
       const chunks = new Set([...tasks].map((t) => Math.floor(t / CHUNK)));
       for (const chunk of chunks) {
         const mine = [...tasks].filter((t) => Math.floor(t / CHUNK) === chunk);
-        this.records.set(progressKey(job.spec.id, chunk), this.chunkValue(job, chunk), true, () => {
-          for (const t of mine) {
-            if (job.recorded[t] === 1) continue;
-            job.recorded[t] = 1;
-            job.recordedCount++;
-            this.hooks.recorded(job, t);
-          }
-        });
+        this.records.set(
+          progressKey(job.spec.id, chunk),
+          this.chunkValue(job, chunk),
+          'urgent',
+          () => {
+            for (const t of mine) {
+              if (job.recorded[t] === 1) continue;
+              job.recorded[t] = 1;
+              job.recordedCount++;
+              this.hooks.recorded(job, t);
+            }
+          },
+        );
       }
     }
     this.dirtyDone.clear();
--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -136,7 +136,7 @@
   load(): void {
     for (const { key, value } of this.records.list(HOLDS)) {
       const job = this.table.jobs.get(key.slice(HOLDS.length));
-      if (job === undefined || !Array.isArray(value)) this.records.set(key, undefined, false);
+      if (job === undefined || !Array.isArray(value)) this.records.set(key, undefined, 'lazy');
       else {
         const unknown = { fillAt: Infinity, readyAt: Infinity, soughtAt: -Infinity };
         job.hold = { machines: value.map(String), since: this.core.now(), ...unknown };
@@ -510,7 +510,7 @@
   private dropHold(job: Job): void {
     if (job.hold === null) return;
     job.hold = null;
-    this.records.set(holdKey(job.spec.id), undefined, false);
+    this.records.set(holdKey(job.spec.id), undefined, 'lazy');
   }
 
   private bestTargets(pass: Pass, job: Job): { targets: Target[]; fillAt: number } {
@@ -562,7 +562,7 @@
     };
     const machines = found.rooms.map((r) => r.machine.id);
     if (hold?.machines.join() !== machines.join())
-      this.records.set(holdKey(job.spec.id), machines, false);
+      this.records.set(holdKey(job.spec.id), machines, 'lazy');
     const since = hold?.since ?? pass.now;
     job.hold = { machines, since, fillAt, readyAt: found.readyAt, soughtAt: pass.now };
     const { guaranteed } = job;
--- a/src/controller/store/records.test.ts
+++ b/src/controller/store/records.test.ts
@@ -168,7 +168,7 @@
             const size = Math.floor(random() * 3000);
             const value = random() < 0.3 ? undefined : `${step}.${i} ${'"'.repeat(size)}`;
             const at = known.values.push(value) - 1;
-            s.records.set(key, value, random() < 0.7, () => {
+            s.records.set(key, value, random() < 0.7 ? 'urgent' : 'lazy', () => {
               called++;
               known.stored = Math.max(known.stored, at);
             });
@@ -201,7 +201,7 @@
         const key = `k/${Math.floor(random() * 60)}`;
         const value = [step, i, 'x'.repeat(Math.floor(random() * 700))];
         last.set(key, value);
-        s.records.set(key, value, random() < 0.5);
+        s.records.set(key, value, random() < 0.5 ? 'urgent' : 'lazy');
       }
       s.run(100);
     }
@@ -214,19 +214,19 @@
   it('reads what is larger than may be written, and writes it again once it is smaller', () => {
     const s = new Service(4, 0);
     const large = 'x'.repeat(6000);
-    s.records.set('k/large', large, true);
-    for (let i = 0; i < 5; i++) s.records.set(`k/${i}`, 'y'.repeat(900), true);
+    s.records.set('k/large', large, 'urgent');
+    for (let i = 0; i < 5; i++) s.records.set(`k/${i}`, 'y'.repeat(900), 'urgent');
     s.run(2000);
     s.takes = { ...stateLimits, valueKb: 2, txnOps: 8 };
     s.limits = new Limits({ stateLimits, stateNext: s.takes }, () => s.now, 3_600_000);
     const next = s.elect();
     assert.equal(new Map([...next.list('k/')].map((e) => [e.key, e.value])).get('k/large'), large);
     let stored = 0;
-    next.set('k/large', `${large}z`, true, () => stored++);
-    next.set('k/1', 'small', true, () => stored++);
+    next.set('k/large', `${large}z`, 'urgent', () => stored++);
+    next.set('k/1', 'small', 'urgent', () => stored++);
     s.run(2000);
     assert.equal(stored, 1, 'the large one has to wait, the others need not');
-    next.set('k/large', 'now it fits', true, () => stored++);
+    next.set('k/large', 'now it fits', 'urgent', () => stored++);
     s.run(2000);
     const found = new Map([...s.elect().list('k/')].map((e) => [e.key, e.value]));
     assert.equal(found.get('k/large'), 'now it fits');
@@ -234,6 +234,19 @@
     assert.equal(s.tooLarge, 0);
   });
 
+  // Trapezi next, incident: thousands of starts waited for puts, and a service's replicas among them.
+  it('commits what goes first before what is merely urgent', () => {
+    const s = new Service(5, 0);
+    const order: string[] = [];
+    for (let i = 0; i < 300; i++)
+      s.records.set(`k/${i}`, 'x'.repeat(5000), 'urgent', () => order.push('urgent'));
+    s.records.set('k/last', 'x'.repeat(100), 'first', () => order.push('first'));
+    s.run(3000);
+    assert.ok(order.length > 10);
+    const at = order.indexOf('first');
+    assert.ok(at >= 0 && at < 10, `only after ${at}`);
+  });
+
   it('commits many small records with few puts, and uses pages again', () => {
     const s = new Service(1, 0);
     let stored = 0;
@@ -241,7 +254,7 @@
     for (let second = 0; second < 100; second++) {
       for (let i = 0; i < 30; i++) {
         const key = `k/${(second * 37 + i * 11) % 400}`;
-        s.records.set(key, ['x'.repeat(100), second, i], true, () => stored++);
+        s.records.set(key, ['x'.repeat(100), second, i], 'urgent', () => stored++);
         s.run(1000 / 30);
       }
     }
--- a/src/controller/store/records.ts
+++ b/src/controller/store/records.ts
@@ -10,6 +10,12 @@
   done: (r: 'ok' | 'conflict') => void;
 }
 
+/**
+ * `lazy` may wait to be written together with others, `urgent` goes out as soon as there are tokens,
+ * and `first` before all that.
+ */
+export type Urgency = 'lazy' | 'urgent' | 'first';
+
 export interface RecordsOptions {
   /** Key and version that every transaction is conditional on: the leader's own. */
   fence: Condition;
@@ -20,6 +26,9 @@
 /** Bytes of a transaction, with room for its frame below the service's 64 KiB. */
 const TXN_BYTES = 56 * 1024;
 
+/** For this share of a worker's lease, lazy entries leave the puts to urgent ones. */
+const LAZY_WAIT = 0.25;
+
 /**
  * Share of the leader's puts that pages take while something urgent is always waiting; the rest is
  * for jobs' ends, so that neither starves the other.
@@ -39,6 +48,8 @@
   private readonly pages: Pages;
   private readonly extras: Extra[] = [];
   private readonly urgent = new Set<Entry>();
+  /** Of the urgent ones, those that go before the others. */
+  private readonly first = new Set<Entry>();
   private readonly lazy = new Set<Entry>();
   private readonly waiters = new Map<Entry, (() => void)[]>();
   private inFlight = false;
@@ -46,6 +57,8 @@
   private timerAt = Infinity;
   private pauseUntil = 0;
   private lazyAt = 0;
+  /** When lazy entries last had pages of their own. */
+  private lazyPagesAt = 0;
   private pagesAt = 0;
   /** Puts and deletes sent, for the operators' figures. */
   writes = 0;
@@ -81,8 +94,8 @@
     return this.pages.entries.get(key)?.text != null;
   }
 
-  /** Not urgent: may wait to be written together with others. `undefined` deletes. */
-  set(key: string, value: unknown, urgent: boolean, stored?: () => void): void {
+  /** `undefined` deletes. */
+  set(key: string, value: unknown, urgency: Urgency, stored?: () => void): void {
     const e = this.pages.set(key, value);
     if (e === null || (!e.dirty && !e.inFlight)) return stored?.();
     if (stored !== undefined) {
@@ -91,10 +104,13 @@
       else list.push(stored);
     }
     if (!e.dirty) return;
-    if (urgent) {
+    if (urgency === 'first') this.first.add(e);
+    if (urgency === 'lazy') {
+      if (!this.urgent.has(e)) this.lazy.add(e);
+    } else {
       this.urgent.add(e);
       this.lazy.delete(e);
-    } else if (!this.urgent.has(e)) this.lazy.add(e);
+    }
   }
 
   /** Writes on keys that others write too, all or none, under the leader's fence. */
@@ -170,7 +186,8 @@
     };
     if (pagesDue) {
       this.pagesAt = now + this.pagesEveryMs;
-      for (const e of this.urgent) if (!add(e, true)) break;
+      for (const e of this.first) if (!add(e, true)) break;
+      for (const e of this.urgent) if (!taken.has(e) && !add(e, true)) break;
     }
     const extras = this.takeExtras(room, (e, size) => {
       ops += e.writes.length;
@@ -179,7 +196,13 @@
     });
     if (pagesDue) {
       if (lazyDue) this.lazyAt = now + this.settings.get('placement.hold.record.s') * 1000;
-      for (const e of this.lazy) if (!add(e, lazyDue)) break;
+      // Where puts are short, what is lazy goes along on pages that go out anyway, and has pages of
+      // its own only when nothing urgent is left or it has waited for long.
+      const calm = ![...this.urgent].some((e) => !taken.has(e));
+      const waited = now - this.lazyPagesAt > this.settings.workerLeaseMs * LAZY_WAIT;
+      const own = lazyDue && (calm || waited);
+      if (own) this.lazyPagesAt = now;
+      for (const e of this.lazy) if (!add(e, own)) break;
     }
     if (ops === 0) return this.later(10);
     // A page goes out with the newest values of all its entries.
@@ -193,6 +216,7 @@
    */
   private holdBack(e: Entry): void {
     this.urgent.delete(e);
+    this.first.delete(e);
     this.lazy.delete(e);
     this.core.log.warn({ key: e.key, bytes: e.bytes }, 'record too large to be written');
   }
@@ -224,6 +248,7 @@
     const waiting = new Map<Entry, (() => void)[]>();
     for (const e of taken) {
       this.urgent.delete(e);
+      this.first.delete(e);
       this.lazy.delete(e);
       e.dirty = false;
       e.inFlight = true;
--- a/src/controller/workers/workers.ts
+++ b/src/controller/workers/workers.ts
@@ -587,7 +587,7 @@
     this.direct.delete(m);
     this.imagesDirty.delete(m);
     for (const key of [machineKey(m.id), imagesKey(m.id)])
-      if (this.records.has(key)) this.records.set(key, undefined, false);
+      if (this.records.has(key)) this.records.set(key, undefined, 'lazy');
     this.hooks.changed();
   }
 
@@ -638,14 +638,16 @@
       const planned = [...m.assignments.values()].filter((a) => a.phase === 'planned');
       if (m.assignments.size === 0 && !this.records.has(machineKey(m.id))) continue;
       const value = writeRecord(m, this.settings, this.core.now(), this.core.env.wall());
-      this.records.set(machineKey(m.id), value, planned.length > 0, () => {
+      const first = planned.some((a) => a.job?.standing === true);
+      const urgency = first ? 'first' : planned.length > 0 ? 'urgent' : 'lazy';
+      this.records.set(machineKey(m.id), value, urgency, () => {
         for (const a of planned) if (a.phase === 'planned') a.phase = 'recorded';
         this.direct.add(m);
       });
     }
     this.dirty.clear();
     for (const m of this.imagesDirty)
-      this.records.set(imagesKey(m.id), [...m.images].flat(), false);
+      this.records.set(imagesKey(m.id), [...m.images].flat(), 'lazy');
     this.imagesDirty.clear();
     for (const m of this.direct) this.sendDirect(m);
     this.direct.clear();
