--- /dev/null
+++ b/src/controller/fleet/cloud-client.ts
@@ -0,0 +1,134 @@
+/** The cloud's API for machines, called within its limit of requests. */
+import type { Core } from '../core/core.js';
+import type { Reply } from '../core/env.js';
+import { Tokens } from '../core/tokens.js';
+import type { Settings } from '../settings/settings.js';
+import {
+  readMachines,
+  readRented,
+  writeRelease,
+  writeRent,
+  type ListedMachine,
+} from '../wire/cloud.js';
+import type { Kind } from '../placement/room.js';
+
+const CALL_TIMEOUT_MS = 5000;
+const LIST_PAGE_SIZE = 500;
+/** No calls for this time after the cloud has answered 429. */
+const RATE_LIMIT_PAUSE_MS = 500;
+/** Share of the cloud's limit for the leader; the other controllers read the catalogue. */
+const LEADER_RATE_SHARE = 0.8;
+/** Share of the burst that a rental leaves for lists and releases. */
+const RENT_TOKEN_RESERVE = 0.2;
+
+const STATUS_OK = 200;
+const STATUS_TOO_MANY_REQUESTS = 429;
+const STATUS_NO_RESPONSE = 0;
+
+/** Machines to be rented under a name that makes the request idempotent. */
+export interface RentalRequest {
+  name: string;
+  kind: Kind;
+  count: number;
+}
+
+/** What became of a request to rent: `lost` may have been carried out. */
+export type RentalResult =
+  { kind: 'rented'; machineIds: string[] } | { kind: 'refused' } | { kind: 'lost' };
+
+/** Calls of the leader to the cloud. */
+export class CloudClient {
+  private readonly tokens: Tokens;
+
+  constructor(
+    private readonly core: Core,
+    private readonly settings: Settings,
+  ) {
+    const { rps } = settings.platform.cloudLimits;
+    this.tokens = new Tokens(() => core.now(), rps * LEADER_RATE_SHARE, Math.max(1, rps));
+  }
+
+  /** Reads the list of machines, page by page; `null` if any page failed. */
+  listMachines(done: (machines: ListedMachine[] | null) => void): void {
+    this.listPage([], '', done);
+  }
+
+  private listPage(
+    found: ListedMachine[],
+    from: string,
+    done: (machines: ListedMachine[] | null) => void,
+  ): void {
+    if (!this.tokens.take()) return done(null);
+    const path = `/machines?limit=${LIST_PAGE_SIZE}${from === '' ? '' : `&from=${from}`}`;
+    this.call('machine-list', 'GET', path, undefined, (reply) => {
+      const page = this.readPage(reply);
+      if (page === null) return done(null);
+      found.push(...page.machines);
+      const last = found.at(-1);
+      if (page.more && last !== undefined) return this.listPage(found, last.id, done);
+      done(found);
+    });
+  }
+
+  private readPage(reply: Reply): ReturnType<typeof readMachines> | null {
+    if (reply.status !== STATUS_OK) return null;
+    try {
+      return readMachines(reply.body);
+    } catch (err) {
+      this.core.log.warn({ err }, 'broken machine list');
+      return null;
+    }
+  }
+
+  /** Takes the token that a release needs; false if it has to wait. */
+  mayRelease(): boolean {
+    return this.tokens.take();
+  }
+
+  /** Returns machines to the cloud; the caller has taken the token. */
+  release(machineIds: string[], done: (confirmed: boolean) => void): void {
+    this.call('released', 'POST', '/machines/release', writeRelease(machineIds), (reply) =>
+      done(reply.status === STATUS_OK),
+    );
+  }
+
+  /** Takes the token that a rental needs; false if it has to wait. */
+  mayRent(): boolean {
+    return this.tokens.take(1, RENT_TOKEN_RESERVE);
+  }
+
+  /** Rents machines; the caller has taken the token. */
+  rent(request: RentalRequest, done: (result: RentalResult) => void): void {
+    const { name, kind, count } = request;
+    const body = writeRent(name, kind.type.name, kind.zone, kind.spot, count);
+    this.call('rented', 'POST', '/machines', body, (reply) => done(this.rentalResult(reply)));
+  }
+
+  private rentalResult(reply: Reply): RentalResult {
+    if (reply.status === STATUS_NO_RESPONSE) return { kind: 'lost' };
+    if (reply.status !== STATUS_OK) return { kind: 'refused' };
+    try {
+      return { kind: 'rented', machineIds: readRented(reply.body) };
+    } catch (err) {
+      this.core.log.warn({ err }, 'broken answer to a rental');
+      return { kind: 'refused' };
+    }
+  }
+
+  private call(
+    command: string,
+    method: 'GET' | 'POST',
+    path: string,
+    body: unknown,
+    done: (reply: Reply) => void,
+  ): void {
+    const to = this.settings.platform.cloud;
+    const content = body === undefined ? {} : { body };
+    this.core.env.call({ to, method, path, ...content, timeoutMs: CALL_TIMEOUT_MS }, (reply) => {
+      this.core.post(command, () => {
+        if (reply.status === STATUS_TOO_MANY_REQUESTS) this.tokens.rejected(RATE_LIMIT_PAUSE_MS);
+        done(reply);
+      });
+    });
+  }
+}
--- /dev/null
+++ b/src/controller/fleet/machine-list.ts
@@ -0,0 +1,107 @@
+/** The cloud's list of machines, read now and then and compared with those known. */
+import type { Core } from '../core/core.js';
+import type { Settings } from '../settings/settings.js';
+import type { ListedMachine, MachineType } from '../wire/cloud.js';
+import type { Machine } from '../workers/machine.js';
+import type { Workers } from '../workers/workers.js';
+import type { BootingMachines } from './booting-machines.js';
+import type { CloudClient } from './cloud-client.js';
+import type { MachineReleases } from './machine-releases.js';
+
+/** Reports between two lists, at least. */
+const REPORTS_PER_LIST = 2;
+/** After a failure the list is read again when this share of its lag has not yet passed. */
+const RETRY_LAG_SHARE = 0.7;
+/** A machine that lists don't show is absent after so many times their lag. */
+const ABSENT_LAGS = 4;
+
+/** What the list needs of the other parts of the leader. */
+export interface MachineListContext {
+  workers: Pick<Workers, 'machines' | 'setType'>;
+  cloud: Pick<CloudClient, 'listMachines'>;
+  releases: Pick<MachineReleases, 'has' | 'release'>;
+  booting: BootingMachines;
+  types(): MachineType[] | null;
+  /** The leader may act. */
+  acting(): boolean;
+}
+
+/** Keeps what is known of machines in step with the cloud's list. */
+export class MachineList {
+  /** A list has been read in this term. */
+  complete = false;
+  private reading = false;
+  private readAt = -Infinity;
+
+  constructor(
+    private readonly core: Core,
+    private readonly settings: Settings,
+    private readonly context: MachineListContext,
+  ) {}
+
+  private get lagMs(): number {
+    return this.settings.platform.cloudLimits.listLagS * 1000;
+  }
+
+  /** Reads the list if it is due. */
+  step(now: number): void {
+    const everyMs = Math.max(this.lagMs, this.settings.reportMs * REPORTS_PER_LIST);
+    if (!this.reading && now - this.readAt >= everyMs) this.read();
+  }
+
+  private read(): void {
+    this.reading = true;
+    this.context.cloud.listMachines((machines) => {
+      this.reading = false;
+      if (machines === null) {
+        this.readAt = this.core.now() - RETRY_LAG_SHARE * this.lagMs;
+        return;
+      }
+      this.readAt = this.core.now();
+      if (this.context.acting()) this.apply(machines);
+    });
+  }
+
+  private apply(listed: readonly ListedMachine[]): void {
+    this.complete = true;
+    const now = this.core.now();
+    const ids = new Set<string>();
+    for (const entry of listed) {
+      ids.add(entry.id);
+      if (!this.context.releases.has(entry.id)) this.applyEntry(entry, now);
+    }
+    this.markAbsent(ids, now);
+  }
+
+  private applyEntry(entry: ListedMachine, now: number): void {
+    const { workers, booting, releases } = this.context;
+    const known = workers.machines.get(entry.id);
+    if (known !== undefined) this.update(known, entry, now);
+    else if (entry.state === 'failed') releases.release([entry.id], 'failed');
+    else if (!booting.has(entry.id)) this.addBooting(entry, now);
+  }
+
+  private update(machine: Machine, entry: ListedMachine, now: number): void {
+    machine.listed = entry.state;
+    machine.listedAt = now;
+    if (machine.addr === '') machine.addr = entry.addr;
+    if (machine.typeName === '' || machine.type === null)
+      this.context.workers.setType(machine, entry.type, entry.zone, entry.spot, entry.addr);
+  }
+
+  private addBooting(entry: ListedMachine, now: number): void {
+    const type = this.context.types()?.find((known) => known.name === entry.type);
+    if (type === undefined) return;
+    const { zone, spot } = entry;
+    this.context.booting.set(entry.id, { type, zone, spot, since: now - entry.ageS * 1000 });
+  }
+
+  /** Once listed a machine stays listed until it is gone; but a list may be older than the last. */
+  private markAbsent(listedIds: ReadonlySet<string>, now: number): void {
+    const absentMs = this.lagMs * ABSENT_LAGS + this.settings.reportMs;
+    for (const machine of this.context.workers.machines.values()) {
+      if (listedIds.has(machine.id) || machine.listedAt === -Infinity) continue;
+      if (now - machine.listedAt > absentMs) machine.listed = 'absent';
+    }
+  }
+}
