--- /dev/null
+++ b/src/controller/leader/leader-term.ts
@@ -0,0 +1,283 @@
+/** What only the leader has: made anew for each term and dropped whole with it. */
+import type { Core } from '../core/core.js';
+import type { Catalogue } from '../fleet/catalogue.js';
+import { Fleet } from '../fleet/fleet.js';
+import { JobFeed, LIVE } from '../jobs/feed.js';
+import type { Frontend } from '../jobs/frontend.js';
+import { takeChangedProgress, type ProgressCache } from '../jobs/progress.js';
+import { JobTable, type Job } from '../jobs/table.js';
+import { LEADER_KEY, type Leadership } from '../leadership/leadership.js';
+import type { Peers, PeerStatus } from '../peers/peers.js';
+import { holdKey, Placement } from '../placement/placement.js';
+import type { Settings } from '../settings/settings.js';
+import type { StateClient } from '../store/client.js';
+import { Records } from '../store/records.js';
+import type { Event, Item } from '../wire/state.js';
+import { Workers } from '../workers/workers.js';
+import { isIsolated } from './isolation.js';
+import type { LearnedFigures } from './learned-figures.js';
+import { PassScheduler } from './pass-scheduler.js';
+import { Takeover, type Inheritance } from './takeover.js';
+
+/** Views of the jobs that are too old by this factor of their limit end the term. */
+const STALE_VIEW_FACTOR = 2;
+/** What was learned is recorded so often in a lease of the workers. */
+const LEARNED_PER_LEASE = 4;
+
+/** The parts of the node that a leader works with; they outlast its term. */
+export interface LeaderContext {
+  core: Core;
+  settings: Settings;
+  client: StateClient;
+  leadership: Leadership;
+  peers: Peers;
+  frontend: Frontend;
+  progress: ProgressCache;
+  catalogue: Catalogue;
+  learned: LearnedFigures;
+  /** This node may act as leader, in whatever term. */
+  entitled(): boolean;
+  /** This node leads and has taken over, in whatever term. */
+  takenOver(): boolean;
+  /** Something became placeable. */
+  placementDue(): void;
+  passFinished(tookMs: number): void;
+}
+
+/** One term of this node as leader. */
+export class LeaderTerm {
+  /** What the leaders before have left has been read. */
+  ready = false;
+  /** The term is over. */
+  closed = false;
+  readonly records: Records;
+  readonly table: JobTable;
+  readonly workers: Workers;
+  readonly placement: Placement;
+  readonly fleet: Fleet;
+  readonly feed: JobFeed;
+  readonly passes: PassScheduler;
+  private readonly since: number;
+  private learnedSavedAt = -Infinity;
+
+  constructor(
+    readonly term: number,
+    private readonly context: LeaderContext,
+  ) {
+    const { core, settings } = context;
+    this.since = core.now();
+    this.records = this.createRecords();
+    this.table = this.createTable();
+    this.workers = this.createWorkers();
+    this.placement = this.createPlacement();
+    this.fleet = this.createFleet();
+    this.feed = this.createFeed();
+    this.passes = new PassScheduler(core, settings, this.placement, (tookMs) =>
+      context.passFinished(tookMs),
+    );
+  }
+
+  private createRecords(): Records {
+    const { core, settings, client, leadership } = this.context;
+    return new Records(core, settings, client, {
+      fence: { key: LEADER_KEY, version: this.term },
+      mayWrite: () => leadership.acting,
+      onFenced: () => leadership.stepDown('another leader'),
+    });
+  }
+
+  private createTable(): JobTable {
+    const { core, settings, client, frontend, peers } = this.context;
+    return new JobTable(core, settings, client, this.records, {
+      torn: (job) => this.workers.stopJob(job, 0, 'gang lost a part'),
+      vanished: (job) => this.workers.stopAll(job, 'job ended'),
+      closed: (job) => this.jobClosed(job),
+      added: (job) => this.jobAdded(job),
+      changed: () => this.context.placementDue(),
+      recorded: (job, task) => this.workers.doneRecorded(job, task),
+      ended: (id, state) => {
+        frontend.learnFinal(id, state);
+        peers.announce(id, state);
+      },
+    });
+  }
+
+  private createWorkers(): Workers {
+    const { core, settings, catalogue, leadership, learned } = this.context;
+    return new Workers(core, settings, this.term, this.records, this.table, {
+      type: (name) => catalogue.types?.find((type) => type.name === name),
+      higherTerm: (term) => leadership.higherTerm(term),
+      changed: () => this.context.placementDue(),
+      ran: (assignment, tookMs) => {
+        if (assignment.job === null) return;
+        learned.taskRan(assignment.job, tookMs, assignment.since);
+      },
+    });
+  }
+
+  private createPlacement(): Placement {
+    const { core, settings, leadership, learned } = this.context;
+    return new Placement(
+      core,
+      settings,
+      this.table,
+      this.workers,
+      this.records,
+      learned.estimates,
+      learned.reserve,
+      { exhausted: () => leadership.stepDown('attempts used up') },
+    );
+  }
+
+  private createFleet(): Fleet {
+    const { core, settings, catalogue } = this.context;
+    return new Fleet(
+      core,
+      settings,
+      () => catalogue.types,
+      this.table,
+      this.workers,
+      this.placement,
+      () => this.context.entitled(),
+    );
+  }
+
+  private createFeed(): JobFeed {
+    const { core, settings, client } = this.context;
+    return new JobFeed(core, settings, client, {
+      all: (items) => this.jobsReloaded(items),
+      changes: (events) => this.jobsChanged(events),
+    });
+  }
+
+  // ---- jobs
+
+  private jobAdded(job: Job): void {
+    // What the leader before knew it has counted itself.
+    const { reserve } = this.context.learned;
+    if (this.context.takenOver() || !reserve.knows(job.spec.class))
+      reserve.arrived(job, this.context.core.now());
+  }
+
+  private jobClosed(job: Job): void {
+    this.workers.jobClosed(job);
+    const key = holdKey(job.spec.id);
+    if (this.records.has(key)) this.records.set(key, undefined, 'lazy');
+    this.context.progress.delete(job.spec.id);
+  }
+
+  private jobsReloaded(items: readonly Item[]): void {
+    const live = new Set(items.map((item) => item.key));
+    this.jobsRead(items);
+    for (const id of [...this.table.jobs.keys()]) if (!live.has(LIVE + id)) this.table.removed(id);
+  }
+
+  private jobsChanged(events: readonly Event[]): void {
+    for (const event of events) {
+      if (event.kind === 'put') this.jobLive(event.key, event.value, event.version);
+      else this.table.removed(event.key.slice(LIVE.length));
+    }
+  }
+
+  /** Jobs that were live when the state service said so. */
+  jobsRead(items: readonly Item[]): void {
+    for (const item of items) this.jobLive(item.key, item.value, item.version);
+  }
+
+  private jobLive(key: string, value: unknown, version: number): void {
+    const id = key.slice(LIVE.length);
+    // Its end may have been heard of before.
+    if (this.context.frontend.ended(id) === null) this.table.add(id, value, version);
+  }
+
+  // ---- beginning and end
+
+  /** Begins to read what the leaders before have left. */
+  start(): void {
+    new Takeover(this.context.core, this.context.client, this).start();
+  }
+
+  /** Takes in what the leaders before have left. */
+  takeOver({ jobs, pages, revision, sentAt }: Inheritance): void {
+    this.records.load(pages);
+    this.context.learned.load(this.records);
+    this.table.load();
+    this.workers.load();
+    this.placement.load();
+    this.table.settle();
+    this.ready = true;
+    this.context.core.log.info(
+      { term: this.term, jobs: jobs.length, machines: this.workers.machines.size },
+      'leading',
+    );
+    this.feed.start(revision, sentAt);
+    this.context.placementDue();
+    this.context.catalogue.share(this);
+  }
+
+  /** The term is over: nothing is written any more. */
+  close(): void {
+    this.closed = true;
+    this.records.close();
+    this.feed.close();
+  }
+
+  // ---- batches and time
+
+  /** After each batch of commands. */
+  batchEnd(): void {
+    if (this.closed || !this.context.entitled()) return;
+    if (this.context.catalogue.types !== null) this.passes.step();
+    this.table.flush();
+    this.workers.flush();
+    this.records.flush();
+  }
+
+  /** A few times in a report interval, with what the peers have told lately. */
+  tick(heard: readonly PeerStatus[], tickMs: number): void {
+    if (!this.ready) return;
+    const { settings, leadership } = this.context;
+    this.workers.answering(this.context.entitled(), tickMs);
+    if (leadership.acting && this.feed.ageMs > settings.viewMs * STALE_VIEW_FACTOR) {
+      // Its lease keeps the others from leading, and it may not act itself.
+      leadership.handOver('no view of the jobs');
+      return;
+    }
+    if (!this.context.entitled()) return;
+    if (this.isolated(heard)) {
+      leadership.handOver('workers do not reach this node');
+      return;
+    }
+    this.workers.sweep();
+    this.fleet.step();
+    this.passes.request();
+    this.saveLearnedIfDue();
+    this.tellProgress();
+  }
+
+  private isolated(heard: readonly PeerStatus[]): boolean {
+    const { core, settings } = this.context;
+    // Not again at once: a takeover costs, and one after the other would leave nobody to answer.
+    const settled = core.now() - this.since > settings.workerLeaseMs / 2;
+    if (settings.platform.peers.length === 0 || !settled) return false;
+    const reach = {
+      reportMs: settings.reportMs,
+      machineCount: this.workers.machines.size,
+      overdue: (lateMs: number, heardBefore: boolean) => this.workers.overdue(lateMs, heardBefore),
+    };
+    return isIsolated(reach, heard);
+  }
+
+  private saveLearnedIfDue(): void {
+    const { core, settings, learned } = this.context;
+    const everyMs = settings.workerLeaseMs / LEARNED_PER_LEASE;
+    if (core.now() - this.learnedSavedAt <= everyMs) return;
+    this.learnedSavedAt = core.now();
+    learned.save(this.records);
+  }
+
+  private tellProgress(): void {
+    const changed = takeChangedProgress(this.table.jobs.values());
+    if (changed.length > 0) this.context.peers.send(changed, null);
+  }
+}
--- /dev/null
+++ b/src/controller/leader/learned-figures.ts
@@ -0,0 +1,69 @@
+/** What was learned of classes of jobs, kept on record from one leader to the next. */
+import type { Core } from '../core/core.js';
+import type { Job } from '../jobs/table.js';
+import { Estimates } from '../placement/estimates.js';
+import { Reserve } from '../placement/reserve.js';
+import type { Settings } from '../settings/settings.js';
+import { sizeOf } from '../store/pages.js';
+import type { Records } from '../store/records.js';
+import { isMap } from '../wire/cbor.js';
+
+const LEARNED_KEY = 'learned';
+/** A class's record may take this share of the largest value. */
+const MAX_VALUE_SHARE = 0.5;
+
+/** How wrong estimates are, and how often jobs arrive, by class. */
+export class LearnedFigures {
+  readonly estimates = new Estimates();
+  readonly reserve: Reserve;
+
+  constructor(
+    private readonly core: Core,
+    private readonly settings: Settings,
+  ) {
+    const reserveSettings = {
+      memoryMs: settings.workerLeaseMs * settings.get('placement.reserve.memory.ratio'),
+      share: settings.get('placement.reserve.share'),
+      spare: settings.get('placement.reserve.spare'),
+    };
+    this.reserve = new Reserve(reserveSettings, this.estimates, core.now(), (className) =>
+      settings.startWithinMs(className),
+    );
+  }
+
+  /** A task of the job has ended after `tookMs`, having been on its machine since `assignedAt`. */
+  taskRan(job: Job, tookMs: number, assignedAt: number): void {
+    this.estimates.observe(job.spec, tookMs);
+    this.reserve.ended(job.spec, this.core.now() - assignedAt);
+  }
+
+  /** Takes in what the leaders before have recorded. */
+  load(records: Pick<Records, 'list'>): void {
+    for (const { value } of records.list(LEARNED_KEY)) this.import(value);
+  }
+
+  private import(value: unknown): void {
+    if (!isMap(value)) return;
+    this.estimates.import(value['ratios']);
+    this.reserve.import(value['arrivals'], this.core.now(), this.core.env.wall());
+  }
+
+  /**
+   * Records the figures, a record for each class: all classes together may be larger than a value.
+   * The versions before read every record under this key, and wrote a single one.
+   */
+  save(records: Pick<Records, 'set'>): void {
+    const ratios = this.estimates.export();
+    const arrivals = this.reserve.export(this.core.now(), this.core.env.wall());
+    const maxBytes = this.settings.valueBytes * MAX_VALUE_SHARE;
+    for (const className of new Set([...Object.keys(ratios), ...arrivals.keys()])) {
+      const ratio = ratios[className];
+      const value = {
+        ratios: ratio === undefined ? {} : { [className]: ratio },
+        arrivals: arrivals.get(className) ?? null,
+      };
+      if (sizeOf(value) < maxBytes) records.set(`${LEARNED_KEY}/${className}`, value, 'lazy');
+    }
+    records.set(LEARNED_KEY, undefined, 'lazy');
+  }
+}
--- /dev/null
+++ b/src/controller/operators/gauges.ts
@@ -0,0 +1,51 @@
+/** Sets the figures that are read off a controller's state when metrics are scraped. */
+import type { Fleet } from '../fleet/fleet.js';
+import type { Job, JobTable } from '../jobs/table.js';
+import type { Placement } from '../placement/placement.js';
+import type { Workers } from '../workers/workers.js';
+import type { Metrics } from './metrics.js';
+
+/** Where figures go; `Metrics` is loaded a little after the start. */
+export type MetricsSink = Pick<Metrics, 'request' | 'pass' | 'preemptions' | 'gauge' | 'text'>;
+
+/** What a leader has to be measured. */
+export interface LeaderFigures {
+  table: Pick<JobTable, 'jobs'>;
+  workers: Pick<Workers, 'machines'>;
+  fleet: Pick<Fleet, 'booting'>;
+  placement: Pick<Placement, 'preemptions'>;
+}
+
+function sum(jobs: readonly Job[], amount: (job: Job) => number): number {
+  return jobs.reduce((total, job) => total + amount(job), 0);
+}
+
+/** Figures that every node has. */
+export function setNodeGauges(metrics: MetricsSink, leading: boolean, term: number): void {
+  metrics.gauge('leading', '1 on the leader.', leading ? 1 : 0);
+  metrics.gauge('term', 'Term of the leader known here.', term);
+  metrics.gauge('memory_bytes', 'Memory that the process holds.', process.memoryUsage.rss());
+}
+
+/** Figures that only the leader has. */
+export function setLeaderGauges(metrics: MetricsSink, leader: LeaderFigures): void {
+  const jobs = [...leader.table.jobs.values()];
+  const holding = jobs.filter((job) => job.hold !== null);
+  const services = jobs.filter((job) => job.standing);
+  metrics.gauge('jobs', 'Unfinished jobs.', jobs.length);
+  metrics.gauge('holds', 'Gangs that hold room.', holding.length);
+  metrics.gauge(
+    'pending_tasks',
+    'Tasks that wait for room.',
+    sum(jobs, (job) => job.pending.length),
+  );
+  metrics.gauge('services', 'Services that run until they are cancelled.', services.length);
+  metrics.gauge(
+    'replicas_missing',
+    'Replicas of services that are not running.',
+    sum(services, (job) => job.missing),
+  );
+  metrics.gauge('machines', 'Machines known.', leader.workers.machines.size);
+  metrics.gauge('booting', 'Machines rented and not up yet.', leader.fleet.booting);
+  metrics.preemptions(leader.placement.preemptions);
+}
