--- /dev/null
+++ b/src/controller/fleet/fleet.test.ts
@@ -0,0 +1,322 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { ManualEnv, silentLogger } from '../../../test/manual-env.js';
+import { alone } from '../../../test/platform.js';
+import { Core } from '../core/core.js';
+import type { Lack } from '../placement/placement.js';
+import { defaultProperties } from '../settings/properties.js';
+import { Settings } from '../settings/settings.js';
+import type { StateClient } from '../store/client.js';
+import { readCatalogue, type ListedMachine, type MachineType } from '../wire/cloud.js';
+import type { JobSpec } from '../wire/jobs.js';
+import { Machine } from '../workers/machine.js';
+import type { BootingMachines } from './booting-machines.js';
+import { Catalogue } from './catalogue.js';
+import { CloudClient, type RentalResult } from './cloud-client.js';
+import { MachineList } from './machine-list.js';
+import { MachineReleases } from './machine-releases.js';
+import { Renting } from './renting.js';
+import { UnusedMachines, type WorkOutlook } from './unused-machines.js';
+
+const settings = new Settings(alone(), defaultProperties());
+const lagMs = settings.platform.cloudLimits.listLagS * 1000;
+const silentMs = settings.workerGoneMs * settings.get('fleet.silent.ratio');
+const idleMs = settings.workerLeaseMs * settings.get('fleet.idle.ratio');
+const plain: MachineType = {
+  ...{ name: 'plain', cpus: 8, gpus: 0, memoryGb: 64, cacheGb: 50, fetchGbPerS: 1 },
+  ...{ price: 1, spotPrice: 1, bootS: 10, zones: ['a'] },
+};
+
+/** The machines as the workers' slice keeps them, with silence as the test says. */
+class Machines {
+  readonly machines = new Map<string, Machine>();
+  readonly running = new Map<string, number>();
+  readonly term = 7;
+  readonly silence = new Map<string, number>();
+
+  add(id: string, now = 0): Machine {
+    const machine = new Machine(id, now, settings);
+    machine.type = plain;
+    machine.typeName = plain.name;
+    machine.listed = 'running';
+    machine.listedAt = now;
+    this.machines.set(id, machine);
+    return machine;
+  }
+
+  alive(machine: Machine): boolean {
+    return this.silentMs(machine) === 0;
+  }
+
+  silentMs(machine: Machine): number {
+    return this.silence.get(machine.id) ?? 0;
+  }
+
+  deafMs(): number {
+    return 0;
+  }
+
+  gone(machine: Machine): void {
+    this.machines.delete(machine.id);
+  }
+
+  setType(machine: Machine, type: string): void {
+    machine.typeName = type;
+  }
+}
+
+function setUp() {
+  const env = new ManualEnv();
+  const core = new Core(env, silentLogger);
+  const workers = new Machines();
+  const booting: BootingMachines = new Map();
+  return { env, core, workers, booting };
+}
+
+describe('cloud client', () => {
+  it('reads the list page by page', () => {
+    const { env, core } = setUp();
+    const page = (id: string, more: boolean) => ({
+      kilns: [...[{ id, address: 'x:1', model: 'plain', hall: 'a', loaners: false }]].map(
+        (machine) => ({ ...machine, status: 'running', age_s: 1 }),
+      ),
+      has_next: more,
+    });
+    const lists: (ListedMachine[] | null)[] = [];
+    new CloudClient(core, settings).listMachines((machines) => lists.push(machines));
+    assert.equal(env.answer(200, page('n-1', true)).path, '/machines?limit=500');
+    assert.equal(env.answer(200, page('n-2', false)).path, '/machines?limit=500&from=n-1');
+    assert.deepEqual(
+      lists.map((list) => list?.map((machine) => machine.id)),
+      [['n-1', 'n-2']],
+    );
+  });
+
+  it('tells rentals that are refused from those that may have been made', () => {
+    const { env, core } = setUp();
+    const cloud = new CloudClient(core, settings);
+    const results: RentalResult[] = [];
+    const request = { name: 't7-1', kind: { type: plain, zone: 'a', spot: false }, count: 1 };
+    for (const [status, body] of [
+      [0],
+      [409],
+      [200, 'broken'],
+      [200, { kilns: ['n-1'] }],
+    ] as const) {
+      cloud.rent(request, (result) => results.push(result));
+      env.answer(status, body);
+    }
+    assert.deepEqual(results, [
+      { kind: 'lost' },
+      { kind: 'refused' },
+      { kind: 'refused' },
+      { kind: 'rented', machineIds: ['n-1'] },
+    ]);
+  });
+
+  it('pauses when the cloud has said that there are too many calls', () => {
+    const { env, core } = setUp();
+    const cloud = new CloudClient(core, settings);
+    cloud.release(['n-1'], () => undefined);
+    env.answer(429);
+    assert.ok(!cloud.mayRelease());
+    env.advance(1000);
+    assert.ok(cloud.mayRelease());
+  });
+});
+
+describe('machine releases', () => {
+  it('are repeated until the cloud confirms, and remembered for a while', () => {
+    const { env, core, workers } = setUp();
+    const machine = workers.add('n-1');
+    const cloud = new CloudClient(core, settings);
+    const releases = new MachineReleases(core, settings, { workers, cloud, acting: () => true });
+    releases.release(['n-1'], 'test');
+    assert.ok(machine.leaving);
+    env.answer(500);
+    assert.equal(workers.machines.size, 1);
+    env.advance(1000);
+    env.answer(200);
+    assert.equal(workers.machines.size, 0);
+    env.advance(lagMs);
+    assert.ok(releases.has('n-1'));
+    env.advance(lagMs * 3 + 5000);
+    assert.ok(!releases.has('n-1'));
+  });
+
+  it('go out in batches of a hundred, and only from an acting leader', () => {
+    const { env, core, workers } = setUp();
+    let acting = false;
+    const cloud = new CloudClient(core, settings);
+    const releases = new MachineReleases(core, settings, { workers, cloud, acting: () => acting });
+    releases.release(
+      Array.from({ length: 150 }, (_, index) => `n-${index}`),
+      'test',
+    );
+    assert.equal(env.calls.length, 0);
+    acting = true;
+    env.advance(1000);
+    assert.deepEqual(
+      env.calls.map(({ call }) => (call.body as { kilns: string[] }).kilns.length),
+      [100, 50],
+    );
+  });
+});
+
+describe('machine list', () => {
+  function read(entries: Partial<ListedMachine>[], known: string[], releasing: string[] = []) {
+    const { env, core, workers, booting } = setUp();
+    for (const id of known) workers.add(id);
+    const released: string[] = [];
+    const listed = entries.map((entry): ListedMachine => ({
+      ...{ id: 'n-1', addr: 'x:1', type: 'plain', zone: 'a', spot: false, ageS: 2 },
+      ...{ state: 'running', ...entry },
+    }));
+    const list = new MachineList(core, settings, {
+      ...{ workers, booting, types: () => [plain], acting: () => true },
+      cloud: { listMachines: (done) => done(listed) },
+      releases: {
+        has: (id) => releasing.includes(id),
+        release: (ids) => void released.push(...ids),
+      },
+    });
+    list.step(0);
+    return { env, list, workers, booting, released };
+  }
+
+  it('updates the known, returns the failed and expects the others to come up', () => {
+    const { list, workers, booting, released } = read(
+      [{ id: 'n-1' }, { id: 'n-2', state: 'failed' }, { id: 'n-3' }, { id: 'n-4' }],
+      ['n-1'],
+      ['n-4'],
+    );
+    assert.ok(list.complete);
+    assert.equal(workers.machines.get('n-1')?.addr, 'x:1');
+    assert.deepEqual(released, ['n-2']);
+    assert.deepEqual(
+      [...booting],
+      [['n-3', { type: plain, zone: 'a', spot: false, since: -2000 }]],
+    );
+  });
+
+  it('takes a machine for absent only when it has long not been listed', () => {
+    const { env, list, workers } = read([], ['n-1']);
+    const machine = workers.machines.get('n-1');
+    assert.equal(machine?.listed, 'running');
+    env.advance(lagMs * 4 + settings.reportMs + 1);
+    list.step(env.now());
+    assert.equal(machine.listed, 'absent');
+  });
+});
+
+describe('unused machines', () => {
+  const quiet: WorkOutlook = { noWork: false, rentalsRefused: false };
+
+  function search() {
+    const { core, workers, booting } = setUp();
+    const lacking: Lack[] = [];
+    const unused = new UnusedMachines(core, settings, {
+      ...{ workers, booting, placement: { lacking } },
+      releases: { has: () => false },
+    });
+    return { workers, booting, unused };
+  }
+
+  it('are those that failed, never came up or are silent', () => {
+    const { workers, booting, unused } = search();
+    workers.add('failed').listed = 'failed';
+    workers.add('silent');
+    workers.silence.set('silent', silentMs + 1);
+    workers.add('up');
+    booting.set('late', { type: plain, zone: 'a', spot: false, since: -Infinity });
+    assert.deepEqual(unused.find(0, quiet), ['late', 'failed', 'silent']);
+    assert.equal(booting.size, 0);
+  });
+
+  it('are forgotten when the cloud no longer lists them', () => {
+    const { workers, unused } = search();
+    workers.add('gone').listed = 'absent';
+    workers.silence.set('gone', silentMs + 1);
+    assert.deepEqual(unused.find(silentMs * 2, quiet), []);
+    assert.equal(workers.machines.size, 1);
+    assert.deepEqual(unused.find(silentMs * 2 + 1, quiet), []);
+    assert.equal(workers.machines.size, 0);
+  });
+
+  it('leave one idle machine of a kind, except where there is no work', () => {
+    const { workers, unused } = search();
+    for (const id of ['n-1', 'n-2', 'n-3']) workers.add(id);
+    assert.deepEqual(unused.find(idleMs, quiet), []);
+    assert.deepEqual(unused.find(idleMs + 1, quiet), ['n-1', 'n-2']);
+    const rest = unused.find(idleMs + 1, { ...quiet, noWork: true });
+    assert.ok(rest.includes('n-3'));
+  });
+});
+
+describe('renting', () => {
+  it('repeats a lost request under its name and pauses after a refusal', () => {
+    const { env, core, workers, booting } = setUp();
+    const cloud = new CloudClient(core, settings);
+    const renting = new Renting(core, settings, {
+      ...{ workers, cloud, booting, acting: () => true },
+      placement: { lacking: [] },
+    });
+    const spec: JobSpec = {
+      ...{ id: 'req-1', class: 'c', team: 't', kind: 'array', priority: 'normal', tasks: 2 },
+      ...{ cpus: 4, gpus: 0, memoryGb: 1, image: 'i', imageGb: 1, types: null, zone: null },
+      ...{ oneZone: false, spread: false, spot: false, estimateS: 10, checkpointS: 0, saveS: 0 },
+      deadlineS: null,
+    };
+    renting.seen(spec, 0);
+    renting.step(0, [plain], true);
+    assert.ok(renting.busy);
+    const first = env.answer(0);
+    const second = env.answer(200, { kilns: [] });
+    assert.deepEqual(second.body, first.body);
+    assert.equal((first.body as { hire: string }).hire, 't7-1');
+    assert.ok(!renting.busy);
+    assert.ok(renting.refused(0));
+    renting.step(0, [plain], true);
+    assert.equal(env.calls.length, 0);
+  });
+});
+
+describe('catalogue', () => {
+  const body = { models: [{ name: 'plain', cores: 8, mem_gb: 64, halls: ['a'] }] };
+
+  function load() {
+    const { env, core } = setUp();
+    const client = {
+      tokens: { force: () => undefined },
+      get: (_key: string, _timeoutMs: number, done: (got: unknown) => void) =>
+        done({ kind: 'ok', value: null }),
+    };
+    const catalogue = new Catalogue(core, settings, client as unknown as StateClient, () => null);
+    catalogue.load();
+    return { env, catalogue };
+  }
+
+  it('asks the cloud until it answers, and again when the types are old', () => {
+    const { env, catalogue } = load();
+    env.answer(503);
+    assert.equal(catalogue.types, null);
+    env.advance(1000);
+    assert.equal(env.answer(200, body).path, '/catalog');
+    assert.deepEqual(catalogue.types, readCatalogue(body));
+    catalogue.refreshIfDue();
+    assert.equal(env.calls.length, 0);
+    env.advance(settings.workerLeaseMs * 3 + 1);
+    catalogue.refreshIfDue();
+    catalogue.refreshIfDue();
+    assert.equal(env.calls.length, 1);
+  });
+
+  it('keeps what it knows when the cloud answers something broken', () => {
+    const { env, catalogue } = load();
+    env.answer(200, body);
+    env.advance(settings.workerLeaseMs * 3 + 1);
+    catalogue.refreshIfDue();
+    env.answer(200, 'broken');
+    assert.deepEqual(catalogue.types, readCatalogue(body));
+  });
+});
--- /dev/null
+++ b/src/controller/leader/leader.test.ts
@@ -0,0 +1,153 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { alone } from '../../../test/platform.js';
+import { ManualEnv, silentLogger } from '../../../test/manual-env.js';
+import { storedAtOnce } from '../../../test/stored.js';
+import { Core } from '../core/core.js';
+import { defaultProperties } from '../settings/properties.js';
+import { Settings } from '../settings/settings.js';
+import type { StateClient } from '../store/client.js';
+import { isIsolated, type LeaderReach } from './isolation.js';
+import { LearnedFigures } from './learned-figures.js';
+import { PassScheduler } from './pass-scheduler.js';
+import { Takeover, type Heir, type Inheritance } from './takeover.js';
+
+const settings = new Settings(alone(), defaultProperties());
+const intervalMs = settings.reportMs * settings.get('placement.interval.ratio');
+
+describe('pass scheduler', () => {
+  /** A placement whose passes take `slices` slices of `sliceMs`. */
+  function schedule(slices: number, sliceMs: number) {
+    const env = new ManualEnv();
+    const seen = { begun: 0, finished: [] as number[] };
+    let left = 0;
+    const placement = {
+      get passing(): boolean {
+        return left > 0;
+      },
+      begin: () => {
+        seen.begun++;
+        left = slices;
+      },
+      advance: () => {
+        env.advance(sliceMs);
+        return --left === 0;
+      },
+    };
+    const scheduler = new PassScheduler(new Core(env, silentLogger), settings, placement, (ms) =>
+      seen.finished.push(ms),
+    );
+    return { env, seen, scheduler };
+  }
+
+  it('runs a pass slice by slice and tells what the slices took', () => {
+    const { seen, scheduler } = schedule(3, 10);
+    scheduler.step();
+    scheduler.step();
+    assert.deepEqual(seen.finished, []);
+    scheduler.step();
+    assert.deepEqual(seen, { begun: 1, finished: [30] });
+  });
+
+  it('begins none that is not due', () => {
+    const { env, seen, scheduler } = schedule(1, 1);
+    scheduler.step();
+    env.advance(intervalMs * 10);
+    scheduler.step();
+    assert.equal(seen.begun, 1);
+    scheduler.request();
+    scheduler.step();
+    assert.equal(seen.begun, 2);
+  });
+
+  it('rests for the interval, and three times as long as a pass took', () => {
+    const tookMs = intervalMs;
+    const { env, seen, scheduler } = schedule(1, tookMs);
+    scheduler.step();
+    scheduler.request();
+    env.advance(tookMs * 3 - 1);
+    scheduler.step();
+    assert.equal(seen.begun, 1);
+    env.advance(1);
+    scheduler.step();
+    assert.equal(seen.begun, 2);
+  });
+});
+
+describe('isolation', () => {
+  const reach = (overdue: number, silent: number): LeaderReach => ({
+    ...{ reportMs: 1000, machineCount: 100 },
+    overdue: (_lateMs, heardBefore) => (heardBefore ? silent : overdue),
+  });
+
+  it('takes reports at the peers and late machines as proof', () => {
+    assert.ok(isIsolated(reach(0.6, 0), [{ strayReports: 4 }, { strayReports: 6 }]));
+    assert.ok(!isIsolated(reach(0.6, 0), [{ strayReports: 4 }, { strayReports: 5 }]));
+    assert.ok(!isIsolated(reach(0.5, 1), [{ strayReports: 100 }]));
+  });
+
+  it('takes silence only where no peer is heard', () => {
+    assert.ok(isIsolated(reach(0, 0.95), []));
+    assert.ok(!isIsolated(reach(0, 0.9), []));
+    assert.ok(!isIsolated(reach(0, 0.95), [{ strayReports: 0 }]));
+  });
+});
+
+describe('takeover', () => {
+  type RangeDone = Parameters<StateClient['range']>[2];
+
+  function begin() {
+    const env = new ManualEnv();
+    const reads: { prefix: string; done: RangeDone }[] = [];
+    const heir = {
+      closed: false as boolean,
+      jobs: 0,
+      inherited: [] as Inheritance[],
+      jobsRead: (jobs: readonly unknown[]) => void (heir.jobs += jobs.length),
+      takeOver: (inheritance: Inheritance) => void heir.inherited.push(inheritance),
+    } satisfies Heir & Record<string, unknown>;
+    const client = {
+      range: (prefix: string, _timeoutMs: number, done: RangeDone) =>
+        void reads.push({ prefix, done }),
+    };
+    new Takeover(new Core(env, silentLogger), client, heir).start();
+    return { env, reads, heir };
+  }
+
+  const item = { key: 'live/req-1', value: {}, version: 3 };
+
+  it('reads jobs, then pages, and repeats what failed', () => {
+    const { env, reads, heir } = begin();
+    reads.shift()?.done({ kind: 'failed' });
+    env.advance(500);
+    const jobs = reads.shift();
+    assert.equal(jobs?.prefix, 'live/');
+    jobs.done({ kind: 'ok', value: { items: [item], revision: 9 } });
+    assert.equal(heir.jobs, 1);
+    reads.shift()?.done({ kind: 'ok', value: { items: [], revision: 10 } });
+    assert.deepEqual(heir.inherited, [{ jobs: [item], revision: 9, sentAt: 500, pages: [] }]);
+  });
+
+  it('stops when the term is over', () => {
+    const { env, reads, heir } = begin();
+    heir.closed = true;
+    reads.shift()?.done({ kind: 'failed' });
+    env.advance(500);
+    assert.deepEqual(reads, []);
+  });
+});
+
+describe('learned figures', () => {
+  it('come back from the records as they were saved', () => {
+    const core = new Core(new ManualEnv(), silentLogger);
+    const records = storedAtOnce({ learned: { ratios: { c: [1, 2] } } });
+    const before = new LearnedFigures(core, settings);
+    before.load(records);
+    before.save(records);
+    assert.ok(!records.has('learned'), 'the single record of older versions stays');
+    const after = new LearnedFigures(core, settings);
+    after.load(records);
+    assert.deepEqual(before.estimates.export(), { c: [1, 2] });
+    assert.deepEqual(after.estimates.export(), before.estimates.export());
+  });
+});
--- a/src/controller/leadership/leadership.ts
+++ b/src/controller/leadership/leadership.ts
@@ -15,7 +15,7 @@
 
 export interface LeadershipEvents {
   elected(term: number): void;
-  /** The same reign goes on after a time in which this node might not act. */
+  /** The same term goes on after a time in which this node might not act. */
   resumed(): void;
   deposed(): void;
 }
@@ -37,8 +37,8 @@
   /** This node has handed over and leaves the lead to the others until then, if they take it. */
   private standsBackUntil = -Infinity;
   private leftToOthers = false;
-  /** Guards against answers to questions of an earlier reign. */
-  private reign = 0;
+  /** Guards against answers to questions of an earlier term or role. */
+  private generation = 0;
 
   constructor(
     private readonly core: Core,
@@ -75,7 +75,7 @@
   /**
    * A peer says who leads. That is no proof of anything, but good enough to send workers there; and
    * if it is a later leader than this node, whom the state service may not serve just now, this
-   * node's reign is over.
+   * node's term is over.
    */
   heard(host: string, term: number): void {
     if (host === '') return;
@@ -96,7 +96,7 @@
     this.mine = null;
     this.actUntil = -Infinity;
     this.noLeader();
-    this.reign++;
+    this.generation++;
     this.client.setRole(false);
     // The lease goes too: otherwise a late copy of the request that made the key could make it
     // once more under a lease that nobody renews.
@@ -228,25 +228,25 @@
     this.mine = { term, lease };
     this.actUntil = sent + this.settings.leaderActsMs;
     this.info = { host: this.settings.platform.host, identity: this.identity, lease, term };
-    this.reign++;
+    this.generation++;
     this.client.setRole(true);
     this.core.log.info({ term }, 'elected leader');
-    this.renewLater(this.reign, this.settings.renewMs);
+    this.renewLater(this.generation, this.settings.renewMs);
     this.events.elected(term);
   }
 
-  private renewLater(reign: number, ms: number): void {
+  private renewLater(generation: number, ms: number): void {
     this.core.after(ms, 'renew', () => {
-      if (reign === this.reign) this.renew(reign);
+      if (generation === this.generation) this.renew(generation);
     });
   }
 
-  private renew(reign: number): void {
+  private renew(generation: number): void {
     const { mine } = this;
     if (mine === null) return;
     const sent = this.core.now();
     this.client.extend(mine.lease, this.timeout, (r) => {
-      if (reign !== this.reign) return;
+      if (generation !== this.generation) return;
       if (r === 'ended') return this.stepDown('lease ended');
       if (r === 'ok') {
         // Told even if the gap came while the renewal was on its way.
@@ -256,8 +256,8 @@
           this.core.log.info({ term: mine.term }, 'lease renewed after a gap');
           this.events.resumed();
         }
-        this.renewLater(reign, this.settings.renewMs);
-      } else this.renewLater(reign, this.settings.renewMs / 4);
+        this.renewLater(generation, this.settings.renewMs);
+      } else this.renewLater(generation, this.settings.renewMs / 4);
     });
   }
 }
