Split the workers' slice along state and messages

Names say what fields hold. Behaviour, records and messages are unchanged.

placement.test.ts: one renamed method of Machine (take, now countIn).

--- a/src/controller/placement/placement.test.ts
+++ b/src/controller/placement/placement.test.ts
@@ -208,7 +208,7 @@
         ...{ runningAt: 0, stop: null },
       } as unknown as Assignment;
       m.assignments.set(a.name, a);
-      m.take(a);
+      m.countIn(a);
       return a;
     };
     const kept = assign('other', true, 80);
--- a/src/controller/workers/assignment.ts
+++ b/src/controller/workers/assignment.ts
@@ -1,13 +1,28 @@
+/** Assignments: tasks given to machines. */
 import type { Job } from '../jobs/table.js';
-import type { TaskState } from '../wire/workers.js';
+import { taskName, type Cause, type TaskState } from '../wire/workers.js';
 import type { Machine } from './machine.js';
+import type { RecordedTask } from './record.js';
 
+/** What one task takes of a machine. */
 export interface Need {
   cpus: number;
   gpus: number;
   memoryGb: number;
 }
 
+/** Why an assignment ended. `lost`: the machine or its session is gone, or the start never arrived. */
+export type Outcome = Cause | 'lost' | 'unsent';
+
+/** A stop that the worker has been or is yet to be told of. */
+export interface StopRequest {
+  readonly graceS: number;
+  readonly requestedAt: number;
+  readonly reason: string;
+  /** It has gone out as a direct command as well. */
+  sentDirectly: boolean;
+}
+
 /**
  * A task given to a machine's session. It counts as being there from the moment its record is on
  * its way to the state service until it is known to be gone.
@@ -35,7 +50,72 @@
    */
   sentSeq: number | bigint | null;
   runningAt: number | null;
-  /** The last report in which it was. */
-  reportedIn: number;
-  stop: { graceS: number; at: number; reason: string; direct: boolean } | null;
+  /** Number of the last report that listed it. */
+  lastReportNumber: number;
+  stop: StopRequest | null;
+}
+
+/** The state of an assignment of which no report has told yet. */
+const UNREPORTED = {
+  state: null,
+  sentSeq: null,
+  runningAt: null,
+  lastReportNumber: 0,
+  stop: null,
+} as const;
+
+/** An assignment that is not on record yet. */
+export function plannedAssignment(
+  job: Job,
+  task: number,
+  attempt: number,
+  machine: Machine,
+  now: number,
+): Assignment {
+  const { spec } = job;
+  return {
+    name: taskName(spec.id, task),
+    jobId: spec.id,
+    job,
+    team: spec.team,
+    task,
+    attempt,
+    machine,
+    session: machine.session,
+    need: { cpus: spec.cpus, gpus: spec.gpus, memoryGb: spec.memoryGb },
+    saveS: spec.saveS,
+    since: now,
+    phase: 'planned',
+    ...UNREPORTED,
+  };
+}
+
+/** An assignment that an earlier leader has left on record: its start may have been sent. */
+export function restoredAssignment(
+  recorded: RecordedTask,
+  job: Job | null,
+  machine: Machine,
+  since: number,
+): Assignment {
+  const { jobId, team, need, saveS, attempt, task } = recorded;
+  return {
+    name: taskName(jobId, task),
+    jobId,
+    job,
+    team,
+    task,
+    attempt,
+    machine,
+    session: machine.session,
+    need,
+    saveS,
+    since,
+    phase: 'sent',
+    ...UNREPORTED,
+  };
+}
+
+/** Tells the attempts of tasks on one machine apart. */
+export function attemptKey(name: string, attempt: number | bigint): string {
+  return `${name}@${attempt}`;
 }
--- /dev/null
+++ b/src/controller/workers/assignments.ts
@@ -0,0 +1,220 @@
+/** The life of assignments: given, stopped, ended, and what follows for their jobs. */
+import type { Core } from '../core/core.js';
+import type { Job, JobTable } from '../jobs/table.js';
+import type { Teams } from '../placement/teams.js';
+import {
+  plannedAssignment,
+  restoredAssignment,
+  type Assignment,
+  type Outcome,
+} from './assignment.js';
+import { addToCount } from './counts.js';
+import type { Failures } from './failures.js';
+import type { Machine } from './machine.js';
+import type { RecordedTask } from './record.js';
+
+/** What assignments tell of. */
+export interface AssignmentEvents {
+  /** Room or tasks changed: placement should look again. */
+  changed(): void;
+  /** A task ran to its end: what it took against what was expected. */
+  ran(assignment: Assignment, tookMs: number): void;
+  /** The machine's record has to be written. */
+  recordDue(machine: Machine): void;
+  /** The machine has to be told of a stop. */
+  commandDue(machine: Machine): void;
+}
+
+/** Every task that may be on a machine, and what all of them take. */
+export class Assignments {
+  /** Tasks that are not surely gone, by class. */
+  readonly byClass = new Map<string, number>();
+  /** All tasks that are not surely gone. */
+  total = 0;
+
+  constructor(
+    private readonly core: Pick<Core, 'now' | 'log'>,
+    private readonly table: Pick<JobTable, 'jobs' | 'markDone' | 'putBack' | 'countExit'>,
+    private readonly teams: Pick<Teams, 'add'>,
+    private readonly failures: Pick<Failures, 'recordFailure' | 'recordSuccess'>,
+    private readonly events: AssignmentEvents,
+  ) {}
+
+  /** Gives the task to the machine; it starts once that is on record. */
+  assign(job: Job, task: number, attempt: number, machine: Machine): void {
+    const assignment = plannedAssignment(job, task, attempt, machine, this.core.now());
+    this.countIn(assignment);
+    job.assigned.set(task, assignment);
+    this.events.recordDue(machine);
+    this.core.log.debug({ job: job.spec.id, task, attempt, machine: machine.id }, 'task assigned');
+  }
+
+  /** Takes over a task that an earlier leader has left on the machine. */
+  restore(machine: Machine, recorded: RecordedTask, since: number): void {
+    const job = this.table.jobs.get(recorded.jobId) ?? null;
+    const assignment = restoredAssignment(recorded, job, machine, since);
+    this.countIn(assignment);
+    if (job === null) this.stop(assignment, 0, 'job ended');
+    else attachNewest(job, assignment);
+  }
+
+  /** Ends the assignment at once if it was never sent, and else has the worker told to stop it. */
+  stop(assignment: Assignment, graceS: number, reason: string): void {
+    const { phase, machine, jobId, task } = assignment;
+    if (phase === 'ended') return;
+    if (phase === 'planned' || phase === 'recorded') {
+      // Not sent by anyone: it is nowhere.
+      this.end(assignment, 'unsent');
+      return;
+    }
+    if (assignment.stop !== null && assignment.stop.graceS <= graceS) return;
+    assignment.stop = { graceS, requestedAt: this.core.now(), reason, sentDirectly: false };
+    this.events.commandDue(machine);
+    this.core.log.debug({ job: jobId, task, machine: machine.id, graceS, reason }, 'stop');
+  }
+
+  /** Stops a job as a whole; a gang's parts have to be told within `gang_peer_s` of each other. */
+  stopJob(job: Job, graceS: number, reason: string): void {
+    if (job.spec.kind === 'gang' && job.assigned.size > 0) job.regrouping = true;
+    for (const assignment of [...job.assigned.values()]) this.stop(assignment, graceS, reason);
+    this.regroup(job);
+  }
+
+  /** The job has ended somehow: older attempts, of which only records tell, are stopped as well. */
+  stopAll(job: Job, reason: string): void {
+    this.stopJob(job, 0, reason);
+    for (const assignment of [...job.all]) this.stop(assignment, 0, reason);
+  }
+
+  /** The job has ended. Completed gangs end by themselves, all at the same time. */
+  jobClosed(job: Job): void {
+    for (const assignment of [...job.all]) {
+      if (assignment.phase === 'ended') this.forget(assignment);
+      else if (job.closed === 'cancelled') this.stop(assignment, 0, 'cancelled');
+    }
+  }
+
+  /** Completion is on record: the task may be cleared, and its assignment forgotten. */
+  completionRecorded(job: Job, task: number): void {
+    const assignment = job.assigned.get(task);
+    if (assignment?.phase === 'ended') this.forget(assignment);
+  }
+
+  /** All that was assigned to sessions of the machine before this one is surely gone. */
+  endBefore(machine: Machine, session: number): void {
+    for (const assignment of [...machine.assignments.values()])
+      if (assignment.session < session) this.end(assignment, 'lost');
+  }
+
+  /** All that was assigned to the machine is surely gone. */
+  endAll(machine: Machine): void {
+    for (const assignment of [...machine.assignments.values()]) this.end(assignment, 'lost');
+  }
+
+  /** The assignment is over: the task is surely not on the machine any more. */
+  end(assignment: Assignment, outcome: Outcome): void {
+    if (assignment.phase === 'ended') return;
+    const { job } = assignment;
+    assignment.phase = 'ended';
+    this.countOut(assignment);
+    this.events.changed();
+    if (outcome === 'done' && job?.closed === null && !job.standing) {
+      this.complete(assignment, job);
+      return;
+    }
+    this.forget(assignment);
+    if (job?.closed === null) this.replace(assignment, job, outcome);
+  }
+
+  /** The task has run to its end; the assignment stays until that is on record. */
+  private complete(assignment: Assignment, job: Job): void {
+    const { machine, task, runningAt } = assignment;
+    if (runningAt !== null) this.events.ran(assignment, this.core.now() - runningAt);
+    this.failures.recordSuccess(machine);
+    if (job.spec.kind === 'gang') this.completeGang(job);
+    else this.table.markDone(job, task);
+    if (job.recorded[task] === 1) this.forget(assignment);
+  }
+
+  /** Tasks of a gang complete together. */
+  private completeGang(job: Job): void {
+    for (let task = 0; task < job.spec.tasks; task++) this.table.markDone(job, task);
+  }
+
+  /** The task has ended and is to run again. */
+  private replace(assignment: Assignment, job: Job, outcome: Outcome): void {
+    const { machine, task } = assignment;
+    if (outcome !== 'unsent') this.table.countExit(job, outcome);
+    this.core.log.info(
+      { job: job.spec.id, task, machine: machine.id, outcome },
+      'task off its machine',
+    );
+    this.failures.recordFailure(machine, job, outcome);
+    if (job.spec.kind === 'gang') this.gangLostPart(job);
+    else if (!job.assigned.has(task)) this.table.putBack(job, task);
+  }
+
+  /** Also when this was the gang's only part: nothing is left to stop then, but all to regroup. */
+  private gangLostPart(job: Job): void {
+    if (job.regrouping || job.complete) {
+      this.regroup(job);
+      return;
+    }
+    job.regrouping = true;
+    this.stopJob(job, 0, 'gang lost a part');
+  }
+
+  /** A gang starts anew once nothing of its old attempt is left anywhere. */
+  private regroup(job: Job): void {
+    if (!job.regrouping || job.assigned.size > 0 || job.closed !== null || job.complete) return;
+    job.regrouping = false;
+    for (let task = job.spec.tasks - 1; task >= 0; task--) this.table.putBack(job, task);
+  }
+
+  /** Counts the task as being on its machine. */
+  private countIn(assignment: Assignment): void {
+    const { machine, job, team, need } = assignment;
+    machine.assignments.set(assignment.name, assignment);
+    machine.record.add(assignment);
+    machine.countIn(assignment);
+    this.teams.add(team, need, 1);
+    this.total++;
+    if (job === null) return;
+    job.all.add(assignment);
+    addToCount(this.byClass, job.spec.class, 1);
+  }
+
+  /** The task is gone, whatever is still to be written of it. */
+  private countOut(assignment: Assignment): void {
+    const { machine, job, team, need } = assignment;
+    machine.countOut(assignment);
+    this.teams.add(team, need, -1);
+    this.total--;
+    if (job === null) return;
+    addToCount(this.byClass, job.spec.class, -1);
+    job.changed = true;
+  }
+
+  /** Takes an assignment that has ended from its machine, its job and the record. */
+  private forget(assignment: Assignment): void {
+    const { machine, job, name, task } = assignment;
+    if (machine.assignments.get(name) === assignment) {
+      machine.assignments.delete(name);
+      machine.record.remove(assignment);
+    }
+    job?.all.delete(assignment);
+    if (job?.assigned.get(task) === assignment) job.assigned.delete(task);
+    if (!machine.busy) machine.idleSince = this.core.now();
+    this.events.recordDue(machine);
+  }
+}
+
+/**
+ * Leaders before may have left a task's record on a machine that it had gone from, beside that of
+ * where it went. Both count until reports tell; the job knows the later attempt.
+ */
+function attachNewest(job: Job, assignment: Assignment): void {
+  const other = job.assigned.get(assignment.task);
+  if (other === undefined || other.attempt < assignment.attempt)
+    job.assigned.set(assignment.task, assignment);
+}
--- /dev/null
+++ b/src/controller/workers/counts.ts
@@ -0,0 +1,9 @@
+/** Counts kept by key. */
+
+/** Adds to a key's count and returns it; a key whose count falls to zero is removed. */
+export function addToCount(counts: Map<string, number>, key: string, by: number): number {
+  const count = (counts.get(key) ?? 0) + by;
+  if (count === 0) counts.delete(key);
+  else counts.set(key, count);
+  return count;
+}
--- /dev/null
+++ b/src/controller/workers/failures.ts
@@ -0,0 +1,96 @@
+/** What the ends of tasks say of their machines and of their jobs. */
+import type { Core } from '../core/core.js';
+import type { Job } from '../jobs/table.js';
+import type { Settings } from '../settings/settings.js';
+import type { Outcome } from './assignment.js';
+import type { Machine } from './machine.js';
+
+/**
+ * A quarantine lasts no longer than this many leases: the machine may be the only one that fits a
+ * job, and no job may be left waiting beside room for long.
+ */
+const QUARANTINE_MAX_LEASES = 3;
+
+/** A job waits after failures no longer than this many leases. */
+const BACKOFF_MAX_LEASES = 2;
+
+/** Failures after which the backoff of a job or of a machine for a service doubles no more. */
+const BACKOFF_MAX_DOUBLINGS = 5;
+
+/** Ends of a service's replica that say something of it or of its machine. */
+const REPLICA_ENDED: ReadonlySet<Outcome> = new Set<Outcome>([
+  'done',
+  'error',
+  'busy',
+  'unknown',
+  'other',
+]);
+
+/** Ends that are no failure of the task; its job pauses for a report. */
+const UNEXPLAINED: ReadonlySet<Outcome> = new Set<Outcome>(['busy', 'unknown', 'other']);
+
+/** Puts failing machines into quarantine and delays failing jobs. */
+export class Failures {
+  constructor(
+    private readonly core: Pick<Core, 'now' | 'log'>,
+    private readonly settings: Settings,
+  ) {}
+
+  /** A task ran to its end on the machine. */
+  recordSuccess(machine: Machine): void {
+    machine.failedJobs.clear();
+    machine.quarantines = 0;
+  }
+
+  /** A task of the job ended on the machine without being completed. */
+  recordFailure(machine: Machine, job: Job, outcome: Outcome): void {
+    const now = this.core.now();
+    const pausedUntil = now + this.settings.reportMs;
+    if (job.standing && REPLICA_ENDED.has(outcome)) this.avoidMachine(machine, job, now);
+    if (outcome === 'error') this.recordError(machine, job, now);
+    else if (outcome === 'no_room')
+      machine.noPlacingBefore = Math.max(machine.noPlacingBefore, pausedUntil);
+    else if (!job.standing && UNEXPLAINED.has(outcome))
+      job.notBefore = Math.max(job.notBefore, pausedUntil);
+  }
+
+  private recordError(machine: Machine, job: Job, now: number): void {
+    job.failedOn.add(machine.id);
+    if (job.standing) {
+      // The service goes on elsewhere at once; only where all machines fail it, it waits.
+      if (this.isFaulty(job)) job.notBefore = now + this.settings.reportMs;
+    } else {
+      job.errors++;
+      job.notBefore = now + this.backoffMs(job.errors);
+    }
+    this.countAgainst(machine, job, now);
+  }
+
+  /** A replica that ends by itself runs again elsewhere: its machine is left out for a while that grows. */
+  private avoidMachine(machine: Machine, job: Job, now: number): void {
+    const times = (job.avoided.get(machine.id)?.times ?? 0) + 1;
+    job.avoided.set(machine.id, { times, until: now + this.backoffMs(times) });
+  }
+
+  private backoffMs(failures: number): number {
+    const doubled = this.settings.reportMs * 2 ** Math.min(failures, BACKOFF_MAX_DOUBLINGS);
+    return Math.min(doubled, this.settings.workerLeaseMs * BACKOFF_MAX_LEASES);
+  }
+
+  /** A job that has failed on several machines is itself at fault. */
+  private isFaulty(job: Job): boolean {
+    return job.failedOn.size > this.settings.get('fleet.strikes');
+  }
+
+  private countAgainst(machine: Machine, job: Job, now: number): void {
+    if (!this.isFaulty(job)) machine.failedJobs.add(job.spec.id);
+    // One that was let out on trial and fails again goes back at once.
+    const tolerated = machine.quarantines > 0 ? 1 : this.settings.get('fleet.strikes');
+    if (machine.failedJobs.size < tolerated) return;
+    machine.quarantines++;
+    machine.failedJobs.clear();
+    const leases = Math.min(2 ** machine.quarantines, QUARANTINE_MAX_LEASES);
+    machine.noPlacingBefore = now + this.settings.workerLeaseMs * leases;
+    this.core.log.warn({ machine: machine.id }, 'machine quarantined');
+  }
+}
--- a/src/controller/workers/machine.ts
+++ b/src/controller/workers/machine.ts
@@ -1,8 +1,11 @@
+/** Machines as the leader knows them. */
 import type { MachineType } from '../wire/cloud.js';
 import type { Settings } from '../settings/settings.js';
 import type { Assignment } from './assignment.js';
+import { addToCount } from './counts.js';
 import { RecordSize } from './record.js';
 
+/** A machine, its worker's session and what is assigned to it. */
 export class Machine {
   addr = '';
   typeName = '';
@@ -11,25 +14,27 @@
   spot = false;
   session = 0;
   /** Sessions below this are over, whether or not the worker has said so. */
-  minSession = 0;
-  seq: number | bigint = 0;
+  lowestValidSession = 0;
+  /** Number of the session's last report. */
+  lastSeq: number | bigint = 0;
   /**
    * A report of this session has come that shows the token last asked for: answers get through, and
    * the report is no late copy from before this term.
    */
   synced = false;
   /** Since when it has not been. */
-  unsyncedFrom: number;
+  unsyncedSince: number;
   /** The token that it has to show. */
-  echo = 0;
+  expectedToken = 0;
   /** The highest token that it has shown. */
-  shown: number | bigint = 0;
-  /** Reports in a row that lack what the answer before had started, and the last of them. */
-  dropped = 0;
-  droppedIn = 0;
+  highestTokenSeen: number | bigint = 0;
+  /** Reports in a row that lack what the answer before had started. */
+  unheardStarts = 0;
+  /** Number of the last of these reports. */
+  unheardStartsReport = 0;
   lastReportAt = -Infinity;
   /** The worker's lease counts at most from here. */
-  leaseFrom: number;
+  leaseRenewedAt: number;
   /** When the cloud takes the machine, by its notice. */
   noticeAt: number | null = null;
   readonly assignments = new Map<string, Assignment>();
@@ -40,9 +45,9 @@
    * higher one, a copy of the command may still be carried out: then absence from a report proves
    * nothing, and `clear` has to come with a higher token.
    */
-  readonly direct = new Map<string, number>();
+  readonly directStartTokens = new Map<string, number>();
   /** Direct commands that have not been answered. */
-  directOpen = 0;
+  openDirectCalls = 0;
   cpus = 0;
   gpus = 0;
   memoryGb = 0;
@@ -54,7 +59,8 @@
   /** Images on the machine, as far as seen; least recently used first. */
   readonly images = new Map<string, number>();
   /** Jobs that failed here since the last success. */
-  readonly strikes = new Set<string>();
+  readonly failedJobs = new Set<string>();
+  /** Quarantines in a row. */
   quarantines = 0;
   noPlacingBefore = 0;
   /** Being returned to the cloud. */
@@ -70,31 +76,34 @@
     settings: Settings,
   ) {
     this.record = new RecordSize(settings);
-    this.leaseFrom = now;
+    this.leaseRenewedAt = now;
     this.firstSeen = now;
-    this.unsyncedFrom = now;
+    this.unsyncedSince = now;
     this.idleSince = now;
   }
 
-  take(a: Assignment): void {
-    this.count(a, 1);
+  /** Takes the assignment's room. */
+  countIn(assignment: Assignment): void {
+    this.count(assignment, 1);
   }
 
-  give(a: Assignment): void {
-    this.count(a, -1);
+  /** Gives the assignment's room back. */
+  countOut(assignment: Assignment): void {
+    this.count(assignment, -1);
   }
 
-  private count(a: Assignment, by: number): void {
+  private count({ need, job }: Assignment, by: number): void {
     this.tasks += by;
-    this.cpus += a.need.cpus * by;
-    this.gpus += a.need.gpus * by;
-    this.memoryGb += a.need.memoryGb * by;
+    this.cpus += need.cpus * by;
+    this.gpus += need.gpus * by;
+    this.memoryGb += need.memoryGb * by;
     // Sums of decimals drift; a machine without tasks has none.
-    if (this.tasks === 0) this.cpus = this.gpus = this.memoryGb = 0;
-    if (a.job === null) return;
-    const { class: cls } = a.job.spec;
-    this.classes.set(cls, (this.classes.get(cls) ?? 0) + by);
-    if (this.classes.get(cls) === 0) this.classes.delete(cls);
+    if (this.tasks === 0) {
+      this.cpus = 0;
+      this.gpus = 0;
+      this.memoryGb = 0;
+    }
+    if (job !== null) addToCount(this.classes, job.spec.class, by);
   }
 
   /** Some task takes room. */
@@ -102,19 +111,23 @@
     return this.tasks > 0;
   }
 
-  /** True if that was not known. */
-  sawImage(image: string, gb: number): boolean {
-    const fresh = !this.images.delete(image);
-    this.images.set(image, gb);
-    if (!fresh) return false;
-    const limit = this.type?.cacheGb ?? Infinity;
-    let sum = 0;
-    for (const g of this.images.values()) sum += g;
-    for (const [name, g] of this.images) {
-      if (sum <= limit || this.images.size <= 1) break;
-      this.images.delete(name);
-      sum -= g;
-    }
+  /** Notes the image as the latest used; true if it was not known to be there. */
+  sawImage(image: string, sizeGb: number): boolean {
+    const known = this.images.delete(image);
+    this.images.set(image, sizeGb);
+    if (known) return false;
+    this.evictImages(this.type?.cacheGb ?? Infinity);
     return true;
   }
+
+  /** Forgets the least recently used images beyond the machine's cache, but never the last one. */
+  private evictImages(cacheGb: number): void {
+    let totalGb = 0;
+    for (const sizeGb of this.images.values()) totalGb += sizeGb;
+    for (const [image, sizeGb] of this.images) {
+      if (totalGb <= cacheGb || this.images.size <= 1) break;
+      this.images.delete(image);
+      totalGb -= sizeGb;
+    }
+  }
 }
--- /dev/null
+++ b/src/controller/workers/reconciliation.ts
@@ -0,0 +1,168 @@
+/** What a worker reports of its tasks, held against what is assigned to its machine. */
+import type { Core } from '../core/core.js';
+import type { JobTable } from '../jobs/table.js';
+import { splitTask, type Order, type Report, type TaskReport } from '../wire/workers.js';
+import type { Assignment } from './assignment.js';
+import type { Assignments } from './assignments.js';
+import type { Machine } from './machine.js';
+import type { TokenSync } from './token-sync.js';
+
+/** A report that is being handled, and the orders of its answer. */
+export interface ReportInProgress {
+  readonly machine: Machine;
+  readonly report: Report;
+  /** Counts the reports of all machines. */
+  readonly number: number;
+  /**
+   * Whether the worker knew our term when it sent the report. One sent before may be as old as any
+   * report: what it lacks proves nothing, for the leader before may have started it since.
+   */
+  readonly current: boolean;
+  readonly orders: Order[];
+}
+
+/** What reconciliation tells of. */
+export interface ReconciliationEvents {
+  /** Tasks changed: placement should look again. */
+  changed(): void;
+  /** An image was seen on the machine that was not known to be there. */
+  imagesChanged(machine: Machine): void;
+}
+
+/** Follows the tasks that reports show, and those that they lack. */
+export class Reconciliation {
+  constructor(
+    private readonly core: Pick<Core, 'now' | 'log'>,
+    private readonly table: Pick<JobTable, 'jobs' | 'markDone'>,
+    private readonly assignments: Pick<Assignments, 'end'>,
+    private readonly sync: Pick<TokenSync, 'voidDirectStart' | 'recordUnheardStart'>,
+    private readonly events: ReconciliationEvents,
+  ) {}
+
+  /** The report lists a task. */
+  listed(handled: ReportInProgress, task: TaskReport): void {
+    const { machine } = handled;
+    const assignment = machine.assignments.get(task.name);
+    if (assignment?.attempt === task.attempt && assignment.session === machine.session) {
+      if (!this.listedAssignment(handled, assignment, task)) return;
+    } else if (task.state !== 'exited') {
+      // Nothing on record and yet there: it should not be; it must not stay either.
+      this.core.log.warn({ task: task.name, machine: machine.id }, 'unexpected task');
+      handled.orders.push({ op: 'stop', name: task.name, attempt: task.attempt, graceS: 0 });
+      return;
+    }
+    if (task.state === 'exited') this.clear(handled, task);
+  }
+
+  /** A report that was sent under our term lacks a task that should be there. */
+  missing({ machine, report, number }: ReportInProgress, assignment: Assignment): void {
+    const { phase, name, attempt, sentSeq } = assignment;
+    if (phase !== 'seen' && phase !== 'sent') return;
+    // A direct start may yet come. Once the worker shows the raised token, it can't any more.
+    if (this.sync.voidDirectStart(machine, name, attempt)) return;
+    // The worker has one report in flight at a time, so a later report without the task means that
+    // the answer with its start was dropped, or that the task is gone.
+    if (sentSeq !== null && report.seq <= sentSeq) return;
+    // A start of this term that never arrived may go out again. One of the leader before may have
+    // arrived, ended and been cleared: its attempt is over.
+    if (phase === 'seen' || sentSeq === null || assignment.stop !== null) {
+      this.assignments.end(assignment, 'lost');
+      return;
+    }
+    assignment.phase = 'recorded';
+    // Answers don't get there. It is surely not there and not on its way: others may have it.
+    if (this.sync.recordUnheardStart(machine, number)) this.assignments.end(assignment, 'unsent');
+  }
+
+  /** True if the task's exit, should it have one, is to be acted on. */
+  private listedAssignment(
+    handled: ReportInProgress,
+    assignment: Assignment,
+    task: TaskReport,
+  ): boolean {
+    assignment.lastReportNumber = handled.number;
+    // A report from before our term may be as old as any. That a task is done stays true; but one
+    // that had ended otherwise may have been cleared and started again under the same attempt.
+    const lasting = task.cause === 'done' && assignment.job?.standing !== true;
+    if (!handled.current && task.state === 'exited' && !lasting) return false;
+    if (task.cause === 'alone' && isAwaited(assignment)) {
+      this.restart(handled, assignment, task);
+      return false;
+    }
+    if (assignment.phase !== 'ended') this.follow(assignment, task);
+    return true;
+  }
+
+  /**
+   * A part of the gang came too early: the others still fetch their image. It starts again under the
+   * same attempt; tearing the gang down would throw those fetches away.
+   */
+  private restart(
+    { machine, orders }: ReportInProgress,
+    assignment: Assignment,
+    { name, attempt }: TaskReport,
+  ): void {
+    this.sync.voidDirectStart(machine, name, attempt);
+    orders.push({ op: 'forget', name, attempt }, { op: 'start', name, attempt });
+    assignment.phase = 'sent';
+    assignment.state = null;
+    assignment.sentSeq = machine.lastSeq;
+  }
+
+  /** Has the worker forget a task that has exited, unless its report is still needed. */
+  private clear({ machine, orders }: ReportInProgress, task: TaskReport): void {
+    if (task.cause === 'done' && this.awaitsRecord(task)) return;
+    this.sync.voidDirectStart(machine, task.name, task.attempt);
+    orders.push({ op: 'forget', name: task.name, attempt: task.attempt });
+  }
+
+  /** A completion of which this report is the only trace until it is on record. */
+  private awaitsRecord({ name }: TaskReport): boolean {
+    const { job: id, task } = splitTask(name);
+    const job = this.table.jobs.get(id);
+    if (job === undefined || job.standing || task >= job.spec.tasks) return false;
+    if (job.done[task] !== 1 && job.spec.kind !== 'gang') this.table.markDone(job, task);
+    return job.recorded[task] !== 1;
+  }
+
+  /** Takes over the state that the report shows. */
+  private follow(assignment: Assignment, { state, cause }: TaskReport): void {
+    const { job, machine } = assignment;
+    if (assignment.phase !== 'seen') machine.unheardStarts = 0;
+    assignment.phase = 'seen';
+    if (state === 'exited') {
+      this.assignments.end(assignment, cause ?? 'other');
+      return;
+    }
+    if (state === assignment.state) return;
+    if (state === 'running' || state === 'waiting') this.noteImage(assignment);
+    // The run is timed only from a start that was seen, not from one of the leader before.
+    const startSeen = assignment.sentSeq !== null;
+    const now = this.core.now();
+    if (state === 'running' && startSeen) assignment.runningAt ??= now;
+    assignment.state = state;
+    if (job !== null) job.changed = true;
+    const { jobId, task, since } = assignment;
+    const afterMs = now - since;
+    this.core.log.debug({ job: jobId, task, machine: machine.id, state, afterMs }, 'task state');
+    this.events.changed();
+  }
+
+  /** The task has its image, so the machine has. */
+  private noteImage({ job, machine }: Assignment): void {
+    if (job === null) return;
+    const { image, imageGb } = job.spec;
+    if (machine.sawImage(image, imageGb)) this.events.imagesChanged(machine);
+  }
+}
+
+/** Whether a gang's part that gave up waiting is still wanted. */
+function isAwaited(assignment: Assignment): boolean {
+  const { job, machine } = assignment;
+  if (job?.closed !== null || job.regrouping) return false;
+  if (assignment.stop !== null || assignment.phase === 'ended') return false;
+  if (machine.noticeAt !== null || job.assigned.size < job.spec.tasks) return false;
+  for (const other of job.assigned.values())
+    if (other !== assignment && (other.state === 'fetching' || other.state === null)) return true;
+  return false;
+}
--- a/src/controller/workers/record.ts
+++ b/src/controller/workers/record.ts
@@ -1,6 +1,8 @@
+/** Records of machines: who is on them, in the form that the state service keeps. */
 import type { Settings } from '../settings/settings.js';
 import { isList } from '../wire/cbor.js';
 import type { Assignment, Need } from './assignment.js';
+import { addToCount } from './counts.js';
 import type { Machine } from './machine.js';
 
 /** Of what a record says of a task, beside its job and attempt: its number and a comma. */
@@ -18,19 +20,20 @@
   each: number;
 }
 
-type Named = Pick<Assignment, 'jobId' | 'team' | 'need' | 'saveS'>;
+/** What a record says of a job. */
+type JobPart = Pick<Assignment, 'jobId' | 'team' | 'need' | 'saveS'>;
 
-function jobPart(a: Named): unknown[] {
-  const { cpus, gpus, memoryGb } = a.need;
-  return [a.jobId, a.team, cpus, gpus, memoryGb, a.saveS];
+function writeJobPart({ jobId, team, need, saveS }: JobPart): unknown[] {
+  return [jobId, team, need.cpus, need.gpus, need.memoryGb, saveS];
 }
 
-function jobBytes(a: Named): number {
-  return JSON.stringify(jobPart(a)).length + JOB_BYTES;
+function jobBytes(job: JobPart): number {
+  return JSON.stringify(writeJobPart(job)).length + JOB_BYTES;
 }
 
-export function recordCost(a: Named): RecordCost {
-  return { fixed: jobBytes(a) + ATTEMPT_BYTES, each: TASK_BYTES };
+/** What tasks of the job add to a machine's record. */
+export function recordCost(job: JobPart): RecordCost {
+  return { fixed: jobBytes(job) + ATTEMPT_BYTES, each: TASK_BYTES };
 }
 
 /** Bytes for tasks in a machine's record, which has to fit a value of the state service. */
@@ -39,12 +42,14 @@
 }
 
 /** Starts this close to each other may share a time in the record; it serves estimates alone. */
-function together(settings: Settings): number {
+function sharedStartMs(settings: Settings): number {
   return settings.reportMs * 2;
 }
 
-function attemptName(a: Assignment, withinMs: number): string {
-  return `${a.jobId}@${a.attempt}@${Math.floor(a.since / withinMs)}`;
+/** Assignments of one key share a list of tasks in the record. */
+function attemptGroup(assignment: Assignment, withinMs: number): string {
+  const { jobId, attempt, since } = assignment;
+  return `${jobId}@${attempt}@${Math.floor(since / withinMs)}`;
 }
 
 /** How large a machine's record is, kept as its tasks come and go. */
@@ -55,45 +60,54 @@
 
   constructor(private readonly settings: Settings) {}
 
-  add(a: Assignment): void {
+  add(assignment: Assignment): void {
     this.bytes += TASK_BYTES;
-    if (count(this.jobs, a.jobId, 1) === 1) this.bytes += jobBytes(a);
-    if (count(this.attempts, attemptName(a, together(this.settings)), 1) === 1)
-      this.bytes += ATTEMPT_BYTES;
+    const ofJob = addToCount(this.jobs, assignment.jobId, 1);
+    if (ofJob === 1) this.bytes += jobBytes(assignment);
+    const ofAttempt = addToCount(this.attempts, this.groupOf(assignment), 1);
+    if (ofAttempt === 1) this.bytes += ATTEMPT_BYTES;
   }
 
-  remove(a: Assignment): void {
+  remove(assignment: Assignment): void {
     this.bytes -= TASK_BYTES;
-    if (count(this.jobs, a.jobId, -1) === 0) this.bytes -= jobBytes(a);
-    if (count(this.attempts, attemptName(a, together(this.settings)), -1) === 0)
-      this.bytes -= ATTEMPT_BYTES;
+    const ofJob = addToCount(this.jobs, assignment.jobId, -1);
+    if (ofJob === 0) this.bytes -= jobBytes(assignment);
+    const ofAttempt = addToCount(this.attempts, this.groupOf(assignment), -1);
+    if (ofAttempt === 0) this.bytes -= ATTEMPT_BYTES;
   }
-}
 
-function count(counts: Map<string, number>, key: string, by: number): number {
-  const n = (counts.get(key) ?? 0) + by;
-  if (n === 0) counts.delete(key);
-  else counts.set(key, n);
-  return n;
+  private groupOf(assignment: Assignment): string {
+    return attemptGroup(assignment, sharedStartMs(this.settings));
+  }
 }
 
 /** The record: session, type, zone, kind, address, and by job its tasks by attempt and time. */
-export function writeRecord(m: Machine, settings: Settings, now: number, wall: number): unknown {
+export function writeRecord(
+  machine: Machine,
+  settings: Settings,
+  now: number,
+  wall: number,
+): unknown {
   const jobs = new Map<string, unknown[]>();
   const attempts = new Map<string, number[]>();
-  for (const a of m.assignments.values()) {
-    let part = jobs.get(a.jobId);
-    if (part === undefined) jobs.set(a.jobId, (part = jobPart(a)));
-    const name = attemptName(a, together(settings));
-    let attempt = attempts.get(name);
+  const withinMs = sharedStartMs(settings);
+  for (const assignment of machine.assignments.values()) {
+    let job = jobs.get(assignment.jobId);
+    if (job === undefined) {
+      job = writeJobPart(assignment);
+      jobs.set(assignment.jobId, job);
+    }
+    const group = attemptGroup(assignment, withinMs);
+    let attempt = attempts.get(group);
     if (attempt === undefined) {
-      attempt = [a.attempt, Math.round(wall - (now - a.since))];
-      attempts.set(name, attempt);
-      part.push(attempt);
+      attempt = [assignment.attempt, Math.round(wall - (now - assignment.since))];
+      attempts.set(group, attempt);
+      job.push(attempt);
     }
-    attempt.push(a.task);
+    attempt.push(assignment.task);
   }
-  return [m.session, m.typeName, m.zone, m.spot ? 1 : 0, m.addr, ...jobs.values()];
+  const { session, typeName, zone, spot, addr } = machine;
+  return [session, typeName, zone, spot ? 1 : 0, addr, ...jobs.values()];
 }
 
 /** A task on record, as the leader before has left it. */
@@ -108,6 +122,7 @@
   at: number;
 }
 
+/** A machine's record as it was read. */
 export interface MachineRecord {
   session: number;
   type: string;
@@ -121,17 +136,25 @@
 export function readRecord(value: unknown, wall: number): MachineRecord | null {
   if (!isList(value)) return null;
   const [session, type, zone, spot, addr, ...jobs] = value;
-  const tasks: RecordedTask[] = [];
-  for (const part of jobs.filter(isList)) {
-    const [jobId, team, cpus, gpus, memoryGb, saveS, ...attempts] = part;
-    const need: Need = { cpus: Number(cpus), gpus: Number(gpus), memoryGb: Number(memoryGb) };
-    const job = { jobId: String(jobId), team: String(team), need, saveS: Number(saveS) };
-    for (const [attempt = 0, at = wall, ...numbers] of attempts.filter(isList))
-      for (const task of numbers)
-        tasks.push({ ...job, attempt: Number(attempt), at: Number(at), task: Number(task) });
-  }
   return {
-    ...{ session: Number(session), type: String(type), zone: String(zone) },
-    ...{ spot: spot === 1, addr: String(addr), tasks },
+    session: Number(session),
+    type: String(type),
+    zone: String(zone),
+    spot: spot === 1,
+    addr: String(addr),
+    tasks: jobs.filter(isList).flatMap((job) => readJobPart(job, wall)),
   };
 }
+
+/** The tasks of one job; those without a time of start count as started now. */
+function readJobPart(part: readonly unknown[], wall: number): RecordedTask[] {
+  const [jobId, team, cpus, gpus, memoryGb, saveS, ...attempts] = part;
+  const need: Need = { cpus: Number(cpus), gpus: Number(gpus), memoryGb: Number(memoryGb) };
+  const job = { jobId: String(jobId), team: String(team), need, saveS: Number(saveS) };
+  const tasks: RecordedTask[] = [];
+  for (const [attempt = 0, at = wall, ...numbers] of attempts.filter(isList)) {
+    for (const task of numbers)
+      tasks.push({ ...job, attempt: Number(attempt), at: Number(at), task: Number(task) });
+  }
+  return tasks;
+}
--- /dev/null
+++ b/src/controller/workers/registry.ts
@@ -0,0 +1,75 @@
+/** The machines that a leader knows. */
+import type { Core } from '../core/core.js';
+import type { Settings } from '../settings/settings.js';
+import type { MachineType } from '../wire/cloud.js';
+import { Machine } from './machine.js';
+import type { TokenSync } from './token-sync.js';
+
+/** Machines remembered after they are gone. */
+const REMOVED_MACHINES_LIMIT = 10_000;
+
+/** What reports and the cloud's list say of a machine. */
+export interface MachineDescription {
+  type: string;
+  zone: string;
+  spot: boolean;
+  /** Empty while it is not known. */
+  addr: string;
+}
+
+/** Machines by name, and the names of those that are gone for ever. */
+export class MachineRegistry {
+  readonly machines = new Map<string, Machine>();
+  /** Machines that are gone, the latest; names are not used again. */
+  private readonly removedMachines = new Set<string>();
+
+  constructor(
+    private readonly core: Pick<Core, 'now'>,
+    private readonly settings: Settings,
+    private readonly sync: TokenSync,
+    private readonly typeNamed: (name: string) => MachineType | undefined,
+  ) {}
+
+  /** The machine of this name, made known if it is not. */
+  obtain(id: string): Machine {
+    const known = this.machines.get(id);
+    if (known !== undefined) return known;
+    const machine = new Machine(id, this.core.now(), this.settings);
+    machine.expectedToken = this.sync.tokenOf(machine);
+    this.machines.set(id, machine);
+    return machine;
+  }
+
+  describe(machine: Machine, { type, zone, spot, addr }: MachineDescription): void {
+    machine.typeName = type;
+    machine.type = this.typeNamed(type) ?? null;
+    machine.zone = zone;
+    machine.spot = spot;
+    if (addr !== '') machine.addr = addr;
+  }
+
+  /** Takes over what a report says of the machine, if it is new. */
+  update(machine: Machine, reported: MachineDescription): void {
+    const changed =
+      machine.typeName !== reported.type ||
+      machine.addr !== reported.addr ||
+      machine.zone !== reported.zone ||
+      machine.spot !== reported.spot ||
+      machine.type === null;
+    if (changed) this.describe(machine, reported);
+  }
+
+  /** The machine is gone for ever. */
+  remove(machine: Machine): void {
+    this.machines.delete(machine.id);
+    this.removedMachines.add(machine.id);
+    if (this.removedMachines.size <= REMOVED_MACHINES_LIMIT) return;
+    const oldest = this.removedMachines.values().next();
+    if (oldest.done !== true) this.removedMachines.delete(oldest.value);
+  }
+
+  /** Whether a machine of this name is gone for ever, as far as remembered. */
+  wasRemoved(id: string): boolean {
+    return this.removedMachines.has(id);
+  }
+}
--- /dev/null
+++ b/src/controller/workers/token-sync.ts
@@ -0,0 +1,80 @@
+/** Whether workers hear their leader, by the tokens that their reports show. */
+import type { Core } from '../core/core.js';
+import { attemptKey } from './assignment.js';
+import type { Machine } from './machine.js';
+import { EPOCH_LIMIT, makeToken, termOf } from './token.js';
+
+/** Reports with lost starts after which a machine is taken to hear nothing. */
+const UNHEARD_STARTS_LIMIT = 2;
+
+/** Raises and checks the tokens of one leader's workers. */
+export class TokenSync {
+  constructor(
+    private readonly core: Pick<Core, 'now'>,
+    /** The leader's term. */
+    readonly term: number,
+  ) {}
+
+  /** The token of the commands and answers that go to the machine now. */
+  tokenOf(machine: Machine): number {
+    return makeToken(this.term, machine.epoch);
+  }
+
+  /** Whether a report with this token was sent by a worker that knew this leader. */
+  isCurrent(token: number | bigint): boolean {
+    return termOf(token) === this.term;
+  }
+
+  /**
+   * Nothing is placed on the machine until it shows a token that it can only have from an answer
+   * that is yet to come. A machine whose reports arrive while answers and commands don't looks idle
+   * in every new session; without this it would be given the same tasks again and again.
+   */
+  requireNewToken(machine: Machine): void {
+    if (machine.epoch < EPOCH_LIMIT) machine.epoch++;
+    machine.expectedToken = this.tokenOf(machine);
+    machine.synced = false;
+    machine.unsyncedSince = this.core.now();
+  }
+
+  /** Takes note of the token that a report shows; true if the machine is known to hear from now on. */
+  observe(machine: Machine, token: number | bigint): boolean {
+    for (const [attempt, startToken] of machine.directStartTokens)
+      if (token > startToken) machine.directStartTokens.delete(attempt);
+    if (token > machine.highestTokenSeen) {
+      machine.highestTokenSeen = token;
+      machine.unheardStarts = 0;
+    }
+    if (machine.synced || !this.isCurrent(token) || token < machine.expectedToken) return false;
+    machine.synced = true;
+    return true;
+  }
+
+  /**
+   * Sees to it that the answer to the report at hand voids direct starts of the attempt; true if any
+   * may still be carried out.
+   */
+  voidDirectStart(machine: Machine, name: string, attempt: number | bigint): boolean {
+    const token = machine.directStartTokens.get(attemptKey(name, attempt));
+    if (token === undefined) return false;
+    if (token === this.tokenOf(machine)) machine.epoch++;
+    return true;
+  }
+
+  /**
+   * A start did not arrive, as the report of this number shows. True if the machine is taken to hear
+   * nothing, so that the task may go elsewhere.
+   */
+  recordUnheardStart(machine: Machine, reportNumber: number): boolean {
+    if (machine.unheardStartsReport !== reportNumber) machine.unheardStarts++;
+    machine.unheardStartsReport = reportNumber;
+    if (machine.unheardStarts < UNHEARD_STARTS_LIMIT) return false;
+    if (machine.synced) this.requireNewToken(machine);
+    return true;
+  }
+
+  /** Whether the worker is known to have our term in this session, and epochs are left for it. */
+  mayStartDirectly(machine: Machine): boolean {
+    return machine.synced && machine.epoch < EPOCH_LIMIT;
+  }
+}
