--- /dev/null
+++ b/src/controller/workers/registry.test.ts
@@ -0,0 +1,46 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { alone } from '../../../test/platform.js';
+import { FakeClock } from '../../../test/stand-ins.js';
+import { defaultProperties } from '../settings/properties.js';
+import { Settings } from '../settings/settings.js';
+import { MachineRegistry } from './registry.js';
+import { makeToken } from './token.js';
+import { TokenSync } from './token-sync.js';
+
+const TERM = 50;
+const settings = new Settings(alone(), defaultProperties());
+const clock = new FakeClock(1000);
+
+function newRegistry(): MachineRegistry {
+  return new MachineRegistry(clock, settings, new TokenSync(clock, TERM), () => undefined);
+}
+
+describe('the registry of machines', () => {
+  it('makes a machine known once, and expects the token of the term', () => {
+    const registry = newRegistry();
+    const machine = registry.obtain('n-1');
+    assert.equal(machine.firstSeen, 1000);
+    assert.equal(machine.expectedToken, makeToken(TERM, 0));
+    assert.equal(registry.obtain('n-1'), machine);
+  });
+
+  it('keeps the address where none is told', () => {
+    const registry = newRegistry();
+    const machine = registry.obtain('n-1');
+    registry.update(machine, { type: 'g', zone: 'a', spot: true, addr: '10.1.0.1:9' });
+    registry.describe(machine, { type: 'g', zone: 'b', spot: true, addr: '' });
+    assert.equal(machine.addr, '10.1.0.1:9');
+    assert.equal(machine.zone, 'b');
+  });
+
+  it('remembers the latest machines that are gone', () => {
+    const registry = newRegistry();
+    registry.remove(registry.obtain('n-1'));
+    assert.equal(registry.machines.size, 0);
+    assert.ok(registry.wasRemoved('n-1'));
+    for (let i = 2; i <= 10_001; i++) registry.remove(registry.obtain(`n-${i}`));
+    assert.ok(!registry.wasRemoved('n-1'), 'the oldest is forgotten');
+    assert.ok(registry.wasRemoved('n-2'));
+  });
+});
--- /dev/null
+++ b/test/stand-ins.ts
@@ -0,0 +1,49 @@
+/** Stand-ins for the unit tests of single modules. */
+import type { Logger } from '../src/controller/core/env.js';
+import { Job } from '../src/controller/jobs/table.js';
+import type { JobSpec } from '../src/controller/wire/jobs.js';
+
+const ignore = (): void => undefined;
+
+/** A clock that the test sets, and a log that nobody reads. */
+export class FakeClock {
+  readonly log: Logger = { info: ignore, debug: ignore, warn: ignore, error: ignore };
+
+  constructor(public time: number) {}
+
+  now(): number {
+    return this.time;
+  }
+}
+
+/** An array of two small tasks, but for what is given. */
+export function arraySpec(part: Partial<JobSpec> = {}): JobSpec {
+  return {
+    id: 'req-1',
+    class: 'c',
+    team: 't',
+    kind: 'array',
+    priority: 'normal',
+    tasks: 2,
+    cpus: 1,
+    gpus: 0,
+    memoryGb: 1,
+    image: 'i',
+    imageGb: 1,
+    types: null,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: true,
+    estimateS: 10,
+    checkpointS: 0,
+    saveS: 0,
+    deadlineS: null,
+    ...part,
+  };
+}
+
+/** A job that was accepted at time 0. */
+export function acceptedJob(part: Partial<JobSpec> = {}): Job {
+  return new Job(arraySpec(part), 0, 1, 0);
+}
