--- /dev/null
+++ b/src/controller/workers/reconciliation.test.ts
@@ -0,0 +1,135 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { alone } from '../../../test/platform.js';
+import { acceptedJob, FakeClock } from '../../../test/stand-ins.js';
+import type { Job } from '../jobs/table.js';
+import { defaultProperties } from '../settings/properties.js';
+import { Settings } from '../settings/settings.js';
+import type { Report, TaskReport } from '../wire/workers.js';
+import { plannedAssignment, type Assignment } from './assignment.js';
+import { Machine } from './machine.js';
+import { Reconciliation, type ReportInProgress } from './reconciliation.js';
+
+const settings = new Settings(alone(), defaultProperties());
+const ATTEMPT = 9;
+
+/** A machine with one task that was started with the answer to report 4. */
+class Bench {
+  readonly told: string[] = [];
+  readonly machine = new Machine('n-1', 0, settings);
+  readonly assignment: Assignment;
+  readonly reconciliation: Reconciliation;
+  startVoided = false;
+  deaf = false;
+
+  constructor(readonly job: Job = acceptedJob()) {
+    this.machine.session = 1;
+    this.machine.lastSeq = 5;
+    this.assignment = plannedAssignment(job, 0, ATTEMPT, this.machine, 0);
+    Object.assign(this.assignment, { phase: 'sent', sentSeq: 4 });
+    this.machine.assignments.set(this.assignment.name, this.assignment);
+    job.assigned.set(0, this.assignment);
+    this.reconciliation = new Reconciliation(
+      new FakeClock(1000),
+      {
+        jobs: new Map([[job.spec.id, job]]),
+        markDone: (_, task) => this.told.push(`done ${task}`),
+      },
+      { end: (_, outcome) => this.told.push(`end ${outcome}`) },
+      { voidDirectStart: () => this.startVoided, recordUnheardStart: () => this.deaf },
+      { changed: () => undefined, imagesChanged: ({ id }) => this.told.push(`images ${id}`) },
+    );
+  }
+
+  /** A report of this number, under our term if not said otherwise. */
+  handled(seq: number, current = true): ReportInProgress {
+    const report: Report = {
+      ...{ machine: 'n-1', addr: '10.1.0.1:9', type: 'g', zone: 'a', spot: false },
+      ...{ session: 1, seq, token: 0, noticeS: null, tasks: [] },
+    };
+    return { machine: this.machine, report, number: seq, current, orders: [] };
+  }
+
+  /** The orders that follow from one listed task, in words. */
+  list(task: Partial<TaskReport>, current = true): string[] {
+    const handled = this.handled(5, current);
+    const usual = { name: 'req-1/0', attempt: ATTEMPT, cause: null, saved: false } as const;
+    this.reconciliation.listed(handled, { ...usual, state: 'running', ...task });
+    return handled.orders.map(({ op, name }) => `${op} ${name}`);
+  }
+
+  missing(seq: number): void {
+    this.reconciliation.missing(this.handled(seq), this.assignment);
+  }
+}
+
+describe('reconciliation', () => {
+  it('follows a task, and learns of its image', () => {
+    const bench = new Bench();
+    assert.deepEqual(bench.list({}), []);
+    assert.equal(bench.assignment.phase, 'seen');
+    assert.equal(bench.assignment.runningAt, 1000);
+    assert.equal(bench.assignment.lastReportNumber, 5);
+    assert.deepEqual(bench.told, ['images n-1']);
+  });
+
+  it('stops what is not on record', () => {
+    const bench = new Bench();
+    assert.deepEqual(bench.list({ attempt: ATTEMPT - 1 }), ['stop req-1/0']);
+    assert.equal(bench.assignment.phase, 'sent');
+  });
+
+  it('clears an exit at once, a completion only when it is on record', () => {
+    const bench = new Bench();
+    assert.deepEqual(bench.list({ state: 'exited', cause: 'error' }), ['forget req-1/0']);
+    assert.deepEqual(bench.told.splice(0), ['end error']);
+    assert.deepEqual(bench.list({ state: 'exited', cause: 'done' }), []);
+    assert.deepEqual(bench.told, ['end done', 'done 0']);
+    bench.job.recorded[0] = 1;
+    assert.deepEqual(bench.list({ state: 'exited', cause: 'done' }), ['forget req-1/0']);
+  });
+
+  it('believes no exit but a completion from before the term', () => {
+    const bench = new Bench();
+    assert.deepEqual(bench.list({ state: 'exited', cause: 'error' }, false), []);
+    assert.equal(bench.told.length, 0);
+    bench.list({ state: 'exited', cause: 'done' }, false);
+    assert.ok(bench.told.includes('end done'));
+  });
+
+  it('starts a part of a gang again while the others fetch their image', () => {
+    const bench = new Bench(acceptedJob({ kind: 'gang' }));
+    const other = plannedAssignment(bench.job, 1, ATTEMPT, new Machine('n-2', 0, settings), 0);
+    bench.job.assigned.set(1, other);
+    const orders = bench.list({ state: 'exited', cause: 'alone' });
+    assert.deepEqual(orders, ['forget req-1/0', 'start req-1/0']);
+    assert.equal(bench.assignment.sentSeq, 5);
+    other.state = 'waiting';
+    assert.deepEqual(bench.list({ state: 'exited', cause: 'alone' }), ['forget req-1/0']);
+    assert.deepEqual(bench.told, ['end alone']);
+  });
+
+  it('takes absence for proof only after the start was settled', () => {
+    const bench = new Bench();
+    bench.missing(4);
+    assert.equal(bench.assignment.phase, 'sent');
+    bench.startVoided = true;
+    bench.missing(5);
+    assert.equal(bench.assignment.phase, 'sent', 'a direct start may yet come');
+    bench.startVoided = false;
+    bench.missing(5);
+    assert.equal(bench.assignment.phase, 'recorded');
+    assert.deepEqual(bench.told, []);
+  });
+
+  it('ends what was there and is not, and what does not get to a deaf machine', () => {
+    const seen = new Bench();
+    seen.assignment.phase = 'seen';
+    seen.missing(5);
+    assert.deepEqual(seen.told, ['end lost']);
+    const unheard = new Bench();
+    unheard.deaf = true;
+    unheard.missing(5);
+    assert.deepEqual(unheard.told, ['end unsent']);
+  });
+});
--- a/test/stand-ins.ts
+++ b/test/stand-ins.ts
@@ -1,5 +1,5 @@
 /** Stand-ins for the unit tests of single modules. */
-import type { Logger } from '../src/controller/core/env.js';
+import type { Env, Logger } from '../src/controller/core/env.js';
 import { Job } from '../src/controller/jobs/table.js';
 import type { JobSpec } from '../src/controller/wire/jobs.js';
 
@@ -47,3 +47,17 @@
 export function acceptedJob(part: Partial<JobSpec> = {}): Job {
   return new Job(arraySpec(part), 0, 1, 0);
 }
+
+/** An environment in which nothing answers and no timer ends. */
+export function idleEnv(clock: FakeClock): Env {
+  return {
+    now: () => clock.time,
+    wall: () => clock.time,
+    random: () => 0.5,
+    soon: ignore,
+    timer: () => ({ cancel: ignore }),
+    call: ignore,
+    mayCall: () => true,
+    sendPeer: ignore,
+  };
+}
