Split placement into modules by duty

The pass, gang and array placement, gang reservations, preemption, candidates and the scoring of machines each have a module; placement.ts puts them together. Behaviour is unchanged. Holds, turns and lacks are now called reservations, queued jobs and shortages; stored keys, log lines and property names stay.

The test that compares a pass with one that remembers nothing replaced the lists inside the pass by lists that drop what is added; it now replaces FailedSearches by a subclass that drops what is added, and checks first that the pass has such an object. It compares the same states as before.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -10,7 +10,8 @@
 import { Peers, type JobProgress, type PeerStatus } from './peers/peers.js';
 import { Estimates } from './placement/estimates.js';
 import { Reserve } from './placement/reserve.js';
-import { holdKey, Placement } from './placement/placement.js';
+import { reservationKey } from './placement/gang-reservations.js';
+import { Placement } from './placement/placement.js';
 import type { Settings } from './settings/settings.js';
 import { StateClient } from './store/client.js';
 import { PAGES, sizeOf } from './store/pages.js';
@@ -260,7 +261,8 @@
       vanished: (job) => workers.stopAll(job, 'job ended'),
       closed: (job) => {
         workers.jobClosed(job);
-        if (records.has(holdKey(job.spec.id))) records.set(holdKey(job.spec.id), undefined, 'lazy');
+        if (records.has(reservationKey(job.spec.id)))
+          records.set(reservationKey(job.spec.id), undefined, 'lazy');
         this.progress.delete(job.spec.id);
       },
       // What the leader before knew it has counted itself.
@@ -564,7 +566,11 @@
     if (reign !== null) {
       const jobs = [...reign.table.jobs.values()];
       metrics.gauge('jobs', 'Unfinished jobs.', jobs.length);
-      metrics.gauge('holds', 'Gangs that hold room.', jobs.filter((j) => j.hold !== null).length);
+      metrics.gauge(
+        'holds',
+        'Gangs that hold room.',
+        jobs.filter((j) => j.reservation !== null).length,
+      );
       metrics.gauge(
         'pending_tasks',
         'Tasks that wait for room.',
--- a/src/controller/jobs/table.ts
+++ b/src/controller/jobs/table.ts
@@ -63,13 +63,13 @@
 }
 
 /** Machines that a waiting gang fills up. */
-export interface Hold {
+export interface GangReservation {
   machines: string[];
   since: number;
   fillAt: number;
   /** When the gang could run there, images included. */
   readyAt: number;
-  soughtAt: number;
+  searchedAt: number;
 }
 
 export class Job {
@@ -110,13 +110,13 @@
   /** Since when the job has had something to place, for rank and for renting. */
   waitingSince: number;
   blocked = '';
-  /** Machines that the job's hold is on, for a gang that cannot start yet. */
-  hold: Hold | null = null;
+  /** Machines that the job has reserved, for a gang that cannot start yet. */
+  reservation: GangReservation | null = null;
   /** The attempt under which tasks start one by one, and those that have. */
   private attempt = 0;
   private readonly started = new Set<number>();
   /** When room was last sought that could be made for an array's tasks. */
-  soughtAt = -Infinity;
+  roomSearchedAt = -Infinity;
 
   constructor(
     readonly spec: JobSpec,
@@ -309,7 +309,7 @@
     if (job.closed !== null) return;
     job.closed = state;
     job.pending.keep(() => false);
-    job.hold = null;
+    job.reservation = null;
     this.jobs.delete(job.spec.id);
     this.dirtyDone.delete(job);
     const chunks = Math.ceil(job.spec.tasks / CHUNK);
--- a/src/controller/operators/view.ts
+++ b/src/controller/operators/view.ts
@@ -64,13 +64,13 @@
       most_gpus: t.team.gpusMax,
     })),
     holds: jobs
-      .filter((j) => j.hold !== null)
+      .filter((j) => j.reservation !== null)
       .map((j) => ({
         job: j.spec.id,
         class: j.spec.class,
-        machines: j.hold?.machines ?? [],
-        held_s: -(seconds(j.hold?.since ?? s.now) ?? 0),
-        fills_in_s: seconds(j.hold?.fillAt ?? Infinity),
+        machines: j.reservation?.machines ?? [],
+        held_s: -(seconds(j.reservation?.since ?? s.now) ?? 0),
+        fills_in_s: seconds(j.reservation?.fillAt ?? Infinity),
         blocked: j.blocked,
       })),
     services: jobs
--- /dev/null
+++ b/src/controller/placement/candidates.ts
@@ -0,0 +1,89 @@
+/** Machines where tasks of a job can start now. */
+import type { Job } from '../jobs/table.js';
+import type { Settings } from '../settings/settings.js';
+import type { Need } from '../workers/assignment.js';
+import { recordCost, type RecordCost } from '../workers/record.js';
+import type { Estimates } from './estimates.js';
+import { nameOfKinds } from './failed-searches.js';
+import { machinePenalty } from './machine-penalty.js';
+import type { PlacementPass } from './placement-pass.js';
+import { needOf, type Room } from './room.js';
+
+/** A machine where tasks of a job can start now. */
+export interface Candidate {
+  room: Room;
+  /** How many of its tasks. */
+  count: number;
+  /** Lower is better. */
+  score: number;
+}
+
+/** What is the same for all machines while candidates for one job are found. */
+interface CandidateSearch {
+  job: Job;
+  now: number;
+  need: Need;
+  /** Only machines that have the job's image, or fetch it already. */
+  warmOnly: boolean;
+  /** Share of the time to a reservation's fill that short work beneath it may take. */
+  backfill: number;
+  record: RecordCost;
+  /** When a task should end that needs no fetch. */
+  endsAt: number;
+}
+
+/** Finds the machines where tasks of a job can start now. */
+export class CandidateFinder {
+  constructor(
+    private readonly settings: Pick<Settings, 'get' | 'reportMs'>,
+    private readonly estimates: Pick<Estimates, 'cold' | 'fetchMs' | 'runMs'>,
+  ) {}
+
+  /**
+   * Machines where tasks of the job can start now, the best first: the image at hand, room that
+   * others can't use, the tightest fit (m03 §6, R1).
+   */
+  find(pass: PlacementPass, job: Job, warmOnly = false): Candidate[] {
+    const kinds = pass.rooms.of(job.spec);
+    const need = needOf(job.spec);
+    const search = { need, kinds: nameOfKinds(kinds) };
+    if (pass.failedSearches.noPlace(search)) return [];
+    const candidateSearch = this.searchFor(pass, job, need, warmOnly);
+    const found: Candidate[] = [];
+    let anyPlace = false;
+    for (const rooms of kinds)
+      for (const room of rooms) {
+        if (!room.admits(need)) continue;
+        anyPlace = true;
+        const candidate = this.examine(candidateSearch, room);
+        if (candidate !== null) found.push(candidate);
+      }
+    if (!anyPlace) pass.failedSearches.addNoPlace(search);
+    return found.sort((a, b) => a.score - b.score || a.room.order - b.room.order);
+  }
+
+  private searchFor(pass: PlacementPass, job: Job, need: Need, warmOnly: boolean): CandidateSearch {
+    const { spec } = job;
+    return {
+      job,
+      now: pass.now,
+      need,
+      warmOnly,
+      backfill: this.settings.get('placement.backfill.ratio'),
+      record: recordCost({ jobId: spec.id, team: spec.team, need, saveS: spec.saveS }),
+      endsAt: pass.now + this.settings.reportMs / 2 + this.estimates.runMs(spec),
+    };
+  }
+
+  /** `null`: nothing of the job can start there beside what higher ranks have reserved. */
+  private examine(search: CandidateSearch, room: Room): Candidate | null {
+    const { job, now, record, backfill } = search;
+    const { machine } = room;
+    if ((job.avoided.get(machine.id)?.until ?? 0) > now) return null;
+    if (search.warmOnly && this.estimates.cold(job.spec, machine)) return null;
+    const fetchMs = this.estimates.fetchMs(job.spec, machine, now);
+    const count = room.fits(job.spec, job.level, search.endsAt + fetchMs, backfill, now, record);
+    if (count <= 0) return null;
+    return { room, count, score: fetchMs / 1000 + machinePenalty(job, room) };
+  }
+}
--- /dev/null
+++ b/src/controller/placement/gang-reservations.ts
@@ -0,0 +1,181 @@
+/** Reservations of gangs that cannot start yet: kept on record until the gang starts or ends. */
+import type { Core } from '../core/core.js';
+import type { GangReservation, Job, JobTable } from '../jobs/table.js';
+import type { Settings } from '../settings/settings.js';
+import type { Records } from '../store/records.js';
+import type { Assignment } from '../workers/assignment.js';
+import { setBlockedReason } from './blocked-reason.js';
+import type { Estimates } from './estimates.js';
+import { machinePenalty } from './machine-penalty.js';
+import type { PlacementPass } from './placement-pass.js';
+import type { Preemption } from './preemption.js';
+import { needOf, type Room } from './room.js';
+import type { Target, Targets } from './targets.js';
+import { spreadAllowance, zoneChoices } from './zones.js';
+
+const KEY_PREFIX = 'h/';
+
+/** Work is stopped for a gang this long before its reservation should be full, in report intervals. */
+const STOP_AHEAD = 3;
+
+/** The key of the record that has the machines which a gang has reserved. */
+export function reservationKey(jobId: string): string {
+  return `${KEY_PREFIX}${jobId}`;
+}
+
+/** The rooms that a gang fills up, and what is to be stopped for it. */
+export interface GangRoom {
+  rooms: Room[];
+  fillAt: number;
+  /** When it could run there, images included. */
+  readyAt: number;
+  victims: readonly Assignment[];
+}
+
+/** One machine for each task, as far as there are, and when all should have room. */
+interface GangTargets {
+  targets: Target[];
+  fillAt: number;
+}
+
+/** What reservations rely on. */
+export interface GangReservationParts {
+  core: Pick<Core, 'log' | 'now'>;
+  settings: Pick<Settings, 'get' | 'reportMs'>;
+  records: Pick<Records, 'list' | 'set'>;
+  estimates: Pick<Estimates, 'fetchMs'>;
+  targets: Pick<Targets, 'find'>;
+  preemption: Pick<Preemption, 'stopAll'>;
+}
+
+/** Finds and keeps the machines that waiting gangs fill up. */
+export class GangReservations {
+  constructor(private readonly parts: GangReservationParts) {}
+
+  /** The reservations of the leaders before, read at takeover. */
+  load({ jobs }: Pick<JobTable, 'jobs'>): void {
+    const { core, records } = this.parts;
+    for (const { key, value } of records.list(KEY_PREFIX)) {
+      const job = jobs.get(key.slice(KEY_PREFIX.length));
+      if (job === undefined || !Array.isArray(value)) records.set(key, undefined, 'lazy');
+      else {
+        job.reservation = {
+          machines: value.map(String),
+          since: core.now(),
+          fillAt: Infinity,
+          readyAt: Infinity,
+          searchedAt: -Infinity,
+        };
+      }
+    }
+  }
+
+  /** Gives up what the gang has reserved. */
+  drop(job: Job): void {
+    if (job.reservation === null) return;
+    job.reservation = null;
+    this.parts.records.set(reservationKey(job.spec.id), undefined, 'lazy');
+  }
+
+  /** Claims room for the gang against all lower ranks, and stops work once the gang is about to fit. */
+  reserve(pass: PlacementPass, job: Job): void {
+    const { preemption, settings } = this.parts;
+    const { tasks } = job.spec;
+    const { rooms, fillAt, victims } = this.find(pass, job);
+    for (const room of rooms) room.claim(needOf(job.spec), fillAt);
+    const patienceMs = settings.get('placement.cannot.fill.s') * 1000;
+    const machines = new Set(rooms).size;
+    const there = `${rooms.length} of ${tasks} places on ${machines} machines`;
+    const waited = pass.now - job.waitingSince > patienceMs;
+    setBlockedReason(job, waited ? `cannot fill yet: holds ${there}` : '');
+    // Stopping work pays only if the whole gang can start then, and soon: what else its rooms wait
+    // for takes its time, and until then the work may go on.
+    const soon = fillAt - pass.now <= settings.reportMs * STOP_AHEAD;
+    if (rooms.length === tasks && soon) preemption.stopAll(victims, job);
+  }
+
+  /**
+   * The rooms that the gang fills up: those it has reserved already, or after a while the best that
+   * there are by now. Searching for them is what costs most in a pass.
+   */
+  find(pass: PlacementPass, job: Job): GangRoom {
+    const reserved = this.reserved(pass, job.reservation);
+    if (reserved !== null) return reserved;
+    const found = this.search(pass, job);
+    this.keep(pass, job, found);
+    return found;
+  }
+
+  /** `null`: nothing is reserved, not all of it can be used, or it is time for another search. */
+  private reserved(pass: PlacementPass, reservation: GangReservation | null): GangRoom | null {
+    const { settings } = this.parts;
+    const every = settings.reportMs * settings.get('placement.hold.refresh.ratio');
+    if (reservation === null || pass.now - reservation.searchedAt >= every) return null;
+    const rooms: Room[] = [];
+    for (const id of reservation.machines) {
+      const room = pass.rooms.byId.get(id);
+      if (room === undefined || room.closed) return null;
+      rooms.push(room);
+    }
+    const { fillAt, readyAt } = reservation;
+    return { rooms, fillAt, readyAt, victims: [] };
+  }
+
+  private search(pass: PlacementPass, job: Job): GangRoom {
+    const { estimates } = this.parts;
+    const { targets, fillAt } = this.bestTargets(pass, job);
+    const ready = targets.map(
+      ({ room }) => fillAt + estimates.fetchMs(job.spec, room.machine, pass.now),
+    );
+    return {
+      rooms: targets.map((target) => target.room),
+      fillAt,
+      readyAt: Math.max(...ready),
+      victims: targets.flatMap((target) => target.victims),
+    };
+  }
+
+  /** Of the zones that the gang may be in, the one that has the most places, then the soonest. */
+  private bestTargets(pass: PlacementPass, job: Job): GangTargets {
+    const { spec } = job;
+    let best: GangTargets = { targets: [], fillAt: Infinity };
+    for (const zone of zoneChoices(pass.rooms, spec)) {
+      const targets = this.parts.targets.find({
+        now: pass.now,
+        job,
+        rooms: pass.rooms.of(spec, zone).flat(),
+        count: spec.tasks,
+        made: false,
+        ...(spec.spread
+          ? { zoneRoom: (_: string, there: number) => spreadAllowance(spec, there) }
+          : {}),
+        prefer: (room) => machinePenalty(job, room),
+      });
+      const whole = targets.length === spec.tasks;
+      const fillAt = whole ? Math.max(...targets.map((target) => target.fillAt)) : Infinity;
+      const more = targets.length - best.targets.length;
+      if (more > 0 || (more === 0 && fillAt < best.fillAt)) best = { targets, fillAt };
+    }
+    return best;
+  }
+
+  private keep(pass: PlacementPass, job: Job, found: GangRoom): void {
+    const { core, records } = this.parts;
+    const { fillAt, readyAt, victims } = found;
+    const machines = found.rooms.map((room) => room.machine.id);
+    if (job.reservation?.machines.join() !== machines.join())
+      records.set(reservationKey(job.spec.id), machines, 'lazy');
+    const since = job.reservation?.since ?? pass.now;
+    job.reservation = { machines, since, fillAt, readyAt, searchedAt: pass.now };
+    core.log.debug(
+      {
+        job: job.spec.id,
+        guaranteed: job.guaranteed,
+        machines,
+        fillMs: fillAt - pass.now,
+        stops: victims.length,
+      },
+      'hold',
+    );
+  }
+}
--- a/src/controller/placement/guarantee.test.ts
+++ b/src/controller/placement/guarantee.test.ts
@@ -15,6 +15,7 @@
 import { makeToken } from '../workers/token.js';
 import { Workers } from '../workers/workers.js';
 import { Estimates } from './estimates.js';
+import { FailedSearches } from './failed-searches.js';
 import { Placement } from './placement.js';
 import { Reserve } from './reserve.js';
 
@@ -38,9 +39,13 @@
 const nothing = (): void => undefined;
 const silent: Logger = { info: nothing, debug: nothing, warn: nothing, error: nothing };
 
-class Forgetful extends Array<unknown> {
-  override push(): number {
-    return 0;
+class ForgetfulSearches extends FailedSearches {
+  override addNoPlace(): void {
+    // Every search is made anew.
+  }
+
+  override addNoVictims(): void {
+    // Every search is made anew.
   }
 }
 
@@ -143,7 +148,8 @@
   private plainPass(): void {
     this.placement.begin();
     const { current } = this.placement as unknown as { current: Record<string, unknown> };
-    Object.assign(current, { failed: new Forgetful(), fruitless: new Forgetful() });
+    assert.ok(current['failedSearches'] instanceof FailedSearches);
+    Object.assign(current, { failedSearches: new ForgetfulSearches() });
     this.placement.advance(Infinity);
   }
 
--- /dev/null
+++ b/src/controller/placement/placement-pass.ts
@@ -0,0 +1,63 @@
+/** The state of one placement pass: its queue, its view of the machines, what it has found. */
+import type { Job } from '../jobs/table.js';
+import type { Machine } from '../workers/machine.js';
+import { FailedSearches } from './failed-searches.js';
+import { compareQueued, type QueuedJob } from './rank.js';
+import type { Rooms } from './room.js';
+
+/** Work that found no room in a pass. */
+export interface Shortage {
+  job: Job;
+  tasks: number;
+}
+
+/** One walk over all that waits, by rank. It may take several turns of the command queue. */
+export class PlacementPass {
+  /** Work that found no room so far. */
+  readonly shortages: Shortage[] = [];
+  readonly failedSearches = new FailedSearches();
+  private next = 0;
+
+  constructor(
+    /** Time of the present slice of the pass. */
+    public now: number,
+    readonly rooms: Rooms,
+    private readonly queue: QueuedJob[],
+    /** Of the jobs that have tasks on machines: nobody can be stopped for a level that is no higher. */
+    readonly lowestLevel: number,
+  ) {
+    queue.sort(compareQueued);
+  }
+
+  /** Some of the queue has been placed. */
+  isStarted(): boolean {
+    return this.next > 0;
+  }
+
+  /** The whole queue has been placed. */
+  isFinished(): boolean {
+    return this.next >= this.queue.length;
+  }
+
+  /** Takes the next job off the queue. */
+  take(): QueuedJob | undefined {
+    const queued = this.queue[this.next];
+    this.next++;
+    return queued;
+  }
+
+  /** Gives the job a further turn in the same pass, after all others. */
+  requeue(queued: QueuedJob): void {
+    this.queue.push(queued);
+  }
+
+  /** Goes on after an interruption, in which machines may have reported. */
+  resume(now: number, usable: (machine: Machine) => boolean): void {
+    this.now = now;
+    this.failedSearches.clear();
+    for (const room of this.rooms.all) {
+      room.closed = !usable(room.machine);
+      room.outlook = null;
+    }
+  }
+}
--- a/src/controller/placement/placement.test.ts
+++ b/src/controller/placement/placement.test.ts
@@ -7,7 +7,7 @@
 import type { Assignment } from '../workers/assignment.js';
 import { Machine } from '../workers/machine.js';
 import { Estimates } from './estimates.js';
-import { compareRank, compareTurn, rankTime, turnOf, type RankSettings } from './rank.js';
+import { compareRank, compareQueued, rankTime, queuedJob, type RankSettings } from './rank.js';
 import { needOf, Room } from './room.js';
 import { Targets } from './targets.js';
 import { Guarantees, Teams } from './teams.js';
@@ -33,9 +33,9 @@
 const settings: RankSettings = { agingMs: 400_000, bonus: 0.25, late: 0.5, aims: () => [] };
 const job = (part: Partial<JobSpec>, at: number): Job => new Job(spec(part), at, 1, at);
 const rank = (a: Job, b: Job, s: RankSettings, now: number): number =>
-  compareRank(turnOf(a, s, now), turnOf(b, s, now));
+  compareRank(queuedJob(a, s, now), queuedJob(b, s, now));
 const turn = (a: Job, b: Job, now: number): number =>
-  compareTurn(turnOf(a, settings, now), turnOf(b, settings, now));
+  compareQueued(queuedJob(a, settings, now), queuedJob(b, settings, now));
 
 describe('rank', () => {
   it('is priority, then submission, then id', () => {
--- /dev/null
+++ b/src/controller/placement/preemption.ts
@@ -0,0 +1,87 @@
+/** Stopping of tasks for work that goes before them, and its limit. */
+import type { Core } from '../core/core.js';
+import type { Job } from '../jobs/table.js';
+import type { Settings } from '../settings/settings.js';
+import type { Assignment } from '../workers/assignment.js';
+import type { Workers } from '../workers/workers.js';
+
+/** Tasks that may be stopped within a lease whatever the share of all tasks is. */
+const LEAST_LIMIT = 4;
+
+/** What stops tasks. */
+export type TaskStopper = Pick<Workers, 'assigned' | 'stop' | 'stopJob'>;
+
+/** Tells what stopping a task loses. */
+export interface StopCost {
+  lostMs(assignment: Assignment, now: number): number;
+}
+
+/** Stops tasks to make room for others, at most a share of all tasks within a lease. */
+export class Preemption {
+  /** Tasks stopped to make room, in this term. */
+  count = 0;
+  /** When tasks were stopped to make room, over the last lease. */
+  private recent: number[] = [];
+  private throttledAt = -Infinity;
+
+  constructor(
+    private readonly core: Pick<Core, 'log' | 'now'>,
+    private readonly settings: Pick<Settings, 'get' | 'workerLeaseMs'>,
+    private readonly workers: TaskStopper,
+    private readonly cost: StopCost,
+  ) {}
+
+  /** Stops all of the victims or, where that is too much at a time, none. */
+  stopAll(victims: readonly Assignment[], preemptor: Job): boolean {
+    if (victims.length === 0) return true;
+    const now = this.core.now();
+    const { workerLeaseMs } = this.settings;
+    this.recent = this.recent.filter((at) => now - at < workerLeaseMs);
+    const share = this.settings.get('placement.preempt.share');
+    const limit = Math.max(LEAST_LIMIT, share * this.workers.assigned);
+    if (this.recent.length + victims.length > limit) {
+      if (now - this.throttledAt > workerLeaseMs) this.warn(victims, preemptor, limit);
+      return false;
+    }
+    for (const victim of victims) this.stop(victim, preemptor);
+    return true;
+  }
+
+  private warn(victims: readonly Assignment[], preemptor: Job, limit: number): void {
+    const now = this.core.now();
+    this.throttledAt = now;
+    const lostMs = victims.reduce((sum, victim) => sum + this.cost.lostMs(victim, now), 0);
+    this.core.log.warn(
+      {
+        job: preemptor.spec.id,
+        team: preemptor.spec.team,
+        stopped: this.recent.length,
+        most: Math.floor(limit),
+        wouldStop: victims.map((victim) => victim.jobId),
+        wouldLoseTaskSeconds: Math.round(lostMs / 1000),
+      },
+      'preemption throttled: the job waits; raise placement.preempt.share to let it through',
+    );
+  }
+
+  private stop(victim: Assignment, preemptor: Job): void {
+    if (victim.stop !== null || victim.phase === 'ended') return;
+    const { job } = victim;
+    if (job === null) return;
+    job.preemptions++;
+    preemptor.grantedUntil = this.core.now() + this.settings.workerLeaseMs;
+    this.count++;
+    this.recent.push(this.core.now());
+    this.core.log.info(
+      {
+        job: victim.jobId,
+        task: victim.task,
+        machine: victim.machine.id,
+        by: preemptor.spec.id,
+      },
+      'preempted',
+    );
+    if (job.spec.kind === 'gang') this.workers.stopJob(job, victim.saveS, 'preempted');
+    else this.workers.stop(victim, victim.saveS, 'preempted');
+  }
+}
--- a/src/controller/placement/rank.ts
+++ b/src/controller/placement/rank.ts
@@ -34,20 +34,20 @@
 }
 
 /** A job with what decides its turn in one pass. */
-export interface Turn {
+export interface QueuedJob {
   job: Job;
   rank: number;
   granted: boolean;
   /** An array's second turn in the pass, on machines that have to fetch its image. */
-  cold: boolean;
+  acceptsFetch: boolean;
 }
 
-export function turnOf(job: Job, s: RankSettings, now: number): Turn {
-  return { job, rank: rankTime(job, s, now), granted: job.grantedUntil > now, cold: false };
+export function queuedJob(job: Job, s: RankSettings, now: number): QueuedJob {
+  return { job, rank: rankTime(job, s, now), granted: job.grantedUntil > now, acceptsFetch: false };
 }
 
-/** Total order of holds and of everything that waits: rank, submission, id. Lower goes first. */
-export function compareRank(a: Turn, b: Turn): number {
+/** Total order of reservations and of everything that waits: rank, submission, id. Lower goes first. */
+export function compareRank(a: QueuedJob, b: QueuedJob): number {
   return (
     a.rank - b.rank ||
     a.job.submittedAt - b.job.submittedAt ||
@@ -56,7 +56,7 @@
 }
 
 /** A service of the highest priority with replicas missing: it takes little, and each second counts. */
-function standing({ job }: Turn): boolean {
+function standing({ job }: QueuedJob): boolean {
   return job.standing && job.level === levels.production;
 }
 
@@ -64,9 +64,9 @@
  * Whose turn it is. First services that must not be down, then those for whom work was just stopped: its victims may well rank higher, by
  * their submission or by having been stopped, and would take the room back in the next pass. Then
  * work inside its team's guarantee, which must not wait for what other teams borrow, nor for their
- * holds. Then rank.
+ * reservations. Then rank.
  */
-export function compareTurn(a: Turn, b: Turn): number {
+export function compareQueued(a: QueuedJob, b: QueuedJob): number {
   return (
     Number(standing(b)) - Number(standing(a)) ||
     Number(b.granted) - Number(a.granted) ||
--- a/src/controller/placement/targets.ts
+++ b/src/controller/placement/targets.ts
@@ -99,7 +99,7 @@
     const taken = new Map<Room, number>();
     const used = new Set<Assignment>();
     const zones = new Map<string, number>();
-    const held = new Set(s.job.hold?.machines);
+    const held = new Set(s.job.reservation?.machines);
     const costs = new Float64Array(s.rooms.length);
     for (let i = 0; i < costs.length; i++) costs[i] = this.cost(s, s.rooms[i], 0, used, held);
     while (found.length < s.count) {
