--- /dev/null
+++ b/src/controller/placement/room-filling.ts
@@ -0,0 +1,198 @@
+/** When a machine should have room for a task, by itself or by stopping others. */
+import type { Job } from '../jobs/table.js';
+import type { Settings } from '../settings/settings.js';
+import type { Assignment, Need } from '../workers/assignment.js';
+import type { Estimates } from './estimates.js';
+import { FreeRoom } from './free-room.js';
+import type { Outlook, Room } from './room.js';
+import type { VictimRules } from './victims.js';
+
+/** Room for one task: from when on, and what has to be stopped for it. */
+export interface Fill {
+  fillAt: number;
+  victims: readonly Assignment[];
+  /** Work that stopping the victims would lose. */
+  lostMs: number;
+  /** Room is being made already. */
+  stopping: boolean;
+}
+
+/** What room is wanted for. */
+export interface FillSearch {
+  now: number;
+  job: Job;
+  /** Only room that is being made, or for which work would be stopped. */
+  made: boolean;
+}
+
+/** How much sooner a gang has to start for each second of work that is lost for it. */
+export const LOST_WEIGHT = 0.15;
+
+/** Tasks that may not be stopped and are waited for in a room, while others are stopped. */
+const MAX_WAITS = 4;
+
+const NOBODY: readonly Assignment[] = [];
+
+/** Room for which nothing more has to be stopped. */
+function fillWithoutVictims(fillAt: number, stopping = false): Fill {
+  return { fillAt, victims: NOBODY, lostMs: 0, stopping };
+}
+
+/** Finds out when machines should have room, and what to stop for it. */
+export class RoomFilling {
+  private readonly free = new FreeRoom();
+
+  constructor(
+    private readonly settings: Pick<Settings, 'reportMs'>,
+    private readonly estimates: Pick<Estimates, 'remainingMs'>,
+    private readonly rules: VictimRules,
+  ) {}
+
+  /** Whether anything is being stopped there, or might be for the job. A cheap question, asked first. */
+  promises(search: FillSearch, room: Room): boolean {
+    const outlook = this.outlook(room, search.now);
+    return outlook.stopping || this.rules.mightStop(search.job, outlook);
+  }
+
+  /**
+   * When a machine should have room for one more of the job's tasks, by itself or by stopping work;
+   * `null`: never. `taken`: tasks of the job that are to go there already, `used`: tasks that are to be
+   * stopped for them.
+   */
+  fill(search: FillSearch, room: Room, taken: number, used: Set<Assignment>): Fill | null {
+    if (room.closed) return null;
+    const { now, job } = search;
+    const { reportMs } = this.settings;
+    const { free } = this;
+    free.start(room, job.spec, taken);
+    if (free.enough(job.spec)) return fillWithoutVictims(now);
+    const outlook = this.outlook(room, now);
+    let natural = Infinity;
+    let stopping = false;
+    for (const { a, at } of outlook.ends) {
+      free.add(a.need);
+      if (a.stop !== null) stopping = true;
+      if (free.enough(job.spec)) {
+        natural = at;
+        break;
+      }
+    }
+    if (natural === Infinity) return null;
+    // Soon free, by itself or because it was stopped: nothing more needs stopping.
+    if (natural - now < reportMs) return fillWithoutVictims(natural, stopping);
+    const mightStop = this.rules.mightStop(job, outlook);
+    if (!outlook.stopping && used.size === 0 && !mightStop) return fillWithoutVictims(natural);
+    free.start(room, job.spec, taken);
+    const coming = this.addStopped(outlook, used, now);
+    if (free.enough(job.spec)) return fillWithoutVictims(coming, true);
+    if (!mightStop) return fillWithoutVictims(natural);
+    return this.fillByStopping(search, outlook, used, coming, natural);
+  }
+
+  /** A room's tasks in the order in which they should end by themselves, and what may be stopped. */
+  private outlook(room: Room, now: number): Outlook {
+    if (room.outlook !== null) return room.outlook;
+    const outlook: Outlook = { ends: [], stopping: false, lowest: Infinity, unguaranteed: false };
+    const youngAfter = this.rules.youngAfter(now);
+    for (const a of room.machine.assignments.values()) {
+      if (a.phase === 'ended') continue;
+      outlook.ends.push({ a, at: now + this.estimates.remainingMs(a, now) });
+      if (a.stop !== null) outlook.stopping = true;
+      else if (a.job !== null && a.since <= youngAfter) {
+        if (a.job.level < outlook.lowest) outlook.lowest = a.job.level;
+        if (!a.job.guaranteed) outlook.unguaranteed = true;
+      }
+    }
+    if (outlook.ends.length > 1) outlook.ends.sort((first, second) => first.at - second.at);
+    room.outlook = outlook;
+    return outlook;
+  }
+
+  /** Adds what is being stopped, or will be for the job; returns when all of that has ended. */
+  private addStopped(outlook: Outlook, used: Set<Assignment>, now: number): number {
+    const { reportMs } = this.settings;
+    let coming = now + reportMs;
+    for (const { a, at } of outlook.ends) {
+      if (a.stop !== null) coming = Math.max(coming, at);
+      else if (used.has(a)) coming = Math.max(coming, now + reportMs + a.saveS * 1000);
+      else continue;
+      this.free.add(a.need);
+    }
+    return coming;
+  }
+
+  /**
+   * Room by stopping work, unless waiting until `natural` costs less. What may not be stopped is waited
+   * for, and the rest stopped: as few waits as will do.
+   */
+  private fillByStopping(
+    search: FillSearch,
+    outlook: Outlook,
+    used: Set<Assignment>,
+    stoppedAt: number,
+    natural: number,
+  ): Fill {
+    const { now, job } = search;
+    const choice: Outlook['ends'] = [];
+    const others: Outlook['ends'] = [];
+    for (const end of outlook.ends) {
+      if (end.a.stop !== null || used.has(end.a)) continue;
+      (this.rules.mayStop(job, now, end.a) ? choice : others).push(end);
+    }
+    if (choice.length === 0) return fillWithoutVictims(natural);
+    this.rules.sort(choice);
+    let coming = stoppedAt;
+    for (let waits = 0; waits <= others.length && waits <= MAX_WAITS; waits++) {
+      const last = others[waits - 1];
+      if (last !== undefined) {
+        coming = Math.max(coming, last.at);
+        this.free.add(last.a.need);
+      }
+      if (coming >= natural || (search.made && waits > 0)) break;
+      const made = this.stop(job.spec, choice, coming, now);
+      if (made === null) continue;
+      const cheaper = natural < made.fillAt + LOST_WEIGHT * made.lostMs;
+      return cheaper ? fillWithoutVictims(natural) : made;
+    }
+    return fillWithoutVictims(natural);
+  }
+
+  /** What is to be stopped, of what has not ended by itself by then, for room that lacks only that. */
+  private stop(need: Need, choice: Outlook['ends'], coming: number, now: number): Fill | null {
+    const { free } = this;
+    const added: Need[] = [];
+    for (const { a, at } of choice) {
+      if (at > coming) continue;
+      free.add(a.need);
+      added.push(a.need);
+    }
+    let fillAt = coming;
+    const victims: Assignment[] = [];
+    for (const { a, at } of choice) {
+      if (free.enough(need)) break;
+      if (at <= coming) continue;
+      victims.push(a);
+      free.add(a.need);
+      added.push(a.need);
+      fillAt = Math.max(fillAt, now + this.settings.reportMs + a.saveS * 1000);
+    }
+    const enough = free.enough(need);
+    if (enough) this.spare(need, victims, added);
+    for (const back of added) free.take(back);
+    if (!enough) return null;
+    const lostMs = victims.reduce((sum, victim) => sum + this.rules.lostMs(victim, now), 0);
+    return { fillAt, victims, lostMs, stopping: false };
+  }
+
+  /** Victims that the rest made needless are spared. */
+  private spare(need: Need, victims: Assignment[], added: Need[]): void {
+    const { free } = this;
+    for (const victim of [...victims]) {
+      free.take(victim.need);
+      if (free.enough(need)) {
+        victims.splice(victims.indexOf(victim), 1);
+        added.splice(added.indexOf(victim.need), 1);
+      } else free.add(victim.need);
+    }
+  }
+}
--- /dev/null
+++ b/src/controller/placement/victims.ts
@@ -0,0 +1,63 @@
+/** Which tasks may be stopped for a job, in which order, and what that loses. */
+import type { Job } from '../jobs/table.js';
+import type { Settings } from '../settings/settings.js';
+import type { Assignment } from '../workers/assignment.js';
+import type { Estimates } from './estimates.js';
+import type { Outlook } from './room.js';
+import type { Teams } from './teams.js';
+
+/** Most that a task with checkpoints loses, in times of its save. */
+const LOST_SAVES = 2;
+
+/** The rules of preemption (PROTOCOL, "Preemption"; m03 §7). */
+export class VictimRules {
+  constructor(
+    private readonly settings: Pick<Settings, 'get' | 'reportMs'>,
+    private readonly estimates: Pick<Estimates, 'fetchMs' | 'runMs'>,
+    private readonly teams: Pick<Teams, 'borrows'>,
+  ) {}
+
+  /** Tasks assigned later than this are too young to be stopped. */
+  youngAfter(now: number): number {
+    return now - this.settings.get('placement.victim.age.s') * 1000;
+  }
+
+  /** Whether any of a machine's tasks might be stopped for the job. A cheap question, asked first. */
+  mightStop(job: Job, outlook: Outlook): boolean {
+    return outlook.lowest < job.level || (job.guaranteed && outlook.unguaranteed);
+  }
+
+  /** For higher priority, or for a guarantee against borrowed room. */
+  mayStop(job: Job, now: number, task: Assignment): boolean {
+    const owner = task.job;
+    if (owner === null || owner.regrouping || owner.closed !== null) return false;
+    // All replicas of a service are needed: nothing says otherwise.
+    if (owner.spec.kind === 'service') return false;
+    if (now - task.since < this.settings.get('placement.victim.age.s') * 1000) return false;
+    const otherTeam = task.team !== job.spec.team;
+    // Work inside its team's guarantee never yields to another team (m03 §7).
+    if (owner.guaranteed && otherTeam) return false;
+    if (owner.level < job.level) return true;
+    return job.guaranteed && otherTeam && !owner.guaranteed && this.teams.borrows(task);
+  }
+
+  /** m03 §7: borrowed room first, the newest first. */
+  sort(ends: Outlook['ends']): void {
+    ends.sort(
+      ({ a: first }, { a: second }) =>
+        Number(this.teams.borrows(second)) - Number(this.teams.borrows(first)) ||
+        second.since - first.since,
+    );
+  }
+
+  /** What stopping a task costs: its run so far, or its save, and starting it again. */
+  lostMs(task: Assignment, now: number): number {
+    if (task.job === null || task.state === 'fetching' || task.state === null) return 0;
+    const { spec } = task.job;
+    const ran = now - (task.runningAt ?? task.since);
+    const again = this.settings.reportMs + this.estimates.fetchMs(spec, task.machine, now);
+    const lost = spec.checkpointS > 0 ? Math.min(ran, spec.saveS * LOST_SAVES * 1000) : ran;
+    // A gang has to find its places once more.
+    return lost + again + (spec.kind === 'gang' ? this.estimates.runMs(spec) : 0);
+  }
+}
