--- a/src/controller/fleet/fleet.test.ts
+++ b/src/controller/fleet/fleet.test.ts
@@ -3,7 +3,7 @@
 import { ManualEnv, silentLogger } from '../../../test/manual-env.js';
 import { alone } from '../../../test/platform.js';
 import { Core } from '../core/core.js';
-import type { Lack } from '../placement/placement.js';
+import type { Shortage } from '../placement/placement-pass.js';
 import { defaultProperties } from '../settings/properties.js';
 import { Settings } from '../settings/settings.js';
 import type { StateClient } from '../store/client.js';
@@ -214,7 +214,7 @@
 
   function search() {
     const { core, workers, booting } = setUp();
-    const lacking: Lack[] = [];
+    const lacking: Shortage[] = [];
     const unused = new UnusedMachines(core, settings, {
       ...{ workers, booting, placement: { lacking } },
       releases: { has: () => false },
--- a/src/controller/leader/leader-term.ts
+++ b/src/controller/leader/leader-term.ts
@@ -8,7 +8,8 @@
 import { JobTable, type Job } from '../jobs/table.js';
 import { LEADER_KEY, type Leadership } from '../leadership/leadership.js';
 import type { Peers, PeerStatus } from '../peers/peers.js';
-import { holdKey, Placement } from '../placement/placement.js';
+import { reservationKey } from '../placement/gang-reservations.js';
+import { Placement } from '../placement/placement.js';
 import type { Settings } from '../settings/settings.js';
 import type { StateClient } from '../store/client.js';
 import { Records } from '../store/records.js';
@@ -161,7 +162,7 @@
 
   private jobClosed(job: Job): void {
     this.workers.jobClosed(job);
-    const key = holdKey(job.spec.id);
+    const key = reservationKey(job.spec.id);
     if (this.records.has(key)) this.records.set(key, undefined, 'lazy');
     this.context.progress.delete(job.spec.id);
   }
--- a/src/controller/operators/gauges.ts
+++ b/src/controller/operators/gauges.ts
@@ -30,7 +30,7 @@
 /** Figures that only the leader has. */
 export function setLeaderGauges(metrics: MetricsSink, leader: LeaderFigures): void {
   const jobs = [...leader.table.jobs.values()];
-  const holding = jobs.filter((job) => job.hold !== null);
+  const holding = jobs.filter((job) => job.reservation !== null);
   const services = jobs.filter((job) => job.standing);
   metrics.gauge('jobs', 'Unfinished jobs.', jobs.length);
   metrics.gauge('holds', 'Gangs that hold room.', holding.length);
