Give the other files of placement whole names and doc comments

Behaviour is unchanged; drain.ts has the stopping of one task as a method of its own, and teams.ts uses the common tolerance for sums of decimals.

--- a/src/controller/placement/drain.ts
+++ b/src/controller/placement/drain.ts
@@ -1,3 +1,4 @@
+/** Emptying of machines that will be taken or returned. */
 import type { Job } from '../jobs/table.js';
 import type { Settings } from '../settings/settings.js';
 import type { Assignment } from '../workers/assignment.js';
@@ -16,40 +17,49 @@
     private readonly workers: Workers,
     private readonly estimates: Estimates,
     /** Whether tasks may be placed on the machine now. */
-    private readonly usable: (m: Machine, now: number) => boolean,
+    private readonly usable: (machine: Machine, now: number) => boolean,
   ) {}
 
+  /** Stops the tasks that have to leave their machines now. */
   run(now: number): void {
-    for (const m of this.workers.machines.values()) {
-      if (m.noticeAt === null && !m.leaving) continue;
-      const left = m.noticeAt === null ? Infinity : m.noticeAt - now;
-      for (const a of [...m.assignments.values()]) {
-        if (a.stop !== null || a.phase === 'ended' || a.job === null) continue;
-        if (this.estimates.remainingMs(a, now) < left - this.settings.reportMs) continue;
-        if (a.job.standing && !this.movesNow(a, a.job, left, now)) continue;
-        const { spec } = a.job;
-        const saves = spec.checkpointS > 0 && a.state === 'running';
-        const grace = saves ? spec.saveS : 0;
-        if (spec.kind === 'gang') this.workers.stopJob(a.job, grace, 'machine goes');
-        else this.workers.stop(a, grace, 'machine goes');
-      }
+    for (const machine of this.workers.machines.values()) {
+      if (machine.noticeAt === null && !machine.leaving) continue;
+      const leftMs = machine.noticeAt === null ? Infinity : machine.noticeAt - now;
+      for (const assignment of [...machine.assignments.values()])
+        this.drainTask(assignment, leftMs, now);
     }
   }
 
+  /** Stops a task that would not end in time by itself. */
+  private drainTask(assignment: Assignment, leftMs: number, now: number): void {
+    const { job } = assignment;
+    if (assignment.stop !== null || assignment.phase === 'ended' || job === null) return;
+    if (this.estimates.remainingMs(assignment, now) < leftMs - this.settings.reportMs) return;
+    if (job.standing && !this.movesNow(assignment, job, leftMs, now)) return;
+    const { spec } = job;
+    const saves = spec.checkpointS > 0 && assignment.state === 'running';
+    const graceS = saves ? spec.saveS : 0;
+    if (spec.kind === 'gang') this.workers.stopJob(job, graceS, 'machine goes');
+    else this.workers.stop(assignment, graceS, 'machine goes');
+  }
+
   /** A replica moves as soon as it can start elsewhere at once, and else as late as is safe. */
-  private movesNow(a: Assignment, job: Job, left: number, now: number): boolean {
-    return left < this.settings.reportMs * MOVE_AHEAD || this.canMove(a, job, now);
+  private movesNow(assignment: Assignment, job: Job, leftMs: number, now: number): boolean {
+    return leftMs < this.settings.reportMs * MOVE_AHEAD || this.canMove(assignment, job, now);
   }
 
   /** Whether there is room elsewhere that has the image. */
-  private canMove(a: Assignment, { spec }: Job, now: number): boolean {
+  private canMove(assignment: Assignment, { spec }: Job, now: number): boolean {
     const need = needOf(spec);
-    for (const m of this.workers.machines.values()) {
-      const { type, zone, spot } = m;
-      if (m === a.machine || type === null || !m.images.has(spec.image)) continue;
-      if (!allowed(spec, { type, zone, spot }) || !this.usable(m, now)) continue;
-      if (whole(need, type.cpus - m.cpus, type.gpus - m.gpus, type.memoryGb - m.memoryGb) > 0)
-        return true;
+    for (const machine of this.workers.machines.values()) {
+      const { type, zone, spot } = machine;
+      if (machine === assignment.machine || type === null || !machine.images.has(spec.image))
+        continue;
+      if (!allowed(spec, { type, zone, spot }) || !this.usable(machine, now)) continue;
+      const cpus = type.cpus - machine.cpus;
+      const gpus = type.gpus - machine.gpus;
+      const memoryGb = type.memoryGb - machine.memoryGb;
+      if (whole(need, cpus, gpus, memoryGb) > 0) return true;
     }
     return false;
   }
--- a/src/controller/placement/estimates.ts
+++ b/src/controller/placement/estimates.ts
@@ -1,3 +1,4 @@
+/** How long runs and image fetches take. */
 import type { Job } from '../jobs/table.js';
 import { isMap } from '../wire/cbor.js';
 import type { JobSpec } from '../wire/jobs.js';
@@ -20,8 +21,12 @@
 }
 
 /** The task may still be waiting for its image. */
-function fetches(a: Assignment): a is Assignment & { job: Job } {
-  return a.job !== null && a.phase !== 'ended' && (a.state === null || a.state === 'fetching');
+function fetches(assignment: Assignment): assignment is Assignment & { job: Job } {
+  return (
+    assignment.job !== null &&
+    assignment.phase !== 'ended' &&
+    (assignment.state === null || assignment.state === 'fetching')
+  );
 }
 
 /**
@@ -76,20 +81,20 @@
   }
 
   /** How long a task that is put there now waits for its image. */
-  fetchMs(spec: JobSpec, m: Machine, now: number): number {
-    if (m.images.has(spec.image)) return 0;
-    const rate = m.type?.fetchGbPerS ?? 0;
+  fetchMs(spec: JobSpec, machine: Machine, now: number): number {
+    if (machine.images.has(spec.image)) return 0;
+    const rate = machine.type?.fetchGbPerS ?? 0;
     if (rate <= 0) return 0;
     // Images that are fetched at the same time share the rate; each delays by at most its own size.
     // A machine fetches an image once, so a task joins a fetch that is under way.
     let gb = spec.imageGb;
     let since = now;
     let others: Set<string> | null = null;
-    for (const a of m.assignments.values()) {
-      if (!fetches(a)) continue;
-      const other = a.job.spec;
-      if (other.image === spec.image) since = Math.min(since, a.since);
-      if (other.image === spec.image || m.images.has(other.image)) continue;
+    for (const assignment of machine.assignments.values()) {
+      if (!fetches(assignment)) continue;
+      const other = assignment.job.spec;
+      if (other.image === spec.image) since = Math.min(since, assignment.since);
+      if (other.image === spec.image || machine.images.has(other.image)) continue;
       others ??= new Set();
       if (others.has(other.image)) continue;
       others.add(other.image);
@@ -99,21 +104,21 @@
   }
 
   /** Whether a task there would need a fetch of its own. */
-  cold(spec: JobSpec, m: Machine): boolean {
-    if (m.images.has(spec.image)) return false;
-    for (const a of m.assignments.values())
-      if (fetches(a) && a.job.spec.image === spec.image) return false;
+  cold(spec: JobSpec, machine: Machine): boolean {
+    if (machine.images.has(spec.image)) return false;
+    for (const assignment of machine.assignments.values())
+      if (fetches(assignment) && assignment.job.spec.image === spec.image) return false;
     return true;
   }
 
   /** Until the task has left its machine by itself. */
-  remainingMs(a: Assignment, now: number): number {
-    if (a.stop !== null || a.job === null)
-      return Math.max(500, a.saveS * 1000 * Math.sign(a.stop?.graceS ?? 0));
-    const { spec } = a.job;
-    if (a.runningAt === null && a.state !== 'running')
-      return this.fetchMs(spec, a.machine, now) + this.runMs(spec);
-    return this.leftMs(spec, now - (a.runningAt ?? a.since));
+  remainingMs(assignment: Assignment, now: number): number {
+    if (assignment.stop !== null || assignment.job === null)
+      return Math.max(500, assignment.saveS * 1000 * Math.sign(assignment.stop?.graceS ?? 0));
+    const { spec } = assignment.job;
+    if (assignment.runningAt === null && assignment.state !== 'running')
+      return this.fetchMs(spec, assignment.machine, now) + this.runMs(spec);
+    return this.leftMs(spec, now - (assignment.runningAt ?? assignment.since));
   }
 
   /**
--- a/src/controller/placement/rank.ts
+++ b/src/controller/placement/rank.ts
@@ -1,5 +1,7 @@
+/** The order in which what waits is placed. */
 import { levels, type Job } from '../jobs/table.js';
 
+/** What the order depends on. */
 export interface RankSettings {
   /** A wait this long counts like one priority class (m03's aging). */
   agingMs: number;
@@ -20,8 +22,8 @@
  * by its next one, and after its last yields by a fixed amount: each step is taken once and is
  * bounded, and makes way for work that can still be in time.
  */
-export function rankTime(job: Job, s: RankSettings, now: number): number {
-  const aims = s.aims(job);
+export function rankTime(job: Job, settings: RankSettings, now: number): number {
+  const aims = settings.aims(job);
   const waited = now - job.submittedAt;
   let next = Infinity;
   let last = 0;
@@ -29,8 +31,8 @@
     if (aim >= waited && aim < next) next = aim;
     if (aim > last) last = aim;
   }
-  if (next === Infinity) next = last + (aims.length > 0 ? s.late * s.agingMs : 0);
-  return job.submittedAt + next - (job.level + job.preemptions * s.bonus) * s.agingMs;
+  if (next === Infinity) next = last + (aims.length > 0 ? settings.late * settings.agingMs : 0);
+  return job.submittedAt + next - (job.level + job.preemptions * settings.bonus) * settings.agingMs;
 }
 
 /** A job with what decides its turn in one pass. */
@@ -42,8 +44,19 @@
   acceptsFetch: boolean;
 }
 
-export function queuedJob(job: Job, s: RankSettings, now: number): QueuedJob {
-  return { job, rank: rankTime(job, s, now), granted: job.grantedUntil > now, acceptsFetch: false };
+/** Ranks a job that waits. */
+export function queuedJob(job: Job, settings: RankSettings, now: number): QueuedJob {
+  return {
+    job,
+    rank: rankTime(job, settings, now),
+    granted: job.grantedUntil > now,
+    acceptsFetch: false,
+  };
+}
+
+function compareIds(a: string, b: string): number {
+  if (a === b) return 0;
+  return a < b ? -1 : 1;
 }
 
 /** Total order of reservations and of everything that waits: rank, submission, id. Lower goes first. */
@@ -51,7 +64,7 @@
   return (
     a.rank - b.rank ||
     a.job.submittedAt - b.job.submittedAt ||
-    (a.job.spec.id < b.job.spec.id ? -1 : a.job.spec.id > b.job.spec.id ? 1 : 0)
+    compareIds(a.job.spec.id, b.job.spec.id)
   );
 }
 
@@ -61,10 +74,10 @@
 }
 
 /**
- * Whose turn it is. First services that must not be down, then those for whom work was just stopped: its victims may well rank higher, by
- * their submission or by having been stopped, and would take the room back in the next pass. Then
- * work inside its team's guarantee, which must not wait for what other teams borrow, nor for their
- * reservations. Then rank.
+ * Whose turn it is. First services that must not be down, then those for whom work was just stopped:
+ * its victims may well rank higher, by their submission or by having been stopped, and would take the
+ * room back in the next pass. Then work inside its team's guarantee, which must not wait for what other
+ * teams borrow, nor for their reservations. Then rank.
  */
 export function compareQueued(a: QueuedJob, b: QueuedJob): number {
   return (
--- a/src/controller/placement/reserve.ts
+++ b/src/controller/placement/reserve.ts
@@ -1,3 +1,4 @@
+/** Room kept ahead for classes of large tasks. */
 import { levels, type Job } from '../jobs/table.js';
 import { isMap } from '../wire/cbor.js';
 import { readJob, writeJob, type JobSpec } from '../wire/jobs.js';
@@ -60,18 +61,18 @@
 
   arrived(job: Job, now: number): void {
     const { spec } = job;
-    const c = this.classes.get(spec.class);
-    const images = c?.images ?? new Map<string, number>();
+    const stats = this.classes.get(spec.class);
+    const images = stats?.images ?? new Map<string, number>();
     for (const [i, n] of images) images.set(i, n * 0.95);
     images.set(spec.image, (images.get(spec.image) ?? 0) + 1);
     this.classes.set(spec.class, {
       spec,
       level: job.level,
-      weight: (c === undefined ? 0 : this.decayed(c, now)) + spec.tasks,
+      weight: (stats === undefined ? 0 : this.decayed(stats, now)) + spec.tasks,
       at: now,
-      together: Math.min(TOGETHER, Math.max(spec.tasks, (c?.together ?? 1) * 0.95)),
+      together: Math.min(TOGETHER, Math.max(spec.tasks, (stats?.together ?? 1) * 0.95)),
       images,
-      occupancyMs: c?.occupancyMs ?? 0,
+      occupancyMs: stats?.occupancyMs ?? 0,
     });
   }
 
@@ -80,9 +81,10 @@
   }
 
   ended(spec: JobSpec, occupancyMs: number): void {
-    const c = this.classes.get(spec.class);
-    if (c === undefined) return;
-    c.occupancyMs = c.occupancyMs === 0 ? occupancyMs : 0.85 * c.occupancyMs + 0.15 * occupancyMs;
+    const stats = this.classes.get(spec.class);
+    if (stats === undefined) return;
+    stats.occupancyMs =
+      stats.occupancyMs === 0 ? occupancyMs : 0.85 * stats.occupancyMs + 0.15 * occupancyMs;
   }
 
   /** What has been seen of the classes that came last, by class, for the leader after this one. */
@@ -90,18 +92,18 @@
     const recent = [...this.classes.values()].sort((a, b) => b.at - a.at).slice(0, EXPORTED);
     const since = wall - (now - this.startedAt);
     return new Map(
-      recent.map((c) => [
-        c.spec.class,
+      recent.map((stats) => [
+        stats.spec.class,
         {
           since,
           classes: [
             {
-              job: writeJob(c.spec),
-              weight: c.weight,
-              at: wall - (now - c.at),
-              together: c.together,
-              images: Object.fromEntries(c.images),
-              stay: c.occupancyMs,
+              job: writeJob(stats.spec),
+              weight: stats.weight,
+              at: wall - (now - stats.at),
+              together: stats.together,
+              images: Object.fromEntries(stats.images),
+              stay: stats.occupancyMs,
             },
           ],
         },
@@ -114,21 +116,21 @@
     if (!isMap(value) || !Array.isArray(value['classes'])) return;
     const onClock = (at: unknown): number => now - Math.max(0, wall - Number(at));
     this.startedAt = Math.min(this.startedAt, onClock(value['since']));
-    for (const c of value['classes'] as unknown[]) {
-      if (!isMap(c) || !isMap(c['images'])) continue;
+    for (const record of value['classes'] as unknown[]) {
+      if (!isMap(record) || !isMap(record['images'])) continue;
       try {
-        const spec = readJob(c['job']);
+        const spec = readJob(record['job']);
         // Versions have written this in different places: the newest counts.
-        const at = onClock(c['at']);
+        const at = onClock(record['at']);
         if (at < (this.classes.get(spec.class)?.at ?? -Infinity)) continue;
         this.classes.set(spec.class, {
           spec,
           level: levels[spec.priority],
-          weight: Number(c['weight']),
+          weight: Number(record['weight']),
           at,
-          together: Number(c['together']),
-          images: new Map(Object.entries(c['images']).map(([i, n]) => [i, Number(n)])),
-          occupancyMs: Number(c['stay']),
+          together: Number(record['together']),
+          images: new Map(Object.entries(record['images']).map(([i, n]) => [i, Number(n)])),
+          occupancyMs: Number(record['stay']),
         });
       } catch {
         // Of another version: it will be learned again.
@@ -136,36 +138,39 @@
     }
   }
 
-  private decayed(c: ClassStats, now: number): number {
-    return c.weight * Math.exp((c.at - now) / this.settings.memoryMs);
+  private decayed(stats: ClassStats, now: number): number {
+    return stats.weight * Math.exp((stats.at - now) / this.settings.memoryMs);
   }
 
   /** Tasks of the class expected at one time. */
-  private expected(c: ClassStats, now: number): number {
+  private expected(stats: ClassStats, now: number): number {
     const { memoryMs } = this.settings;
     const seenMs =
       memoryMs * (1 - Math.exp(-Math.max(now - this.startedAt, memoryMs / 4) / memoryMs));
-    const stay = c.occupancyMs > 0 ? c.occupancyMs : this.estimates.runMs(c.spec);
-    return (this.decayed(c, now) / seenMs) * stay;
+    const stay = stats.occupancyMs > 0 ? stats.occupancyMs : this.estimates.runMs(stats.spec);
+    return (this.decayed(stats, now) / seenMs) * stay;
   }
 
   /** Adds the claims of all classes to the rooms. */
   plan(rooms: Rooms, waiting: Set<string>, now: number): void {
     // Classes are named by users: those long unseen are forgotten.
-    for (const [name, c] of this.classes)
-      if (this.decayed(c, now) < FORGOTTEN) this.classes.delete(name);
+    for (const [name, stats] of this.classes)
+      if (this.decayed(stats, now) < FORGOTTEN) this.classes.delete(name);
     const classes = [...this.classes.values()]
-      .filter((c) => c.spec.kind === 'gang' || (c.spec.kind === 'array' && c.spec.gpus > 0))
-      .map((c) => ({ c, rooms: rooms.of(c.spec).flat() }))
+      .filter(
+        (stats) =>
+          stats.spec.kind === 'gang' || (stats.spec.kind === 'array' && stats.spec.gpus > 0),
+      )
+      .map((stats) => ({ stats, rooms: rooms.of(stats.spec).flat() }))
       .filter((x) => x.rooms.length > 0)
       // Who has the least choice chooses first.
-      .sort((a, b) => a.rooms.length - b.rooms.length || b.c.level - a.c.level);
-    for (const { c, rooms: mine } of classes) this.planClass(c, mine, waiting, now);
+      .sort((a, b) => a.rooms.length - b.rooms.length || b.stats.level - a.stats.level);
+    for (const { stats, rooms: mine } of classes) this.planClass(stats, mine, waiting, now);
   }
 
-  private planClass(c: ClassStats, rooms: Room[], waiting: Set<string>, now: number): void {
-    const need = needOf(c.spec);
-    const expected = this.expected(c, now);
+  private planClass(stats: ClassStats, rooms: Room[], waiting: Set<string>, now: number): void {
+    const need = needOf(stats.spec);
+    const expected = this.expected(stats, now);
     let total = 0;
     let running = 0;
     const choices: { room: Room; places: number; score: number }[] = [];
@@ -173,39 +178,40 @@
       const t = room.machine.type;
       if (t === null || room.closed) continue;
       const all = whole(need, t.cpus, t.gpus, t.memoryGb);
-      const own = room.machine.classes.get(c.spec.class) ?? 0;
+      const own = room.machine.classes.get(stats.spec.class) ?? 0;
       total += all;
       running += own;
-      if (all > own) choices.push({ room, places: all - own, score: this.score(c, room) });
+      if (all > own) choices.push({ room, places: all - own, score: this.score(stats, room) });
     }
-    const wanted = expected + this.settings.spare * Math.sqrt(expected) + Math.ceil(c.together);
+    const wanted = expected + this.settings.spare * Math.sqrt(expected) + Math.ceil(stats.together);
     let left = Math.ceil(Math.min(wanted, total * this.settings.share) - running);
     if (left <= 0) return;
     choices.sort((a, b) => b.score - a.score || a.room.order - b.room.order);
-    const wait = this.waitMs(c.spec.class);
+    const wait = this.waitMs(stats.spec.class);
     for (const { room, places } of choices) {
       if (left <= 0) break;
-      const taken = room.reserved(c.spec);
+      const taken = room.reserved(stats.spec);
       const n = Math.min(left, places - taken);
       if (n <= 0) continue;
       left -= n;
-      const fetch = this.estimates.fetchMs(c.spec, room.machine, now);
-      const patience = waiting.has(c.spec.class) || wait === null ? 0 : Math.max(0, wait - fetch);
-      room.keep(c.spec, c.level, n, now + patience, LARGER);
+      const fetch = this.estimates.fetchMs(stats.spec, room.machine, now);
+      const patience =
+        waiting.has(stats.spec.class) || wait === null ? 0 : Math.max(0, wait - fetch);
+      room.keep(stats.spec, stats.level, n, now + patience, LARGER);
     }
   }
 
   /** Machines that suit the class best: its images there, free, and of little use to others. */
-  private score(c: ClassStats, room: Room): number {
+  private score(stats: ClassStats, room: Room): number {
     let known = 0;
     let all = 0;
-    for (const [image, n] of c.images) {
+    for (const [image, n] of stats.images) {
       all += n;
       if (room.machine.images.has(image)) known += n;
     }
     const warm = all > 0 ? known / all : 0;
-    const free = room.fitsEmpty(needOf(c.spec)) > 0 ? 1 : 0;
-    const spot = c.spec.spot && room.machine.spot ? 0.7 : 0;
-    return warm + free + spot + room.share(c.spec) * 0.5;
+    const free = room.fitsEmpty(needOf(stats.spec)) > 0 ? 1 : 0;
+    const spot = stats.spec.spot && room.machine.spot ? 0.7 : 0;
+    return warm + free + spot + room.share(stats.spec) * 0.5;
   }
 }
--- a/src/controller/placement/teams.ts
+++ b/src/controller/placement/teams.ts
@@ -1,10 +1,12 @@
+/** What teams take of their limits, and which jobs are inside their guarantees. */
 import type { Team } from '../settings/platform.js';
 import { Settings } from '../settings/settings.js';
 import type { Job } from '../jobs/table.js';
 import type { JobSpec } from '../wire/jobs.js';
 import type { Assignment, Need } from '../workers/assignment.js';
-import { times } from './room.js';
+import { EPS, times } from './room.js';
 
+/** What the tasks of one team take. */
 interface Use {
   team: Team;
   tasks: number;
@@ -22,46 +24,51 @@
 
   /** Negative counts are tasks that are gone. */
   add(team: string, need: Need, count: number): void {
-    const u = this.uses.get(team);
-    if (u === undefined) return;
-    u.tasks += count;
-    u.cpus += need.cpus * count;
-    u.gpus += need.gpus * count;
+    const use = this.uses.get(team);
+    if (use === undefined) return;
+    use.tasks += count;
+    use.cpus += need.cpus * count;
+    use.gpus += need.gpus * count;
     // Sums of decimals drift; a team without tasks has none.
-    if (u.tasks === 0) u.cpus = u.gpus = 0;
+    if (use.tasks === 0) {
+      use.cpus = 0;
+      use.gpus = 0;
+    }
   }
 
   /** How many more tasks the team's limit lets in. */
   allowance(spec: JobSpec): number {
-    const u = this.uses.get(spec.team);
-    if (u === undefined) return 0;
+    const use = this.uses.get(spec.team);
+    if (use === undefined) return 0;
     return Math.max(
       0,
       Math.min(
-        times(Settings.cap(u.team.cpusMax) - u.cpus, spec.cpus),
-        times(Settings.cap(u.team.gpusMax) - u.gpus, spec.gpus),
+        times(Settings.cap(use.team.cpusMax) - use.cpus, spec.cpus),
+        times(Settings.cap(use.team.gpusMax) - use.gpus, spec.gpus),
       ),
     );
   }
 
   /** The team would still have its guarantee without this task: the task runs on borrowed room. */
-  borrows(a: Assignment): boolean {
-    const u = this.uses.get(a.team);
-    if (u === undefined) return false;
-    const over = (use: number, need: number, guaranteed: number): boolean =>
-      need > 0 && use - need >= guaranteed - 1e-6;
+  borrows(assignment: Assignment): boolean {
+    const use = this.uses.get(assignment.team);
+    if (use === undefined) return false;
+    const over = (used: number, need: number, guaranteed: number): boolean =>
+      need > 0 && used - need >= guaranteed - EPS;
+    const { need } = assignment;
     // Only what is guaranteed at all can be borrowed beyond.
-    if (u.team.gpus > 0 && a.need.gpus > 0) return over(u.gpus, a.need.gpus, u.team.gpus);
-    if (u.team.cpus > 0 && a.need.cpus > 0) return over(u.cpus, a.need.cpus, u.team.cpus);
+    if (use.team.gpus > 0 && need.gpus > 0) return over(use.gpus, need.gpus, use.team.gpus);
+    if (use.team.cpus > 0 && need.cpus > 0) return over(use.cpus, need.cpus, use.team.cpus);
     return true;
   }
 
+  /** What each team takes now. */
   state(): { name: string; cpus: number; gpus: number; team: Team }[] {
-    return [...this.uses.values()].map((u) => ({
-      name: u.team.name,
-      cpus: u.cpus,
-      gpus: u.gpus,
-      team: u.team,
+    return [...this.uses.values()].map((use) => ({
+      name: use.team.name,
+      cpus: use.cpus,
+      gpus: use.gpus,
+      team: use.team,
     }));
   }
 }
@@ -73,18 +80,21 @@
 export class Guarantees {
   constructor(private readonly teams: readonly Team[]) {}
 
+  /** Marks the jobs, in the order of their submission. */
   mark(jobs: Iterable<Job>): void {
-    const left = new Map(this.teams.map((t) => [t.name, { cpus: t.cpus, gpus: t.gpus, team: t }]));
+    const leftByTeam = new Map(
+      this.teams.map((team) => [team.name, { cpus: team.cpus, gpus: team.gpus, team }]),
+    );
     for (const job of [...jobs].sort((a, b) => a.submittedAt - b.submittedAt)) {
       job.guaranteed = false;
-      const g = left.get(job.spec.team);
-      if (g === undefined) continue;
-      const n = job.spec.tasks - job.doneCount;
-      const cpus = g.team.cpus > 0 ? job.spec.cpus * n : 0;
-      const gpus = g.team.gpus > 0 ? job.spec.gpus * n : 0;
-      job.guaranteed = cpus + gpus > 0 && cpus <= g.cpus + 1e-6 && gpus <= g.gpus + 1e-6;
-      g.cpus -= cpus;
-      g.gpus -= gpus;
+      const left = leftByTeam.get(job.spec.team);
+      if (left === undefined) continue;
+      const tasks = job.spec.tasks - job.doneCount;
+      const cpus = left.team.cpus > 0 ? job.spec.cpus * tasks : 0;
+      const gpus = left.team.gpus > 0 ? job.spec.gpus * tasks : 0;
+      job.guaranteed = cpus + gpus > 0 && cpus <= left.cpus + EPS && gpus <= left.gpus + EPS;
+      left.cpus -= cpus;
+      left.gpus -= gpus;
     }
   }
 }
