--- /dev/null
+++ b/src/controller/jobs/job.ts
@@ -0,0 +1,133 @@
+/** One unfinished job: its tasks, its assignments and what is known for placing it. */
+import type { FinalState, JobAnswer, JobSpec, Priority } from '../wire/jobs.js';
+import type { Assignment } from '../workers/assignment.js';
+import { Pending } from './pending.js';
+
+/** Priorities as numbers; higher goes first. */
+export const levels: Record<Priority, number> = { production: 3, high: 2, normal: 1, low: 0 };
+
+/** Machines that a waiting gang fills up. */
+export interface Hold {
+  machines: string[];
+  since: number;
+  fillAt: number;
+  /** When the gang could run there, images included. */
+  readyAt: number;
+  soughtAt: number;
+}
+
+/** An unfinished job as its leader knows it. */
+export class Job {
+  readonly done: Uint8Array;
+  readonly recorded: Uint8Array;
+  doneCount = 0;
+  recordedCount = 0;
+  /** Tasks that are neither done nor assigned, lowest number last. */
+  readonly pending: Pending;
+  readonly assigned = new Map<number, Assignment>();
+  /** Every assignment of its tasks that is not forgotten, older attempts and ended ones too. */
+  readonly all = new Set<Assignment>();
+  /** Its answer may differ from what was last told. */
+  changed = true;
+  /** Cancelled, or its end is being written: nothing of it may be placed. */
+  closed: FinalState | null = null;
+  ending = false;
+  /** Its live record is gone, and its end is being read. */
+  vanished = false;
+  /** A gang lost a part: no new attempt before all of the old one is gone. */
+  regrouping = false;
+  exits: Record<string, number> = {};
+  preemptions = 0;
+  /**
+   * Work was stopped for it, until then: it goes before all others, or those who were stopped, who
+   * rank higher for it, would take the room back.
+   */
+  grantedUntil = -Infinity;
+  /** It fits into its team's guarantee, by the last placement pass. */
+  guaranteed = false;
+  /** Nothing is placed before then, after errors. */
+  notBefore = 0;
+  errors = 0;
+  /** Machines on which tasks of the job failed. */
+  readonly failedOn = new Set<string>();
+  /** Machines on which replicas of a service ended by themselves: how often, and left out until when. */
+  readonly avoided = new Map<string, { times: number; until: number }>();
+  /** Since when the job has had something to place, for rank and for renting. */
+  waitingSince: number;
+  blocked = '';
+  /** Machines that the job's hold is on, for a gang that cannot start yet. */
+  hold: Hold | null = null;
+  /** The attempt under which tasks start one by one, and those that have. */
+  private attempt = 0;
+  private readonly started = new Set<number>();
+  /** When room was last sought that could be made for an array's tasks. */
+  soughtAt = -Infinity;
+
+  constructor(
+    readonly spec: JobSpec,
+    /** When it was accepted, on this node's steady clock. */
+    readonly submittedAt: number,
+    readonly version: number,
+    now: number,
+  ) {
+    this.done = new Uint8Array(spec.tasks);
+    this.recorded = new Uint8Array(spec.tasks);
+    this.pending = new Pending(spec.tasks);
+    this.waitingSince = now;
+  }
+
+  /** Its tasks run until the job is cancelled; each that ends is replaced. */
+  get standing(): boolean {
+    return this.spec.kind === 'service';
+  }
+
+  /** Replicas of a service that are not running. */
+  get missing(): number {
+    return this.standing ? this.spec.tasks - this.running : 0;
+  }
+
+  /** Its priority as a number; higher goes first. */
+  get level(): number {
+    return levels[this.spec.priority];
+  }
+
+  /**
+   * An attempt under which the task has not been started. Tasks that start one by one share one, which
+   * keeps the records of their machines small.
+   */
+  attemptFor(task: number, next: () => number): number {
+    if (this.attempt === 0 || this.started.has(task)) {
+      this.attempt = next();
+      this.started.clear();
+    }
+    this.started.add(task);
+    return this.attempt;
+  }
+
+  /** Every task is done. */
+  get complete(): boolean {
+    return this.doneCount === this.spec.tasks;
+  }
+
+  /** Tasks that run, those that save their state included. */
+  get running(): number {
+    let running = 0;
+    for (const { state } of this.assigned.values())
+      if (state === 'running' || state === 'saving') running++;
+    return running;
+  }
+
+  /** What its user is told. */
+  answer(): JobAnswer {
+    const running = this.running;
+    const answer: JobAnswer = {
+      id: this.spec.id,
+      state: this.closed ?? (running > 0 ? 'running' : 'queued'),
+      done: this.doneCount,
+      running,
+      exits: this.exits,
+    };
+    if (this.blocked !== '') answer.blocked = this.blocked;
+    return answer;
+  }
+}
