--- /dev/null
+++ b/test/mixed-day.ts
@@ -0,0 +1,215 @@
+/** Days in the simulated world on which controllers of two versions serve side by side. */
+import assert from 'node:assert/strict';
+import type { JobSpec } from '../src/controller/wire/jobs.js';
+import { long } from './world/meetings.js';
+import { shrinking as deployment } from './world/scenario.js';
+import { bring, type Trouble } from './world/troubles.js';
+import type { Version } from './world/version.js';
+import { World } from './world/world.js';
+
+/** Work runs by then, and the versions mix within `MIXED_MS` after. */
+const START_MS = 15_000;
+const MIXED_MS = 200_000;
+/** Longest time for which a process that was replaced is away. */
+export const LONGEST_RESTART_MS = 6000;
+/** How often a day looks for a moment that it waits for. */
+const LOOK_MS = 10;
+
+/** Work of the day: long, in waves that leave jobs half done for long, and in gangs. */
+const work: Partial<JobSpec>[] = [
+  long,
+  { ...long, tasks: 20, cpus: 4, estimateS: 12 },
+  { ...long, kind: 'gang', tasks: 2, gpus: 1, estimateS: 25 },
+];
+
+/** Replicas of each service that a day submits. */
+export const REPLICAS = 3;
+
+/** A service of which the deployment runs several at one time. */
+const service: Partial<JobSpec> = {
+  ...{
+    kind: 'service',
+    estimateS: 0,
+    tasks: REPLICAS,
+    oneZone: false,
+    spread: false,
+    deadlineS: null,
+  },
+  ...{ cpus: 1, gpus: 0, memoryGb: 1, priority: 'production', checkpointS: 0, saveS: 0 },
+  ...{ types: null, zone: null, team: 'red' },
+};
+
+/** A process of a host that started, and what it runs. */
+export interface Start {
+  host: string;
+  version: Version;
+}
+
+/** What was the case when the limits of the state service fell. */
+export interface LimitsFall {
+  leader: string | null;
+  outage: boolean;
+  /** Keys of the transaction that was arriving; null: none was. */
+  transaction: readonly string[] | null;
+  /** How many versions the processes ran. */
+  versions: number;
+}
+
+/** A roll under way: milliseconds until the first process is replaced, and until the last is surely back. */
+export interface Roll {
+  firstTurnMs: number;
+  overMs: number;
+}
+
+/** A day on which each host has its own version. */
+export class MixedDay {
+  readonly world: World;
+  readonly starts: Start[] = [];
+  /** How the limits fell, once they have. */
+  limitsFall: LimitsFall | null = null;
+  private readonly versions = new Map<string, Version>();
+
+  /** `versions`: what each host runs at first. */
+  constructor(seed: number, versions: readonly Version[]) {
+    for (const [i, host] of deployment.hosts.entries()) {
+      const version = versions[i];
+      assert.ok(version, `no version for host ${i}`);
+      this.versions.set(host, version);
+    }
+    const quiet = { everyMs: Infinity, doubled: 0.01, errors: 0, bootFails: 0 };
+    this.world = new World(deployment, seed, quiet, undefined, (host) => this.started(host));
+    this.submit(14, START_MS / 2);
+    this.world.play(START_MS);
+  }
+
+  private started(host: string): Version {
+    const version = this.versions.get(host);
+    assert.ok(version, host);
+    this.starts.push({ host, version });
+    return version;
+  }
+
+  private submit(count: number, overMs: number): void {
+    const { world } = this;
+    for (let i = 0; i < count; i++)
+      world.sim.after(world.sim.between(0, overMs), () =>
+        world.user(world.job(work[i % work.length] ?? long), null),
+      );
+  }
+
+  /** Users submit services; returns their ids. */
+  submitServices(count: number): string[] {
+    const specs = Array.from({ length: count }, () => this.world.job(service));
+    for (const spec of specs) this.world.user(spec, null);
+    return specs.map((s) => s.id);
+  }
+
+  /**
+   * The hosts' processes end one by one and come back as `to`, the leader's as the last.
+   * `extraMs`: time that each turn waits beyond what is drawn.
+   */
+  roll(to: Version, extraMs = 0): Roll {
+    const { sim, hosts, leader } = this.world;
+    const others = hosts.filter((h) => h !== leader);
+    const turnsMs: number[] = [];
+    let atMs = 0;
+    for (const host of leader === null ? others : [...others, leader]) {
+      atMs += sim.between(3000, 15_000);
+      turnsMs.push(atMs);
+      sim.after(atMs, () => {
+        this.versions.set(host, to);
+        this.world.kill(host, sim.between(500, LONGEST_RESTART_MS));
+      });
+      atMs += extraMs;
+    }
+    return { firstTurnMs: turnsMs[0] ?? 0, overMs: atMs - extraMs + LONGEST_RESTART_MS };
+  }
+
+  /** What each host's process runs, or ran last. */
+  get running(): Version[] {
+    const last = new Map(this.starts.map((s) => [s.host, s.version]));
+    return [...last.values()];
+  }
+
+  /** How often a leader of one version has followed one of the other. */
+  get takeovers(): number {
+    const { elected } = this.world;
+    return elected.filter((v, i) => i > 0 && v !== elected[i - 1]).length;
+  }
+
+  /** The leader ends again and again, until the versions have taken over from each other so often. */
+  alternate(times: number): void {
+    const { world } = this;
+    const again = (): void => {
+      if (this.takeovers >= times) return;
+      if (world.leader !== null) world.kill(world.leader, world.sim.between(100, 6000));
+      world.sim.after(world.sim.between(2000, 8000), again);
+    };
+    again();
+  }
+
+  /** Runs `then` in the first moment from `afterMs` on in which the condition holds. */
+  once(afterMs: number, condition: () => boolean, then: () => void): void {
+    const { sim } = this.world;
+    const look = (): void => {
+      if (condition()) then();
+      else sim.after(LOOK_MS, look);
+    };
+    sim.after(afterMs, look);
+  }
+
+  /** The limits of the state service fall now. */
+  lowerLimits(transaction: LimitsFall['transaction'] = null): void {
+    const { world } = this;
+    assert.equal(this.limitsFall, null, 'the limits fall once');
+    const versions = new Set(this.running).size;
+    this.limitsFall = { leader: world.leader, outage: world.state.inOutage, transaction, versions };
+    world.state.lower(world.limitsToCome);
+  }
+
+  /** The limits fall as a transaction with one of the leader's pages arrives, before it is looked at. */
+  lowerLimitsAmidCommit(afterMs: number): void {
+    const { sim, state } = this.world;
+    sim.after(afterMs, () => {
+      state.arriving = (keys) => {
+        if (!keys.some((key) => key.startsWith('page/'))) return;
+        state.arriving = () => undefined;
+        this.lowerLimits(keys);
+      };
+    });
+  }
+
+  /** New work comes and the troubles run their course; then all is quiet until the work is done. */
+  finish(troubles: Trouble[]): void {
+    const { world } = this;
+    this.submit(8, MIXED_MS / 4);
+    bring(world, troubles);
+    world.play(MIXED_MS);
+    world.calmDown(0);
+    const until = world.sim.now + 400_000;
+    do world.play(60_000);
+    while (world.sim.now < until && world.rules.unfinished().length > 0);
+    assert.deepEqual(world.rules.unfinished(), [], 'never finished');
+    assert.ok(world.rules.cancelledRunning.length > 0, 'nothing that ran was cancelled');
+  }
+
+  /** Every host's newest process runs `version`. */
+  assertAllRun(version: Version): void {
+    for (const { host } of this.starts)
+      assert.equal(
+        this.starts.findLast((s) => s.host === host)?.version,
+        version,
+        `${host} does not run ${version.name}`,
+      );
+  }
+
+  /** Replicas of each service that are on machines. */
+  replicas(services: readonly string[]): number[] {
+    return services.map((id) => this.world.rules.machinesOf(id).length);
+  }
+
+  /** Whether every replica of the services is on a machine. */
+  complete(services: readonly string[]): boolean {
+    return this.replicas(services).every((count) => count === REPLICAS);
+  }
+}
--- a/test/mixed.test.ts
+++ b/test/mixed.test.ts
@@ -1,110 +1,33 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import type { JobSpec } from '../src/controller/wire/jobs.js';
-import { long } from './world/meetings.js';
-import { production } from './world/production.js';
+import { LONGEST_RESTART_MS, MixedDay, REPLICAS, type Roll } from './mixed-day.js';
+import { olderVersions, type OlderVersion } from './world/production.js';
 import { shrinking as deployment } from './world/scenario.js';
-import { bring, type Trouble } from './world/troubles.js';
+import type { Trouble } from './world/troubles.js';
 import { present, type Version } from './world/version.js';
-import { World } from './world/world.js';
 
-// The operators roll out a new version while production serves (and back, where it fails), so both
+// The operators roll out a new version while an older one serves (and back, where it fails), so both
 // read each other's records and take over from each other. Rules are checked after every step.
 
-const SEEDS = Number(process.env['MIXED_SEEDS'] ?? 3);
 const FIRST = Number(process.env['MIXED_FIRST'] ?? 1);
-/** Work runs by then, and the versions mix within this time after. */
-const START_MS = 15_000;
-const MIXED_MS = 200_000;
-
-/** Work of the day: long, in waves that leave jobs half done for long, and in gangs. */
-const work: Partial<JobSpec>[] = [
-  long,
-  { ...long, tasks: 20, cpus: 4, estimateS: 12 },
-  { ...long, kind: 'gang', tasks: 2, gpus: 1, estimateS: 25 },
-];
-
-/** A day on which each host has its own version. */
-class MixedDay {
-  readonly world: World;
-  readonly starts: { host: string; version: Version }[] = [];
-  private readonly versions = new Map<string, Version>();
-
-  constructor(seed: number, versions: readonly Version[]) {
-    for (const [i, h] of deployment.hosts.entries()) this.versions.set(h, this.at(versions, i));
-    const quiet = { everyMs: Infinity, doubled: 0.01, errors: 0, bootFails: 0 };
-    this.world = new World(deployment, seed, quiet, undefined, (host) => {
-      const version = this.versions.get(host);
-      assert.ok(version, host);
-      this.starts.push({ host, version });
-      return version;
-    });
-    this.submit(14, START_MS / 2);
-    this.world.play(START_MS);
-  }
-
-  private at(versions: readonly Version[], i: number): Version {
-    const version = versions[i];
-    assert.ok(version, `no version for host ${i}`);
-    return version;
-  }
 
-  private submit(count: number, overMs: number): void {
-    const { world } = this;
-    for (let i = 0; i < count; i++)
-      world.sim.after(world.sim.between(0, overMs), () =>
-        world.user(world.job(work[i % work.length] ?? long), null),
-      );
-  }
-
-  /** The hosts' processes end one by one and come back as `to`, the leader's as the last. */
-  roll(to: Version): void {
-    const { sim, hosts, leader } = this.world;
-    const others = hosts.filter((h) => h !== leader);
-    let at = 0;
-    for (const host of leader === null ? others : [...others, leader]) {
-      at += sim.between(3000, 15_000);
-      sim.after(at, () => {
-        this.versions.set(host, to);
-        this.world.kill(host, sim.between(500, 6000));
-      });
-    }
-  }
-
-  /** How often a leader of one version has followed one of the other. */
-  get takeovers(): number {
-    const { elected } = this.world;
-    return elected.filter((v, i) => i > 0 && v !== elected[i - 1]).length;
-  }
-
-  /** The leader ends again and again, until the versions have taken over from each other so often. */
-  alternate(times: number): void {
-    const { world } = this;
-    const again = (): void => {
-      if (this.takeovers >= times) return;
-      if (world.leader !== null) world.kill(world.leader, world.sim.between(100, 6000));
-      world.sim.after(world.sim.between(2000, 8000), again);
-    };
-    again();
-  }
+/** How many seeds of a day are played. */
+interface Seeds {
+  /** Of the days that meet the faults seen most. */
+  usual: number;
+  /** Of the days of rarer faults. */
+  rare: number;
+}
 
-  /** New work comes and the troubles run their course; then all is quiet until the work is done. */
-  finish(troubles: Trouble[]): void {
-    const { world } = this;
-    this.submit(8, MIXED_MS / 4);
-    bring(world, troubles);
-    world.play(MIXED_MS);
-    world.calmDown(0);
-    const until = world.sim.now + 400_000;
-    do world.play(60_000);
-    while (world.sim.now < until && world.rules.unfinished().length > 0);
-    assert.deepEqual(world.rules.unfinished(), [], 'never finished');
-    assert.ok(world.rules.cancelledRunning.length > 0, 'nothing that ran was cancelled');
-  }
+/** The version in production is played more often than others. */
+function seedsOf(name: string): Seeds {
+  const given = process.env['MIXED_SEEDS'];
+  if (given !== undefined) return { usual: Number(given), rare: Number(given) };
+  return name === 'production' ? { usual: 3, rare: 2 } : { usual: 1, rare: 1 };
 }
 
-function seeds(play: (seed: number) => void): void {
-  for (let seed = FIRST; seed < FIRST + SEEDS; seed++)
+function seeds(count: number, play: (seed: number) => void): void {
+  for (let seed = FIRST; seed < FIRST + count; seed++)
     try {
       play(seed);
     } catch (err) {
@@ -112,105 +35,340 @@
     }
 }
 
-type Between = (from: number, to: number) => number;
+/** Least time between a process's return in a roll and the next turn, where a day needs some. */
+const MIXED_WINDOW_MS = 8000;
 
+/** What comes into a roll, and what shows that it did. */
 interface Middle {
   name: string;
-  troubles(between: Between): Trouble[];
-  happened(day: MixedDay): boolean;
+  /** Time that each turn of the roll waits beyond what is drawn. */
+  extraMs?: number;
+  rare?: boolean;
+  /** Arranges it as the roll begins. */
+  begin(day: MixedDay, roll: Roll): Arranged;
+}
+
+interface Arranged {
+  troubles: Trouble[];
+  happened: () => boolean;
 }
 
-/** What comes into the middle of a roll, which takes 9 to 45 s, and what shows that it did. */
+/** What comes into the middle of a roll, which takes 9 to 45 s. */
 const middles: Middle[] = [
   {
     name: 'a leader that dies before its turn and comes back as it was',
-    troubles: (between) => [
-      { kind: 'ended', who: 'leader', back: between(0.1, 2), at: between(0.5, 2.5) },
-    ],
-    happened: ({ starts }) => {
-      const first = starts[0]?.version;
-      return starts.filter((s) => s.version === first).length > deployment.hosts.length;
-    },
+    begin: ({ world: { sim }, starts }) => ({
+      troubles: [
+        { kind: 'ended', who: 'leader', back: sim.between(0.1, 2), at: sim.between(0.5, 2.5) },
+      ],
+      happened: () => {
+        const first = starts[0]?.version;
+        return starts.filter((s) => s.version === first).length > deployment.hosts.length;
+      },
+    }),
   },
   {
     name: 'an outage of the state service',
-    troubles: (between) => [{ kind: 'outage', at: between(3, 12), for: between(5, 30) }],
-    happened: ({ world }) => world.state.missed > 0,
+    begin: ({ world: { sim, state } }) => ({
+      troubles: [{ kind: 'outage', at: sim.between(3, 12), for: sim.between(5, 30) }],
+      happened: () => state.missed > 0,
+    }),
   },
   {
     name: 'late writes',
-    troubles: () => [{ kind: 'late writes', share: 0.4, at: 0, for: 60 }],
-    happened: ({ world }) => world.state.late.applied + world.state.late.refused > 0,
+    begin: ({ world: { state } }) => ({
+      troubles: [{ kind: 'late writes', share: 0.4, at: 0, for: 60 }],
+      happened: () => state.late.applied + state.late.refused > 0,
+    }),
   },
   {
     name: 'late reports',
-    troubles: () => [{ kind: 'late reports', share: 0.4, at: 0, for: 60 }],
-    happened: ({ world }) => world.net.copies > 0,
+    begin: ({ world: { net } }) => ({
+      troubles: [{ kind: 'late reports', share: 0.4, at: 0, for: 60 }],
+      happened: () => net.copies > 0,
+    }),
+  },
+  {
+    name: 'all controllers that end at once',
+    // Room for it between the first process's return and the second's turn.
+    extraMs: MIXED_WINDOW_MS,
+    rare: true,
+    begin: endAll,
+  },
+];
+
+/** All controllers end at once while one of them runs the other version, and come back as they were. */
+function endAll(day: MixedDay, roll: Roll): Arranged {
+  const { world, starts } = day;
+  let versionsThen = 0;
+  let leaderless = false;
+  let startsBefore = 0;
+  const atMs = roll.firstTurnMs + LONGEST_RESTART_MS + world.sim.between(500, 4500);
+  world.sim.after(atMs, () => {
+    versionsThen = new Set(day.running).size;
+    startsBefore = starts.length;
+    const backMs = world.sim.between(200, 8000);
+    for (const host of world.hosts) world.kill(host, backMs);
+    leaderless = world.leader === null;
+    world.sim.after(backMs + 1, () => {
+      assert.equal(starts.length - startsBefore, world.hosts.length, 'not all ended at once');
+    });
+  });
+  return { troubles: [], happened: () => versionsThen === 2 && leaderless };
+}
+
+/** When the limits of the state service fall, from the time given on, and what shows it. */
+interface Fall {
+  name: string;
+  begin(day: MixedDay, fromMs: number): Arranged;
+}
+
+const falls: Fall[] = [
+  {
+    name: 'amid a commit',
+    begin: (day, fromMs) => {
+      day.lowerLimitsAmidCommit(fromMs);
+      return { troubles: [], happened: () => day.limitsFall?.transaction != null };
+    },
+  },
+  {
+    name: 'amid a takeover',
+    begin: (day, fromMs) => {
+      const { world } = day;
+      day.once(
+        fromMs,
+        () => world.leader !== null,
+        () => {
+          if (world.leader !== null) world.kill(world.leader, world.sim.between(2000, 6000));
+          world.sim.after(world.sim.between(50, 1500), () => day.lowerLimits());
+        },
+      );
+      return { troubles: [], happened: () => day.limitsFall?.leader === null };
+    },
+  },
+  {
+    name: 'amid an outage',
+    begin: (day, fromMs) => {
+      const { sim } = day.world;
+      const atS = fromMs / 1000;
+      sim.after(fromMs + sim.between(1000, 4000), () => day.lowerLimits());
+      return {
+        troubles: [{ kind: 'outage', at: atS, for: sim.between(5, 20) }],
+        happened: () => day.limitsFall?.outage === true,
+      };
+    },
   },
 ];
 
+/** The limits fall once the roll is over: a version that doesn't know of them can't write under them. */
+function fallAfterRoll(fall: Fall): Middle {
+  return fallFrom(fall, 1, (roll) => roll.overMs);
+}
+
+/** The limits fall while both versions serve. */
+function fallAmidRoll(fall: Fall): Middle {
+  const middle = fallFrom(fall, 2, (roll) => roll.firstTurnMs + LONGEST_RESTART_MS);
+  return { ...middle, extraMs: MIXED_WINDOW_MS };
+}
+
+/** `versions`: how many serve as the limits fall. */
+function fallFrom(fall: Fall, versions: number, fromMs: (roll: Roll) => number): Middle {
+  return {
+    name: `limits of the state service that fall ${fall.name}`,
+    begin: (day, roll) => {
+      const { troubles, happened } = fall.begin(day, fromMs(roll));
+      const work: Trouble = { kind: 'jobs', count: 10, at: roll.overMs / 1000 + 5 };
+      const { state } = day.world;
+      const asPlanned = (): boolean => happened() && day.limitsFall?.versions === versions;
+      return {
+        troubles: [...troubles, work],
+        happened: () => asPlanned() && state.tooLarge === 0,
+      };
+    },
+  };
+}
+
+/** The limits fall once the roll is over, near the end of a leader. */
+const fallNearTakeover: Middle = {
+  name: 'lower limits',
+  begin: ({ world: { sim, state } }) => ({
+    troubles: [
+      { kind: 'limits fall', at: sim.between(50, 60) },
+      { kind: 'ended', who: 'leader', back: 1, at: sim.between(48, 62) },
+      { kind: 'jobs', count: 10, at: 62 },
+    ],
+    happened: () => state.tooLarge === 0,
+  }),
+};
+
 /** All run `from`, and a roll with trouble in its middle makes all run `to`. */
 function rolled(seed: number, from: Version, to: Version, middle: Middle): void {
   const day = new MixedDay(seed, [from, from, from]);
   const { sim, elected } = day.world;
-  day.roll(to);
+  const { troubles, happened } = middle.begin(day, day.roll(to, middle.extraMs));
   day.finish([
     { kind: 'cancelled', count: 3, at: sim.between(1, 5), hang: sim.between(0, 10) },
     { kind: 'cancelled', count: 3, at: sim.between(10, 30), elsewhere: true },
-    ...middle.troubles((a, b) => sim.between(a, b)),
+    ...troubles,
   ]);
-  assert.ok(middle.happened(day), `${middle.name} did not happen`);
+  assert.ok(happened(), `${middle.name} did not happen`);
   for (const v of [from, to]) assert.ok(elected.includes(v), `${v.name} never led`);
-  for (const host of deployment.hosts)
-    assert.equal(day.starts.findLast((s) => s.host === host)?.version, to, `${host} is not rolled`);
+  day.assertAllRun(to);
+}
+
+/** Two versions take over from each other ten times. */
+function alternating(seed: number, old: Version, current: Version): void {
+  const day = new MixedDay(seed, [old, current, old]);
+  const { sim, elected } = day.world;
+  day.alternate(10);
+  day.finish([
+    { kind: 'cancelled', count: 2, at: sim.between(2, 10) },
+    { kind: 'cancelled', count: 2, at: sim.between(15, 30), elsewhere: true },
+    { kind: 'cancelled', count: 2, at: sim.between(35, 50) },
+    { kind: 'cancelled', count: 2, at: sim.between(55, 70), elsewhere: true },
+  ]);
+  assert.ok(day.takeovers >= 10, `only ${day.takeovers} takeovers`);
+  for (const v of [old, current]) assert.ok(elected.includes(v), `${v.name} never led`);
 }
 
-const found = await production();
+const SERVICES = 3;
 
-describe('old and new controllers side by side', () => {
-  if (found.version === null) {
-    it('keep the rules', { skip: found.reason });
-    return;
-  }
-  const old = found.version;
+/** Services come once all run `to`, keep running as the leader changes, and are called off. */
+function servicesAfterRoll(seed: number, from: Version, to: Version): void {
+  const day = new MixedDay(seed, [from, from, from]);
+  const { world } = day;
+  const roll = day.roll(to);
+  let services: string[] = [];
+  let survived = false;
+  world.sim.after(roll.overMs, () => {
+    day.assertAllRun(to);
+    services = day.submitServices(SERVICES);
+    day.once(
+      0,
+      () => world.leader !== null && day.complete(services),
+      () => changeLeader(day, services, () => (survived = true)),
+    );
+  });
+  day.finish([{ kind: 'cancelled', count: 3, at: world.sim.between(1, 5) }]);
+  assert.ok(survived, 'services did not run through a change of leader');
+  assertCalledOff(day, services);
+}
+
+/** The leader ends while all replicas run: without one, replicas end only by themselves. */
+function changeLeader(day: MixedDay, services: readonly string[], survived: () => void): void {
+  const { world } = day;
+  const elections = world.elected.length;
+  const endedBefore = world.replicasEnded;
+  assert.ok(world.leader !== null);
+  world.kill(world.leader, LONGEST_RESTART_MS);
+  const changed = (): boolean => world.elected.length > elections;
+  day.once(0, changed, () => {
+    const on = day.replicas(services).reduce((sum, count) => sum + count, 0);
+    const ended = world.replicasEnded - endedBefore;
+    assert.ok(on + ended >= SERVICES * REPLICAS, 'replicas were lost with the leader');
+    day.once(
+      1000,
+      () => day.complete(services),
+      () => {
+        survived();
+        for (const id of services) world.cancel(id);
+      },
+    );
+  });
+}
+
+/** Services run from before the roll until after it, with leaders of both versions, and are called off. */
+function servicesDuringRoll(seed: number, from: Version, to: Version): void {
+  const day = new MixedDay(seed, [from, from, from]);
+  const { world } = day;
+  const services = day.submitServices(SERVICES);
+  const elections = world.elected.length;
+  let fewest = Infinity;
+  let survived = false;
+  const rollOnce = (): void => {
+    assert.equal(world.elected.at(-1), from);
+    let over = false;
+    world.sim.after(day.roll(to).overMs, () => (over = true));
+    const finished = (): boolean => {
+      fewest = Math.min(fewest, ...day.replicas(services));
+      return over && world.leader !== null && day.complete(services);
+    };
+    day.once(0, finished, () => {
+      survived = true;
+      for (const id of services) world.cancel(id);
+    });
+  };
+  day.once(0, () => world.leader !== null && day.complete(services), rollOnce);
+  day.finish([{ kind: 'cancelled', count: 3, at: world.sim.between(1, 5) }]);
+  assert.ok(survived, 'services did not run through the roll');
+  assert.ok(fewest > 0, 'a service had no replica for a while');
+  assert.ok(world.elected.slice(elections).includes(to), `${to.name} never led with services`);
+  day.assertAllRun(to);
+  assertCalledOff(day, services);
+}
+
+function assertCalledOff(day: MixedDay, services: readonly string[]): void {
+  for (const id of services) assert.ok(day.world.rules.toldCancelled(id), `${id} not cancelled`);
+  assert.ok(
+    day.replicas(services).every((count) => count === 0),
+    'replicas left',
+  );
+}
+
+/** The days of one older version and the present one. */
+function days(older: OlderVersion): void {
+  const { version: old, knowsServicesAndLimits } = older;
   const current = present();
+  const { usual, rare } = seedsOf(older.name);
 
   for (const middle of middles) {
+    const count = middle.rare === true ? rare : usual;
     it(`rolled out, with ${middle.name}`, () => {
-      seeds((seed) => rolled(seed, old, current, middle));
+      seeds(count, (seed) => rolled(seed, old, current, middle));
     });
     it(`rolled back, with ${middle.name}`, () => {
-      seeds((seed) => rolled(seed, current, old, middle));
+      seeds(count, (seed) => rolled(seed, current, old, middle));
     });
   }
 
-  // What production has written is larger than the new limits allow to write.
+  // What the version in production has written is larger than the new limits allow to write.
   it('rolled out, and then the limits of the state service fall', () => {
-    const middle: Middle = {
-      name: 'lower limits',
-      troubles: (between) => [
-        { kind: 'limits fall', at: between(50, 60) },
-        { kind: 'ended', who: 'leader', back: 1, at: between(48, 62) },
-        { kind: 'jobs', count: 10, at: 62 },
-      ],
-      happened: ({ world }) => world.state.tooLarge === 0,
-    };
-    seeds((seed) => rolled(seed, old, current, middle));
+    seeds(usual, (seed) => rolled(seed, old, current, fallNearTakeover));
   });
+  for (const fall of falls) {
+    if (!knowsServicesAndLimits) {
+      it(`rolled out, and then the limits of the state service fall ${fall.name}`, () => {
+        seeds(rare, (seed) => rolled(seed, old, current, fallAfterRoll(fall)));
+      });
+      continue;
+    }
+    it(`rolled out, as the limits of the state service fall ${fall.name}`, () => {
+      seeds(rare, (seed) => rolled(seed, old, current, fallAmidRoll(fall)));
+    });
+    it(`rolled back, as the limits of the state service fall ${fall.name}`, () => {
+      seeds(rare, (seed) => rolled(seed, current, old, fallAmidRoll(fall)));
+    });
+  }
 
   it('take over from each other ten times', () => {
-    seeds((seed) => {
-      const day = new MixedDay(seed, [old, current, old]);
-      const { sim, elected } = day.world;
-      day.alternate(10);
-      day.finish([
-        { kind: 'cancelled', count: 2, at: sim.between(2, 10) },
-        { kind: 'cancelled', count: 2, at: sim.between(15, 30), elsewhere: true },
-        { kind: 'cancelled', count: 2, at: sim.between(35, 50) },
-        { kind: 'cancelled', count: 2, at: sim.between(55, 70), elsewhere: true },
-      ]);
-      assert.ok(day.takeovers >= 10, `only ${day.takeovers} takeovers`);
-      for (const v of [old, current]) assert.ok(elected.includes(v), `${v.name} never led`);
-    });
+    seeds(usual, (seed) => alternating(seed, old, current));
+  });
+
+  // Services are asked for only once all know them.
+  it('rolled out, and then services run through a change of leader', () => {
+    seeds(rare, (seed) => servicesAfterRoll(seed, old, current));
+  });
+  if (!knowsServicesAndLimits) return;
+  it('rolled out, while services run', () => {
+    seeds(rare, (seed) => servicesDuringRoll(seed, old, current));
+  });
+  it('rolled back, while services run', () => {
+    seeds(rare, (seed) => servicesDuringRoll(seed, current, old));
+  });
+}
+
+for (const found of await olderVersions())
+  describe(`${found.name} and present controllers side by side`, () => {
+    if ('older' in found) days(found.older);
+    else it('keep the rules', { skip: found.reason });
   });
-});
--- a/test/world/production.ts
+++ b/test/world/production.ts
@@ -10,19 +10,42 @@
 type PropertiesModule = typeof import('../../src/controller/settings/properties.js');
 type SettingsModule = typeof import('../../src/controller/settings/settings.js');
 
-/** The version that serves the operators now, or why it can't be had. */
-export type Production = { version: Version } | { version: null; reason: string };
+/** A version of the history that serves beside the present one. */
+export interface OlderVersion {
+  /** How tests name it. */
+  name: string;
+  /** Whether it knows jobs of the kind `service`, and writes within limits that the state service will have. */
+  knowsServicesAndLimits: boolean;
+  version: Version;
+}
+
+/** An older version, or why it can't be had. */
+export type Found = { name: string; older: OlderVersion } | { name: string; reason: string };
+
+/** The previous landing on the main branch. */
+const PREVIOUS_LANDING = '41e660f42774fdcc4b541cb925a56407228d98fd';
+
+/** The commit with which services and the state service's limits to come became known. */
+const SERVICES_AND_LIMITS_SINCE = 'f1ae35564a838d29cfab08cf281fba7d5f513b43';
 
 const root = fileURLToPath(new URL('../../', import.meta.url));
 
-/** The commit named in deploy/service.toml; where none is, the one that is checked out. */
-function named(): string {
+/** The commit in production, which deploy/service.toml names; where it names none, the one checked out. */
+function productionCommit(): string {
   const { production } = parse(readFileSync(join(root, 'deploy', 'service.toml'), 'utf8'));
   if (production === undefined) return 'HEAD';
   if (typeof production !== 'string') throw new Error('deploy/service.toml: production: no text');
   return production;
 }
 
+/** All commits whose versions serve beside the present one, by the names that tests give them. */
+function olderCommits(): { name: string; commit: string }[] {
+  return [
+    { name: 'production', commit: productionCommit() },
+    { name: 'previous landing', commit: PREVIOUS_LANDING },
+  ];
+}
+
 function git(...args: string[]): Buffer {
   const stdio: ['ignore', 'pipe', 'pipe'] = ['ignore', 'pipe', 'pipe'];
   return execFileSync('git', args, { cwd: root, maxBuffer: 2 ** 28, stdio });
@@ -31,7 +54,7 @@
 /** Puts the commit's sources below target/, at once or not at all, and says where. */
 function extracted(commit: string): string {
   const target = join(root, 'target');
-  const place = join(target, `production-${commit}`);
+  const place = join(target, `version-${commit}`);
   if (existsSync(place)) return place;
   const input = git('archive', commit, 'src');
   mkdirSync(target, { recursive: true });
@@ -47,27 +70,46 @@
   return place;
 }
 
-async function load(commit: string): Promise<Version> {
+/** Loads the sources of a commit beside the present ones. */
+async function load(name: string, commit: string): Promise<Version> {
   const base = pathToFileURL(join(extracted(commit), 'src', 'controller')).href;
   const { Controller } = (await import(`${base}/controller.ts`)) as ControllerModule;
   const platform = (await import(`${base}/settings/platform.ts`)) as PlatformModule;
   const properties = (await import(`${base}/settings/properties.ts`)) as PropertiesModule;
   const { Settings } = (await import(`${base}/settings/settings.ts`)) as SettingsModule;
   return {
-    ...{ name: 'production', Controller, Settings, readPlatform: platform.readPlatform },
+    ...{ name, Controller, Settings, readPlatform: platform.readPlatform },
     properties: properties.defaultProperties(),
   };
 }
 
-/** Only what git doesn't have is a reason to do without; a commit that it has must load. */
-export async function production(): Promise<Production> {
-  const name = named();
+/** Whether the commit has what came with `SERVICES_AND_LIMITS_SINCE`. */
+function knowsServicesAndLimits(commit: string): boolean {
+  return (
+    git('rev-list', '--max-count=1', `${SERVICES_AND_LIMITS_SINCE}^!`, `^${commit}`).length === 0
+  );
+}
+
+async function find(name: string, named: string): Promise<Found> {
   let commit: string;
+  let known: boolean;
   try {
-    commit = git('rev-parse', '--verify', `${name}^{commit}`).toString().trim();
+    commit = git('rev-parse', '--verify', `${named}^{commit}`).toString().trim();
+    known = knowsServicesAndLimits(commit);
   } catch (err) {
     const { message } = err as Error;
-    return { version: null, reason: `needs the history with commit ${name}: ${message.trim()}` };
+    return { name, reason: `needs the history with commit ${named}: ${message.trim()}` };
   }
-  return { version: await load(commit) };
+  const version = await load(name, commit);
+  return { name, older: { name, knowsServicesAndLimits: known, version } };
+}
+
+/**
+ * The older versions that are played. Only what git doesn't have is a reason to do without; a commit
+ * that it has must load.
+ */
+export async function olderVersions(): Promise<Found[]> {
+  const found: Found[] = [];
+  for (const { name, commit } of olderCommits()) found.push(await find(name, commit));
+  return found;
 }
--- a/test/world/rules.ts
+++ b/test/world/rules.ts
@@ -195,6 +195,11 @@
     return this.jobs.get(id)?.toldDone === true;
   }
 
+  /** Whether its user was told that the job is cancelled. */
+  toldCancelled(id: string): boolean {
+    return (this.jobs.get(id)?.cancelledAt ?? null) !== null;
+  }
+
   /** Jobs that users were told have ended so. */
   endedAs(state: 'done' | 'cancelled'): number {
     const told = (j: Known): boolean => (state === 'done' ? j.toldDone : j.cancelledAt !== null);
--- a/test/world/state-service.ts
+++ b/test/world/state-service.ts
@@ -53,6 +53,8 @@
   late = { applied: 0, refused: 0 };
   /** Nodes whose watches are refused, and nothing else of theirs. */
   private readonly unwatched = new Set<string>();
+  /** Told of each transaction as it arrives, before it is looked at: its writes' keys. */
+  arriving: (keys: readonly string[]) => void = () => undefined;
 
   constructor(
     private readonly sim: Sim,
@@ -68,6 +70,11 @@
     this.expire();
   }
 
+  /** Whether it answers nobody just now. */
+  get inOutage(): boolean {
+    return this.down;
+  }
+
   outage(ms: number): void {
     this.down = true;
     this.sim.after(ms, () => {
@@ -170,6 +177,7 @@
     if (this.down || this.refused.has(from)) return respond({ status: 503, body: null });
     const multi = call.path === '/multi' ? (call.body() as Multi) : null;
     const puts = multi?.writes?.length ?? 0;
+    if (multi !== null) this.arriving((multi.writes ?? []).map((w) => w.set ?? w.delete ?? ''));
     if (!this.requestTokens.take() || (puts > 0 && !this.putTokens.take(puts))) {
       this.tooMany++;
       return respond({ status: 429, body: null });
