Messages of peers: modules by duty; what can't be read is counted and takes no memory

peers.ts becomes message form, framing, statuses, forwarding and the exchange itself. Dropped messages are counted in bitternvale_unreadable_peer_messages_total, and so are connections ended for an oversized frame.

A message of six bytes that announced 2^31 items ended the process for lack of memory, since avsc makes room for them before it reads any. The encoding is now checked against the schema before it is decoded.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -7,7 +7,8 @@
 import { Leadership, LEADER_KEY } from './leadership/leadership.js';
 import type { Metrics } from './operators/metrics.js';
 import { clusterView } from './operators/view.js';
-import { Peers, type JobProgress, type PeerStatus } from './peers/peers.js';
+import type { JobProgress, PeerStatus } from './peers/message.js';
+import { Peers } from './peers/peers.js';
 import { Estimates } from './placement/estimates.js';
 import { Reserve } from './placement/reserve.js';
 import { holdKey, Placement } from './placement/placement.js';
@@ -38,7 +39,10 @@
   then: (items: Item[], revision: number, sentAt: number) => void,
 ) => void;
 
-export type MetricsSink = Pick<Metrics, 'request' | 'pass' | 'preemptions' | 'gauge' | 'text'>;
+export type MetricsSink = Pick<
+  Metrics,
+  'request' | 'pass' | 'preemptions' | 'unreadable' | 'gauge' | 'text'
+>;
 
 /** What only the leader has; made anew for each term and dropped whole with it. */
 class Reign {
@@ -537,6 +541,11 @@
     this.core.post('peer', () => this.peers.receive(bytes));
   }
 
+  /** A connection from another controller was dropped for what came on it. */
+  peerBroken(err: unknown): void {
+    this.core.post('peer', () => this.peers.dropped(err));
+  }
+
   request(method: string, path: string, body: Buffer, respond: (a: Answer) => void): void {
     this.routes.request(method, path, body, respond);
   }
@@ -558,6 +567,7 @@
     const { metrics, reign } = this;
     if (metrics === null)
       return respond({ status: 503, body: { error: 'starting' }, retryAfterS: 5 });
+    metrics.unreadable(this.peers.unreadable);
     metrics.gauge('leading', '1 on the leader.', this.entitled ? 1 : 0);
     metrics.gauge('term', 'Term of the leader known here.', this.leadership.leader?.term ?? 0);
     metrics.gauge('memory_bytes', 'Memory that the process holds.', process.memoryUsage.rss());
--- a/src/controller/core/node-env.ts
+++ b/src/controller/core/node-env.ts
@@ -1,7 +1,7 @@
 import net from 'node:net';
 import { HttpClient } from '../http/client.js';
 import type { Sockets } from '../http/sockets.js';
-import { frame } from '../peers/peers.js';
+import { frame } from '../peers/framing.js';
 import { decodeBody, encodeBody } from '../wire/cbor.js';
 import type { Call, Env, Reply, Timer } from './env.js';
 
--- a/src/controller/operators/metrics.ts
+++ b/src/controller/operators/metrics.ts
@@ -27,6 +27,11 @@
     help: 'Tasks stopped to make room.',
     registers: [this.registry],
   });
+  private readonly unreadableMessages = new Counter({
+    name: 'bitternvale_unreadable_peer_messages_total',
+    help: 'Messages of other controllers that could not be read and were dropped.',
+    registers: [this.registry],
+  });
   private readonly gauges = new Map<string, Gauge>();
 
   request(route: string, status: number, ms: number): void {
@@ -43,6 +48,12 @@
     this.preempted.inc(total);
   }
 
+  /** Messages of other controllers dropped since the process began. */
+  unreadable(total: number): void {
+    this.unreadableMessages.reset();
+    this.unreadableMessages.inc(total);
+  }
+
   gauge(name: string, help: string, value: number): void {
     let g = this.gauges.get(name);
     if (g === undefined) {
--- /dev/null
+++ b/src/controller/peers/encoding.ts
@@ -0,0 +1,141 @@
+/**
+ * Checks of Avro's binary encoding before it is decoded. avsc makes room for as many items as the bytes
+ * announce, whatever their number, so a few bytes could take all memory of the process.
+ */
+
+type PrimitiveSchema = 'null' | 'double' | 'int' | 'long' | 'string' | 'bytes';
+type ComplexSchema = RecordSchema | ArraySchema | MapSchema | EnumSchema;
+type SingleSchema = PrimitiveSchema | ComplexSchema;
+
+/** The schemas that messages are made of; a list is a union. */
+export type Schema = SingleSchema | SingleSchema[];
+
+/** A sequence of fields. */
+export interface RecordSchema {
+  type: 'record';
+  name: string;
+  fields: { name: string; type: Schema }[];
+}
+
+interface ArraySchema {
+  type: 'array';
+  items: Schema;
+}
+
+interface MapSchema {
+  type: 'map';
+  values: Schema;
+}
+
+interface EnumSchema {
+  type: 'enum';
+  name: string;
+  symbols: string[];
+}
+
+/** Bytes that do not follow their schema. */
+export class EncodingError extends Error {
+  override readonly name = 'EncodingError';
+}
+
+const DOUBLE_BYTES = 8;
+/** Bytes of the longest integer, of 64 bits. */
+const LONGEST_INTEGER = 10;
+
+/** Throws an `EncodingError` unless the bytes are one whole value of the schema. */
+export function checkEncoding(schema: Schema, bytes: Buffer): void {
+  const reader = new Reader(bytes);
+  skip(schema, reader);
+  if (reader.remaining > 0) throw new EncodingError('trailing bytes');
+}
+
+/** Walks over the bytes; never past their end. */
+class Reader {
+  private position = 0;
+
+  constructor(private readonly bytes: Buffer) {}
+
+  get remaining(): number {
+    return this.bytes.length - this.position;
+  }
+
+  /** Passes over bytes without looking at them. */
+  skip(count: number): void {
+    if (count < 0 || count > this.remaining) throw new EncodingError('length out of range');
+    this.position += count;
+  }
+
+  /** A zigzag integer of variable length; only those within the safe integers are exact. */
+  integer(): number {
+    let value = 0;
+    for (let i = 0; i < LONGEST_INTEGER; i++) {
+      const byte = this.bytes[this.position++];
+      if (byte === undefined) throw new EncodingError('truncated');
+      value += (byte & 0x7f) * 2 ** (7 * i);
+      if (byte < 0x80) return value % 2 === 0 ? value / 2 : -(value + 1) / 2;
+    }
+    throw new EncodingError('integer too long');
+  }
+
+  /** The index of one of `count` choices. */
+  choice(count: number): number {
+    const index = this.integer();
+    if (index < 0 || index >= count) throw new EncodingError('unknown type or symbol');
+    return index;
+  }
+}
+
+function skip(schema: Schema, reader: Reader): void {
+  if (Array.isArray(schema)) {
+    const chosen = schema[reader.choice(schema.length)];
+    if (chosen !== undefined) skip(chosen, reader);
+  } else if (typeof schema === 'string') skipPrimitive(schema, reader);
+  else skipComplex(schema, reader);
+}
+
+function skipPrimitive(schema: PrimitiveSchema, reader: Reader): void {
+  switch (schema) {
+    case 'null':
+      return;
+    case 'double':
+      return reader.skip(DOUBLE_BYTES);
+    case 'int':
+    case 'long':
+      reader.integer();
+      return;
+    case 'string':
+    case 'bytes':
+      return reader.skip(reader.integer());
+  }
+}
+
+function skipComplex(schema: ComplexSchema, reader: Reader): void {
+  switch (schema.type) {
+    case 'record':
+      for (const field of schema.fields) skip(field.type, reader);
+      return;
+    case 'enum':
+      reader.choice(schema.symbols.length);
+      return;
+    case 'array':
+      return skipBlocks(reader, () => skip(schema.items, reader));
+    case 'map':
+      return skipBlocks(reader, () => {
+        skip('string', reader);
+        skip(schema.values, reader);
+      });
+  }
+}
+
+/** Items come in blocks, each with its count, up to an empty one. Every item takes a byte or more. */
+function skipBlocks(reader: Reader, skipItem: () => void): void {
+  for (;;) {
+    const announced = reader.integer();
+    if (announced === 0) return;
+    // A negative count is followed by the block's size in bytes.
+    if (announced < 0) reader.integer();
+    const count = Math.abs(announced);
+    if (count > reader.remaining) throw new EncodingError('more items than bytes');
+    for (let i = 0; i < count; i++) skipItem();
+  }
+}
--- /dev/null
+++ b/src/controller/peers/forwarding.ts
@@ -0,0 +1,46 @@
+/** Requests of users that a peer answers in this controller's place. */
+import type { Core } from '../core/core.js';
+import type { ForwardedReply, ForwardedRequest } from './message.js';
+
+/** From how many the first id of a forwarded request is drawn. */
+const FIRST_IDS = 2 ** 48;
+
+/** Takes the peer's answer; null: none came in time. */
+export type ReplyHandler = (reply: ForwardedReply | null) => void;
+
+/** The requests that were passed on and wait for their answer. */
+export class RequestForwarder {
+  private readonly waiting = new Map<number, ReplyHandler>();
+  private lastId: number;
+
+  constructor(
+    private readonly core: Core,
+    private readonly send: (host: string, request: ForwardedRequest) => void,
+  ) {
+    // The process before on this host has counted too, and answers to it may still be on their way.
+    this.lastId = Math.floor(core.env.random() * FIRST_IDS);
+  }
+
+  /** Has the peer `host` answer a request. */
+  forward(
+    host: string,
+    request: Omit<ForwardedRequest, 'id'>,
+    timeoutMs: number,
+    done: ReplyHandler,
+  ): void {
+    const id = ++this.lastId;
+    const timer = this.core.after(timeoutMs, 'forward-timeout', () => settle(null));
+    const settle: ReplyHandler = (reply) => {
+      if (!this.waiting.delete(id)) return;
+      timer.cancel();
+      done(reply);
+    };
+    this.waiting.set(id, settle);
+    this.send(host, { ...request, id });
+  }
+
+  /** An answer has arrived, perhaps to a request that nobody waits for any more. */
+  answered(reply: ForwardedReply): void {
+    this.waiting.get(reply.id)?.(reply);
+  }
+}
--- /dev/null
+++ b/src/controller/peers/framing.ts
@@ -0,0 +1,43 @@
+/** Frames on a connection between controllers: four bytes of length, then one message. */
+
+/** Bytes of the longest message. */
+export const MAX_FRAME = 256 * 1024;
+/** Bytes of a frame's length. */
+const LENGTH_BYTES = 4;
+
+/** A frame announces more bytes than any message may have. */
+export class FrameTooLargeError extends Error {
+  override readonly name = 'FrameTooLargeError';
+
+  constructor(size: number) {
+    super(`frame of ${size} bytes`);
+  }
+}
+
+/** The frame of one message. */
+export function frame(bytes: Buffer): Buffer {
+  const out = Buffer.allocUnsafe(bytes.length + LENGTH_BYTES);
+  out.writeUInt32BE(bytes.length, 0);
+  bytes.copy(out, LENGTH_BYTES);
+  return out;
+}
+
+/** Puts the messages of one connection together again. */
+export class Unframer {
+  private data: Buffer = Buffer.alloc(0);
+
+  /** Takes what has arrived and returns the messages that are whole. Throws when a frame is longer than any message may be. */
+  push(bytes: Buffer): Buffer[] {
+    this.data = this.data.length === 0 ? bytes : Buffer.concat([this.data, bytes]);
+    const frames: Buffer[] = [];
+    while (this.data.length >= LENGTH_BYTES) {
+      const size = this.data.readUInt32BE(0);
+      if (size > MAX_FRAME) throw new FrameTooLargeError(size);
+      const end = LENGTH_BYTES + size;
+      if (this.data.length < end) break;
+      frames.push(this.data.subarray(LENGTH_BYTES, end));
+      this.data = this.data.subarray(end);
+    }
+    return frames;
+  }
+}
--- a/src/controller/peers/peers.test.ts
+++ b/src/controller/peers/peers.test.ts
@@ -4,7 +4,10 @@
 import { Core } from '../core/core.js';
 import type { Env, Logger } from '../core/env.js';
 import { uniform } from '../core/random.js';
-import { decodePeer, encodePeer, frame, Peers, Unframer, type PeerMessage } from './peers.js';
+import { EncodingError } from './encoding.js';
+import { frame, FrameTooLargeError, Unframer } from './framing.js';
+import { decodePeer, EMPTY_MESSAGE, encodePeer, type PeerMessage } from './message.js';
+import { Peers } from './peers.js';
 
 const message: PeerMessage = {
   status: {
@@ -82,6 +85,85 @@
       }),
       { seed: 5, numRuns: 500 },
     );
-    assert.throws(() => new Unframer().push(Buffer.from([255, 255, 255, 255])));
+    assert.throws(() => new Unframer().push(Buffer.from([255, 255, 255, 255])), FrameTooLargeError);
+  });
+
+  // Older versions read these bytes, and their messages bear no version.
+  it('writes the bytes that the version 6cbc17f wrote', () => {
+    const reply = { id: 3, status: 200, body: Buffer.from('y') };
+    const written = [
+      '020c6b696c6e2d3102780000000000002940000e000000000000f83f000000000000e03f',
+      '020a7265712d310000020a7265712d3300',
+      '020a7265712d32020204020a6572726f7202000000',
+      '020c6b696c6e2d3106',
+      '06474554242f7375626d697373696f6e732f7265712d310278',
+      '020690030279',
+    ];
+    const bytes = encodePeer({ ...message, reply });
+    assert.equal(bytes.toString('hex'), written.join(''));
+    assert.equal(
+      JSON.stringify(decodePeer(Buffer.from(written.join(''), 'hex'))),
+      JSON.stringify({ ...message, reply }),
+    );
+  });
+
+  it('refuses every part of a message, and bytes after its end', () => {
+    const bytes = encodePeer(message);
+    for (let end = 0; end < bytes.length; end++)
+      assert.throws(() => decodePeer(bytes.subarray(0, end)), EncodingError, `${end} bytes`);
+    assert.throws(() => decodePeer(Buffer.concat([bytes, Buffer.from([0])])), EncodingError);
+  });
+
+  it('refuses unknown types and symbols', () => {
+    const empty = encodePeer(EMPTY_MESSAGE);
+    // The first byte chooses among the types of the status.
+    assert.throws(
+      () => decodePeer(Buffer.concat([Buffer.from([4]), empty.subarray(1)])),
+      /unknown/,
+    );
+    const end = encodePeer({ ...EMPTY_MESSAGE, finals: [{ id: 'req-1', state: 'done' }] });
+    const symbol = end.indexOf('req-1') + 'req-1'.length;
+    end[symbol] = 4;
+    assert.throws(() => decodePeer(end), /unknown/);
+  });
+
+  // avsc alone takes memory for all of them first: a few bytes ended the process.
+  it('refuses more items than there are bytes, at once', () => {
+    for (const lists of [[0], [0, 0]])
+      for (const count of [
+        [0xfe, 0xff, 0xff, 0xff, 0x0f],
+        [0xff, 0xff, 0xff, 0xff, 0x0f, 2],
+        [0xfe, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f],
+      ])
+        assert.throws(() => decodePeer(Buffer.from([...lists, ...count])), /more items/);
+    const longText = Buffer.from([2, 0xfe, 0xff, 0xff, 0xff, 0x0f]);
+    assert.throws(() => decodePeer(longText), /length/);
+  });
+
+  it('reads whatever it writes', () => {
+    const text = fc.string({ unit: 'binary', maxLength: 20 });
+    const int = fc.integer({ min: -(2 ** 31), max: 2 ** 31 - 1 });
+    const long = fc.maxSafeInteger();
+    const body = fc.uint8Array({ maxLength: 20 }).map((bytes) => Buffer.from(bytes));
+    const progress = fc.record({
+      ...{ id: text, state: fc.constantFrom('queued', 'running', 'done', 'cancelled') },
+      ...{ done: int, running: int, blocked: text },
+      exits: fc.dictionary(fc.string({ minLength: 1 }), int, { noNullPrototype: true }),
+    });
+    const messages = fc.record({
+      status: fc.constantFrom(null, message.status),
+      finals: fc.array(fc.record({ id: text, state: fc.constantFrom('done', 'cancelled') })),
+      accepted: fc.array(text, { maxLength: 200 }),
+      progress: fc.array(progress),
+      request: fc.option(fc.record({ from: text, id: long, method: text, path: text, body })),
+      reply: fc.option(fc.record({ id: long, status: int, body })),
+    });
+    fc.assert(
+      fc.property(messages, (written) => {
+        const bytes = encodePeer(written);
+        assert.deepEqual(encodePeer(decodePeer(bytes)), bytes);
+      }),
+      { seed: 6, numRuns: 200 },
+    );
   });
 });
--- a/src/controller/routes.ts
+++ b/src/controller/routes.ts
@@ -1,7 +1,8 @@
 import type { Core } from './core/core.js';
 import type { Answer, Frontend } from './jobs/frontend.js';
 import type { Leadership } from './leadership/leadership.js';
-import type { ForwardedReply, Peers } from './peers/peers.js';
+import type { ForwardedReply } from './peers/message.js';
+import type { Peers } from './peers/peers.js';
 import type { Settings } from './settings/settings.js';
 import type { StateClient } from './store/client.js';
 import { decodeBody, WireError } from './wire/cbor.js';
--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -6,7 +6,7 @@
 import { uniform } from './core/random.js';
 import { HttpServer } from './http/server.js';
 import { Sockets } from './http/sockets.js';
-import { Unframer } from './peers/peers.js';
+import { Unframer } from './peers/framing.js';
 import { REPORT_PATH } from './routes.js';
 import type { Settings } from './settings/settings.js';
 import { encodeBody } from './wire/cbor.js';
@@ -74,7 +74,8 @@
     socket.on('data', (bytes) => {
       try {
         for (const f of unframer.push(bytes)) controller.peerFrame(f);
-      } catch {
+      } catch (err) {
+        controller.peerBroken(err);
         socket.destroy();
       }
     });
