--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -542,7 +542,7 @@
   }
 
   /** A connection from another controller was dropped for what came on it. */
-  peerBroken(err: unknown): void {
+  peerBroken(err: Error): void {
     this.core.post('peer', () => this.peers.dropped(err));
   }
 
--- a/src/controller/peers/framing.ts
+++ b/src/controller/peers/framing.ts
@@ -14,6 +14,15 @@
   }
 }
 
+/** A connection has ended within a frame. */
+export class TruncatedFrameError extends Error {
+  override readonly name = 'TruncatedFrameError';
+
+  constructor() {
+    super('connection ended within a frame');
+  }
+}
+
 /** The frame of one message. */
 export function frame(bytes: Buffer): Buffer {
   const out = Buffer.allocUnsafe(bytes.length + LENGTH_BYTES);
@@ -26,7 +35,15 @@
 export class Unframer {
   private data: Buffer = Buffer.alloc(0);
 
-  /** Takes what has arrived and returns the messages that are whole. Throws when a frame is longer than any message may be. */
+  /** Whether a part of a frame has arrived, and its rest has not. */
+  get partial(): boolean {
+    return this.data.length > 0;
+  }
+
+  /**
+   * Takes what has arrived and returns the messages that are whole. Throws when a frame is longer than
+   * any message may be.
+   */
   push(bytes: Buffer): Buffer[] {
     this.data = this.data.length === 0 ? bytes : Buffer.concat([this.data, bytes]);
     const frames: Buffer[] = [];
--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -6,7 +6,7 @@
 import { uniform } from './core/random.js';
 import { HttpServer } from './http/server.js';
 import { Sockets } from './http/sockets.js';
-import { Unframer } from './peers/framing.js';
+import { readPeer } from './peers/listener.js';
 import { REPORT_PATH } from './routes.js';
 import type { Settings } from './settings/settings.js';
 import { encodeBody } from './wire/cbor.js';
@@ -69,18 +69,7 @@
   );
   api.listen(() => log.info({ addr: platform.api, identity }, 'listening'), fail);
 
-  const internal = net.createServer((socket) => {
-    const unframer = new Unframer();
-    socket.on('data', (bytes) => {
-      try {
-        for (const f of unframer.push(bytes)) controller.peerFrame(f);
-      } catch (err) {
-        controller.peerBroken(err);
-        socket.destroy();
-      }
-    });
-    socket.on('error', () => socket.destroy());
-  });
+  const internal = net.createServer((socket) => readPeer(socket, controller));
   internal.maxConnections = Math.max(8, Math.floor(platform.quota.sockets * 0.02));
   internal.on('error', fail);
   const at = split(platform.internal);
--- a/test/world/production.ts
+++ b/test/world/production.ts
@@ -1,3 +1,4 @@
+/** Versions of the project's history, loaded beside the present sources. */
 import { execFileSync } from 'node:child_process';
 import { existsSync, mkdirSync, mkdtempSync, readFileSync, renameSync, rmSync } from 'node:fs';
 import { join } from 'node:path';
--- a/test/world/rules.ts
+++ b/test/world/rules.ts
@@ -1,6 +1,7 @@
 import type { JobSpec } from '../../src/controller/wire/jobs.js';
 import type { Team } from '../../src/controller/settings/platform.js';
 
+/** Where a task is. */
 export interface Place {
   machine: string;
   type: string;
