--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -10,7 +10,8 @@
 import { setLeaderGauges, setNodeGauges, type MetricsSink } from './operators/gauges.js';
 import { Readiness } from './operators/readiness.js';
 import { clusterView } from './operators/view.js';
-import { Peers, type PeerEvents, type PeerStatus } from './peers/peers.js';
+import type { PeerStatus } from './peers/message.js';
+import { Peers, type PeerEvents } from './peers/peers.js';
 import { Routes } from './routes.js';
 import type { Settings } from './settings/settings.js';
 import { StateClient } from './store/client.js';
@@ -220,6 +221,11 @@
     this.core.post('peer', () => this.peers.receive(bytes));
   }
 
+  /** A connection from another controller was dropped for what came on it. */
+  peerBroken(err: Error): void {
+    this.core.post('peer', () => this.peers.dropped(err));
+  }
+
   /** A request to the API. */
   request(method: string, path: string, body: Buffer, respond: Respond): void {
     this.routes.request(method, path, body, respond);
@@ -246,6 +252,7 @@
       const body = { error: 'starting' };
       return respond({ status: 503, body, retryAfterS: RETRY_METRICS_S });
     }
+    metrics.unreadable(this.peers.unreadable);
     setNodeGauges(metrics, this.entitled, this.leadership.leader?.term ?? 0);
     if (leaderTerm !== null) setLeaderGauges(metrics, leaderTerm);
     void metrics
--- a/src/controller/jobs/progress.test.ts
+++ b/src/controller/jobs/progress.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import type { JobProgress } from '../peers/peers.js';
+import type { JobProgress } from '../peers/message.js';
 import { ProgressCache } from './progress.js';
 
 const progress = (id: string, blocked = ''): JobProgress => ({
--- a/src/controller/jobs/progress.ts
+++ b/src/controller/jobs/progress.ts
@@ -1,5 +1,5 @@
 /** Counts of jobs for display, which the leader tells the other controllers. */
-import type { JobProgress } from '../peers/peers.js';
+import type { JobProgress } from '../peers/message.js';
 import type { JobAnswer } from '../wire/jobs.js';
 import type { Job } from './table.js';
 
--- a/src/controller/leader/isolation.ts
+++ b/src/controller/leader/isolation.ts
@@ -1,5 +1,5 @@
 /** Tells whether the workers reach the other controllers and not the leader. */
-import type { PeerStatus } from '../peers/peers.js';
+import type { PeerStatus } from '../peers/message.js';
 
 /** Reports at other nodes that show that workers are there, as a share of all that are usual. */
 const FORWARDED_REPORTS_SHARE = 0.1;
--- a/src/controller/operators/gauges.ts
+++ b/src/controller/operators/gauges.ts
@@ -6,7 +6,10 @@
 import type { Metrics } from './metrics.js';
 
 /** Where figures go; `Metrics` is loaded a little after the start. */
-export type MetricsSink = Pick<Metrics, 'request' | 'pass' | 'preemptions' | 'gauge' | 'text'>;
+export type MetricsSink = Pick<
+  Metrics,
+  'request' | 'pass' | 'preemptions' | 'unreadable' | 'gauge' | 'text'
+>;
 
 /** What a leader has to be measured. */
 export interface LeaderFigures {
