Replicas of a service are spread over zones too, at most half on one machine

Equal places were taken without regard to zones, and all replicas went to the one machine that had the image. Now places differ by machine, then by zone, and no machine gets more than half of a service while another has room.

--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -11,6 +11,7 @@
 import { compareTurn, turnOf, type RankSettings, type Turn } from './rank.js';
 import type { Reserve } from './reserve.js';
 import { needOf, Rooms, type Room } from './room.js';
+import { spreadReplicas } from './spreading.js';
 import { Targets, type Target } from './targets.js';
 import { Guarantees } from './teams.js';
 
@@ -332,7 +333,7 @@
     const limited = job.spec.oneZone || job.spec.spread;
     const zones = limited ? this.zones(job) : new Map<string, number>();
     const found = this.candidates(pass, job, warmOnly);
-    for (const { room, count } of job.standing ? this.apart(job, found) : found) {
+    for (const { room, count } of job.standing ? spreadReplicas(job, found) : found) {
       const { zone } = room.machine;
       const n = Math.min(left, count, limited ? this.zoneRoom(job, zone, zones) : Infinity);
       if (n <= 0) continue;
@@ -353,27 +354,6 @@
     }
   }
 
-  /**
-   * A service's places, one replica at a time, on as many machines as costs no fetch: so that the loss
-   * of one takes few.
-   */
-  private apart(job: Job, found: Candidate[]): Candidate[] {
-    const replicas = new Map<string, number>();
-    for (const a of job.all)
-      if (a.phase !== 'ended') replicas.set(a.machine.id, (replicas.get(a.machine.id) ?? 0) + 1);
-    const places: (Candidate & { cold: boolean; there: number })[] = [];
-    for (const c of found) {
-      const { machine } = c.room;
-      const cold = !machine.images.has(job.spec.image);
-      const there = replicas.get(machine.id) ?? 0;
-      for (let i = 0; i < Math.min(c.count, job.spec.tasks); i++)
-        places.push({ ...c, count: 1, cold, there: there + i });
-    }
-    return places.sort(
-      (a, b) => Number(a.cold) - Number(b.cold) || a.there - b.there || a.score - b.score,
-    );
-  }
-
   /**
    * Room for an array's tasks one by one, where work may be stopped for them: so that work inside a
    * guarantee need not wait for what others run on borrowed room.
--- /dev/null
+++ b/src/controller/placement/spreading.ts
@@ -0,0 +1,63 @@
+import type { Job } from '../jobs/table.js';
+import type { Room } from './room.js';
+
+/** Room where replicas of a service can start now. */
+interface Place {
+  room: Room;
+  /** How many of them. */
+  count: number;
+  score: number;
+}
+
+/** A place with what decides between it and others. */
+interface Choice extends Place {
+  /** Whether the image has to be fetched there. */
+  cold: boolean;
+  /** Replicas of the service that are on the machine already. */
+  there: number;
+}
+
+/**
+ * A service's places one replica at a time, the best first, so that the loss of a machine or of a zone
+ * takes few replicas. Spreading costs no fetch, except that no machine gets more than half of the
+ * replicas while another has room. A place that is not used when it is offered is not offered again.
+ */
+export function* spreadReplicas(job: Job, places: readonly Place[]): Generator<Place> {
+  const { machines, zones } = countReplicas(job);
+  let choices: Choice[] = places.map((place) => ({
+    ...place,
+    cold: !place.room.machine.images.has(job.spec.image),
+    there: machines.get(place.room.machine.id) ?? 0,
+  }));
+  const half = Math.ceil(job.spec.tasks / 2);
+  const before = (a: Choice, b: Choice): number =>
+    Number(a.there >= half) - Number(b.there >= half) ||
+    Number(a.cold) - Number(b.cold) ||
+    a.there - b.there ||
+    (zones.get(a.room.machine.zone) ?? 0) - (zones.get(b.room.machine.zone) ?? 0) ||
+    a.score - b.score;
+  while (choices.length > 0) {
+    const best = choices.reduce((a, b) => (before(b, a) < 0 ? b : a));
+    const pending = job.pending.length;
+    yield { room: best.room, count: 1, score: best.score };
+    if (job.pending.length < pending) {
+      const { zone } = best.room.machine;
+      zones.set(zone, (zones.get(zone) ?? 0) + 1);
+      best.there++;
+      best.count--;
+    } else best.count = 0;
+    if (best.count <= 0) choices = choices.filter((choice) => choice !== best);
+  }
+}
+
+/** Replicas of the service by machine and by zone, wherever any may still be. */
+function countReplicas(job: Job): { machines: Map<string, number>; zones: Map<string, number> } {
+  const machines = new Map<string, number>();
+  const zones = new Map<string, number>();
+  for (const { phase, machine } of job.all) {
+    if (phase === 'ended') continue;
+    machines.set(machine.id, (machines.get(machine.id) ?? 0) + 1);
+    zones.set(machine.zone, (zones.get(machine.zone) ?? 0) + 1);
+  }
+  return { machines, zones };
+}
