--- a/src/controller/jobs/table.ts
+++ b/src/controller/jobs/table.ts
@@ -141,6 +141,11 @@
     return this.standing ? this.spec.tasks - this.running : 0;
   }
 
+  /** Whether replicas of it are not to start on the machine for now. */
+  avoids(machine: string, now: number): boolean {
+    return (this.avoided.get(machine)?.until ?? 0) > now;
+  }
+
   get level(): number {
     return levels[this.spec.priority];
   }
--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -270,7 +270,7 @@
       for (const room of rooms) {
         if (!room.admits(need)) continue;
         any = true;
-        if ((job.avoided.get(room.machine.id)?.until ?? 0) > pass.now) continue;
+        if (job.avoids(room.machine.id, pass.now)) continue;
         if (warmOnly && this.estimates.cold(spec, room.machine)) continue;
         const fetch = this.estimates.fetchMs(spec, room.machine, pass.now);
         const count = room.fits(spec, job.level, soonest + fetch, backfill, pass.now, record);
@@ -373,12 +373,14 @@
         atLeast(need, f),
     );
     if (fruitless) return;
+    const usable = rooms.flat().filter((r) => !job.avoids(r.machine.id, pass.now));
     const found = this.targets.find({
-      ...{ now: pass.now, job, rooms: rooms.flat() },
+      ...{ now: pass.now, job, rooms: usable },
       ...{ count: Math.min(tasks, ROOM_A_PASS), made: true },
       prefer: (room) => this.penalty(job, room),
     });
-    if (found.length === 0) pass.fruitless.push({ ...need, kinds, team, guaranteed, level });
+    if (found.length === 0 && job.avoided.size === 0)
+      pass.fruitless.push({ ...need, kinds, team, guaranteed, level });
     for (const t of found) {
       if (!this.stopAll(t.victims, job)) return;
       t.room.claim(needOf(job.spec), t.fillAt);
