A place that is ready lets one replica move, not all of a machine that goes

Each replica on a machine with a notice saw the same free place and was stopped for it; all but one then waited for room or an image.

--- /dev/null
+++ b/src/controller/placement/moves.ts
@@ -0,0 +1,39 @@
+import type { Job } from '../jobs/table.js';
+import type { Assignment, Need } from '../workers/assignment.js';
+import type { Machine } from '../workers/machine.js';
+
+/** A replica that was stopped because another machine has a place ready for it. */
+interface Move {
+  from: Assignment;
+  job: Job;
+  to: Machine;
+}
+
+/** Replicas on the move: none of their places is ready for a second one. */
+export class Moves {
+  private moves: Move[] = [];
+
+  begin(from: Assignment, job: Job, to: Machine): void {
+    this.moves.push({ from, job, to });
+  }
+
+  /** Forgets the moves that are over: the replica has a place again, or none is wanted any more. */
+  settle(): void {
+    this.moves = this.moves.filter(({ from, job }) => {
+      const current = job.assigned.get(from.task);
+      return job.closed === null && (current === undefined || current === from);
+    });
+  }
+
+  /** What the replicas that move to the machine will take there. */
+  takenOn(machine: Machine): Need {
+    const taken = { cpus: 0, gpus: 0, memoryGb: 0 };
+    for (const { from, to } of this.moves) {
+      if (to !== machine) continue;
+      taken.cpus += from.need.cpus;
+      taken.gpus += from.need.gpus;
+      taken.memoryGb += from.need.memoryGb;
+    }
+    return taken;
+  }
+}
