Silent machines with replicas of services are asked, and released if they don't answer

Their replicas waited for the worker's lease to run out. The cloud's confirmation of the release proves sooner that nothing runs there. Only while nearly all machines are heard, for a small share of them within a lease, and not while a gang with a part there goes on: then the machine may be cut off.

--- a/src/controller/fleet/fleet.ts
+++ b/src/controller/fleet/fleet.ts
@@ -16,6 +16,7 @@
 import type { Need } from '../workers/assignment.js';
 import type { Machine } from '../workers/machine.js';
 import type { Workers } from '../workers/workers.js';
+import { SilentReplicas } from './silent-replicas.js';
 
 const CALL_MS = 5000;
 const MAX_RENT = 50;
@@ -72,6 +73,7 @@
 /** Which machines there are: rents what waiting work lacks, returns what is of no use. */
 export class Fleet {
   private readonly tokens: Tokens;
+  private readonly silentReplicas: SilentReplicas;
   /** Rented and not up yet. */
   private readonly coming = new Map<string, Coming>();
   private readonly backoff = new Map<string, Backoff>();
@@ -99,6 +101,9 @@
     // The other controllers need a call now and then for the catalogue.
     this.workAt = core.now();
     this.tokens = new Tokens(() => core.now(), rps * 0.8, Math.max(1, rps));
+    this.silentReplicas = new SilentReplicas(core, settings, workers, (machines) =>
+      this.releaseSilent(machines),
+    );
   }
 
   /** Called about once a second. */
@@ -115,6 +120,7 @@
       this.classes.set(job.spec.class, { spec: job.spec, at: now });
     const types = this.types();
     if (types === null) return;
+    this.silentReplicas.step(now);
     this.discard(now);
     if (this.listedOnce && this.renting === 0) this.rentWhatLacks(now, types);
   }
@@ -238,6 +244,14 @@
     if (names.length > 0) this.release(names, 'no use');
   }
 
+  /** Releases machines that fell silent with replicas of services. */
+  private releaseSilent(machines: Machine[]): void {
+    const ids = machines.map((m) => m.id).filter((id) => !this.releasing.has(id));
+    if (ids.length === 0 || !this.acting()) return;
+    this.core.log.info({ machines: ids }, 'silent machines with replicas are returned');
+    this.release(ids, 'silent with replicas');
+  }
+
   /** Nothing at all to do for long: nobody should pay for readiness. */
   private empty(now: number): boolean {
     return now - this.workAt > this.settings.workerLeaseMs * this.settings.get('fleet.empty.ratio');
--- a/src/controller/settings/properties.ts
+++ b/src/controller/settings/properties.ts
@@ -181,6 +181,18 @@
     max: 10000,
     text: "A machine silent for this ratio of the workers' lease is returned; the cloud tells of those that failed.",
   },
+  'fleet.replicas.silent.ratio': {
+    value: 1.4,
+    min: 1.35,
+    max: 10000,
+    text: 'A machine with replicas of services that is silent for this ratio of the report interval, and does not answer when asked, is returned.',
+  },
+  'fleet.replicas.silent.share': {
+    value: 0.1,
+    min: 0,
+    max: 1,
+    text: 'Not more than this share of all machines is returned so within a lease, and none while more are silent.',
+  },
   'fleet.backoff.s': {
     value: 8,
     min: 0.5,
