--- /dev/null
+++ b/src/controller/fleet/silent-replicas.test.ts
@@ -0,0 +1,264 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { alone } from '../../../test/platform.js';
+import { storedAtOnce } from '../../../test/stored.js';
+import { Core } from '../core/core.js';
+import type { Call, Env, Logger, Reply } from '../core/env.js';
+import { JobTable, type Job } from '../jobs/table.js';
+import { defaultProperties } from '../settings/properties.js';
+import { Settings } from '../settings/settings.js';
+import type { StateClient } from '../store/client.js';
+import { writeJob, type JobSpec } from '../wire/jobs.js';
+import type { TaskReport } from '../wire/workers.js';
+import { makeToken } from '../workers/token.js';
+import { Workers } from '../workers/workers.js';
+import { SilentReplicas } from './silent-replicas.js';
+
+const TERM = 3;
+const MACHINES = 20;
+const STEP_MS = 1000;
+const settings = new Settings(alone(), defaultProperties());
+const share = settings.get('fleet.replicas.silent.share');
+const nothing = (): void => undefined;
+const quiet: Logger = { info: nothing, debug: nothing, warn: nothing, error: nothing };
+
+/** Machines whose workers report in time unless they are silent, and what was asked and released. */
+class Fleet {
+  now = 0;
+  private seq = 0;
+  readonly silent = new Set<string>();
+  /** Silent machines that answer when asked. */
+  readonly answering = new Set<string>();
+  readonly asked: string[] = [];
+  readonly released: string[] = [];
+  private readonly there = new Map<string, TaskReport[]>();
+  private readonly replies: { at: number; done: (reply: Reply) => void; reply: Reply }[] = [];
+  private readonly soon: (() => void)[] = [];
+  private readonly timers: { at: number; run: () => void }[] = [];
+  private readonly core: Core;
+  readonly table: JobTable;
+  readonly workers: Workers;
+  private readonly watch: SilentReplicas;
+
+  constructor() {
+    const env: Env = {
+      now: () => this.now,
+      wall: () => this.now,
+      random: () => 0.5,
+      soon: (run) => this.soon.push(run),
+      timer: (ms, run) => {
+        this.timers.push({ at: this.now + ms, run });
+        return { cancel: nothing };
+      },
+      call: (call, done) => this.call(call, done),
+      mayCall: () => true,
+      sendPeer: nothing,
+    };
+    this.core = new Core(env, quiet);
+    const records = storedAtOnce();
+    this.table = new JobTable(this.core, settings, {} as unknown as StateClient, records, {
+      ...{ torn: nothing, added: nothing, changed: nothing, recorded: nothing, ended: nothing },
+      vanished: nothing,
+      closed: (job) => this.workers.jobClosed(job),
+    });
+    this.workers = new Workers(this.core, settings, TERM, records, this.table, {
+      type: () => undefined,
+      ...{ higherTerm: nothing, changed: nothing, ran: nothing },
+    });
+    this.watch = new SilentReplicas(this.core, settings, this.workers, (machines) => {
+      for (const m of machines) {
+        m.leaving = true;
+        this.released.push(m.id);
+      }
+    });
+    this.run(2);
+  }
+
+  get ids(): string[] {
+    return Array.from({ length: MACHINES }, (_, i) => `n-${i}`);
+  }
+
+  private call(call: Call, done: (reply: Reply) => void): void {
+    if (call.path !== '/inspect') return;
+    this.asked.push(call.to);
+    const answers = this.answering.has(call.to) || !this.silent.has(call.to);
+    const reply: Reply = { status: answers ? 200 : 0, body: null };
+    this.replies.push({ at: this.now + (answers ? 0 : call.timeoutMs), done, reply });
+  }
+
+  /** A job whose tasks run on the machines named, one on each. */
+  place(part: Partial<JobSpec>, machines: string[]): Job {
+    const spec: JobSpec = {
+      ...{ id: `req-${this.table.jobs.size}`, class: 'c', team: 't', kind: 'service' },
+      ...{ priority: 'production', tasks: machines.length, cpus: 1, gpus: 0, memoryGb: 1 },
+      ...{ image: 'i', imageGb: 1, types: null, zone: null, oneZone: false, spread: false },
+      ...{ spot: true, estimateS: 0, checkpointS: 0, saveS: 0, deadlineS: null },
+      ...part,
+    };
+    this.table.add(spec.id, { job: writeJob(spec), at: this.now }, 1);
+    const job = this.table.jobs.get(spec.id) ?? assert.fail();
+    for (const [task, id] of machines.entries()) {
+      job.pending.drop(task);
+      this.workers.assign(job, task, 1, this.workers.machine(id));
+    }
+    this.workers.flush();
+    for (const [task, id] of machines.entries()) {
+      const name = `${spec.id}/${task}`;
+      const report: TaskReport = { name, attempt: 1, state: 'running', cause: null, saved: false };
+      this.there.set(id, [...(this.there.get(id) ?? []), report]);
+    }
+    this.run(3);
+    assert.equal(job.running, machines.length);
+    return job;
+  }
+
+  /** The task of the job on the machine ends by itself. */
+  exit(job: Job, machine: string): void {
+    for (const t of this.there.get(machine) ?? [])
+      if (t.name.startsWith(`${job.spec.id}/`))
+        Object.assign(t, { state: 'exited', cause: 'peers' });
+  }
+
+  run(seconds: number, answers = true): void {
+    for (let i = 0; i < seconds; i++) {
+      this.now += STEP_MS;
+      for (const id of this.ids) if (!this.silent.has(id) && answers) this.report(id);
+      this.workers.answering(answers, STEP_MS);
+      this.workers.sweep();
+      this.watch.step(this.now);
+      this.settle();
+    }
+  }
+
+  private report(machine: string): void {
+    this.workers.report({
+      ...{ machine, addr: machine, type: 'g', zone: 'a', spot: false, session: 1 },
+      ...{ seq: ++this.seq, token: makeToken(TERM, 0), noticeS: null },
+      tasks: this.there.get(machine) ?? [],
+    });
+  }
+
+  /** Lets what is due by now happen. */
+  private settle(): void {
+    for (const r of this.replies.splice(0))
+      if (r.at <= this.now) r.done(r.reply);
+      else this.replies.push(r);
+    for (let run = this.soon.shift(); run !== undefined; run = this.soon.shift()) run();
+    for (const t of this.timers.splice(0))
+      if (t.at <= this.now) t.run();
+      else this.timers.push(t);
+    for (let run = this.soon.shift(); run !== undefined; run = this.soon.shift()) run();
+  }
+}
+
+/** Longer than a silent machine with replicas is kept, and well within the worker's lease. */
+const SOON_S = Math.ceil(
+  settings.platform.workers.reportS * (settings.get('fleet.replicas.silent.ratio') + 1),
+);
+
+describe('a silent machine with replicas of services', () => {
+  it('is released well before its lease has run out', () => {
+    const f = new Fleet();
+    const job = f.place({}, ['n-0', 'n-1']);
+    f.silent.add('n-0');
+    f.run(settings.platform.workers.reportS);
+    assert.deepEqual(f.released, [], 'not for one late report');
+    f.run(SOON_S);
+    assert.deepEqual(f.released, ['n-0']);
+    assert.equal(job.running, 2, 'its replica counts until the cloud has confirmed');
+    f.workers.gone(f.workers.machine('n-0'));
+    assert.ok(job.pending.has(0));
+  });
+
+  it('is kept while it answers when asked', () => {
+    const f = new Fleet();
+    f.place({}, ['n-0']);
+    f.silent.add('n-0');
+    f.answering.add('n-0');
+    f.run(SOON_S);
+    assert.ok(f.asked.includes('n-0'));
+    assert.deepEqual(f.released, []);
+  });
+
+  it('is kept if its report comes while it is asked', () => {
+    const f = new Fleet();
+    f.place({}, ['n-0']);
+    f.silent.add('n-0');
+    while (f.asked.length === 0) f.run(1);
+    f.silent.delete('n-0');
+    f.run(3);
+    assert.deepEqual(f.released, []);
+  });
+
+  it('is kept while a gang of which it has a part goes on, for it may merely be cut off', () => {
+    const f = new Fleet();
+    f.place({}, ['n-0']);
+    const gang = f.place({ kind: 'gang', estimateS: 900 }, ['n-0', 'n-1']);
+    f.silent.add('n-0');
+    f.run(SOON_S);
+    assert.deepEqual(f.asked, []);
+    f.exit(gang, 'n-1');
+    f.run(3);
+    assert.deepEqual(f.released, ['n-0']);
+  });
+
+  it('is kept when its lease has nearly run out anyway', () => {
+    const f = new Fleet();
+    f.place({}, ['n-0']);
+    const gang = f.place({ kind: 'gang', estimateS: 900 }, ['n-0', 'n-1']);
+    f.silent.add('n-0');
+    f.run(settings.platform.workers.leaseS - 1);
+    f.exit(gang, 'n-1');
+    f.run(1);
+    assert.deepEqual(f.released, []);
+  });
+
+  it('is kept when its services have been called off', () => {
+    const f = new Fleet();
+    const job = f.place({}, ['n-0']);
+    f.silent.add('n-0');
+    f.table.cancelled(job.spec.id);
+    f.run(SOON_S);
+    assert.deepEqual(f.released, []);
+  });
+
+  it('is kept when more machines are silent: the network may be at fault, or the leader', () => {
+    const f = new Fleet();
+    f.place({}, ['n-0']);
+    for (const id of f.ids.slice(0, MACHINES * share + 1)) f.silent.add(id);
+    f.run(SOON_S);
+    assert.deepEqual(f.released, []);
+  });
+
+  it('is kept when the leader itself has not answered reports', () => {
+    const f = new Fleet();
+    f.place({}, ['n-0']);
+    f.silent.add('n-0');
+    f.run(SOON_S, false);
+    f.run(settings.platform.workers.reportS);
+    assert.deepEqual(f.released, []);
+  });
+});
+
+describe('silent machines', () => {
+  it('without replicas are left alone', () => {
+    const f = new Fleet();
+    f.place({ kind: 'array', estimateS: 900 }, ['n-0']);
+    f.silent.add('n-0').add('n-1');
+    f.run(SOON_S);
+    assert.deepEqual([f.asked, f.released], [[], []]);
+  });
+
+  it('are released only up to a share of all within a lease', () => {
+    const f = new Fleet();
+    f.place({}, f.ids);
+    for (let i = 0; i < MACHINES; i++) {
+      // One after the other, so that never many are silent at a time.
+      f.silent.add(`n-${i}`);
+      f.run(2);
+      for (const id of f.released) f.workers.gone(f.workers.machine(id));
+      if (f.now > settings.workerLeaseMs) break;
+    }
+    assert.equal(f.released.length, Math.ceil(MACHINES * share));
+  });
+});
