--- a/src/controller/fleet/fleet.ts
+++ b/src/controller/fleet/fleet.ts
@@ -4,12 +4,14 @@
 import type { Placement } from '../placement/placement.js';
 import type { Settings } from '../settings/settings.js';
 import type { MachineType } from '../wire/cloud.js';
+import type { Machine } from '../workers/machine.js';
 import type { Workers } from '../workers/workers.js';
 import type { BootingMachines } from './booting-machines.js';
 import { CloudClient } from './cloud-client.js';
 import { MachineList } from './machine-list.js';
 import { MachineReleases } from './machine-releases.js';
 import { Renting } from './renting.js';
+import { SilentReplicas } from './silent-replicas.js';
 import { UnusedMachines } from './unused-machines.js';
 
 /** The machines of one leader's term. */
@@ -19,6 +21,7 @@
   private readonly list: MachineList;
   private readonly unused: UnusedMachines;
   private readonly renting: Renting;
+  private readonly silentReplicas: SilentReplicas;
   /** When there last was any unfinished job. */
   private workAt: number;
 
@@ -38,6 +41,9 @@
     this.list = new MachineList(core, settings, { ...common, releases: this.releases });
     this.unused = new UnusedMachines(core, settings, { ...common, releases: this.releases });
     this.renting = new Renting(core, settings, common);
+    this.silentReplicas = new SilentReplicas(core, settings, workers, (machines) =>
+      this.releaseSilent(machines),
+    );
   }
 
   /** Called about once a second. */
@@ -48,6 +54,7 @@
     this.noteWork(now);
     const types = this.types();
     if (types === null) return;
+    this.silentReplicas.step(now);
     const noWork = this.noWork(now);
     this.returnUnused(now, noWork);
     if (this.list.complete && !this.renting.busy) this.renting.step(now, types, !noWork);
@@ -70,6 +77,14 @@
     if (machineIds.length > 0) this.releases.release(machineIds, 'no use');
   }
 
+  /** Releases machines that fell silent with replicas of services. */
+  private releaseSilent(machines: readonly Machine[]): void {
+    const ids = machines.map((machine) => machine.id).filter((id) => !this.releases.has(id));
+    if (ids.length === 0 || !this.acting()) return;
+    this.core.log.info({ machines: ids }, 'silent machines with replicas are returned');
+    this.releases.release(ids, 'silent with replicas');
+  }
+
   /** How many machines are on their way, for the operators' view. */
   get booting(): number {
     return this.bootingMachines.size;
--- a/src/controller/jobs/job.ts
+++ b/src/controller/jobs/job.ts
@@ -87,6 +87,11 @@
   }
 
   /** Its priority as a number; higher goes first. */
+  /** Whether replicas of it are not to start on the machine for now. */
+  avoids(machine: string, now: number): boolean {
+    return (this.avoided.get(machine)?.until ?? 0) > now;
+  }
+
   get level(): number {
     return levels[this.spec.priority];
   }
--- a/src/controller/placement/array-placer.ts
+++ b/src/controller/placement/array-placer.ts
@@ -103,15 +103,16 @@
     const { guaranteed, level } = job;
     const search = { need, kinds: nameOfKinds(kinds), team, guaranteed, level };
     if (pass.failedSearches.noVictims(search)) return;
+    const usable = kinds.flat().filter((room) => !job.avoids(room.machine.id, pass.now));
     const found = this.parts.targets.find({
       now: pass.now,
       job,
-      rooms: kinds.flat(),
+      rooms: usable,
       count: Math.min(tasks, ROOM_PER_PASS),
       made: true,
       prefer: (room) => machinePenalty(job, room),
     });
-    if (found.length === 0) pass.failedSearches.addNoVictims(search);
+    if (found.length === 0 && job.avoided.size === 0) pass.failedSearches.addNoVictims(search);
     for (const target of found) {
       if (!this.parts.preemption.stopAll(target.victims, job)) return;
       target.room.claim(need, target.fillAt);
--- a/src/controller/placement/candidates.ts
+++ b/src/controller/placement/candidates.ts
@@ -79,7 +79,7 @@
   private examine(search: CandidateSearch, room: Room): Candidate | null {
     const { job, now, record, backfill } = search;
     const { machine } = room;
-    if ((job.avoided.get(machine.id)?.until ?? 0) > now) return null;
+    if (job.avoids(machine.id, now)) return null;
     if (search.warmOnly && this.estimates.cold(job.spec, machine)) return null;
     const fetchMs = this.estimates.fetchMs(job.spec, machine, now);
     const count = room.fits(job.spec, job.level, search.endsAt + fetchMs, backfill, now, record);
--- a/src/controller/placement/drain.ts
+++ b/src/controller/placement/drain.ts
@@ -5,13 +5,17 @@
 import type { Machine } from '../workers/machine.js';
 import type { Workers } from '../workers/workers.js';
 import type { Estimates } from './estimates.js';
+import { Moves } from './moves.js';
 import { allowed, needOf, whole } from './room.js';
+import { spreadAllowance } from './zones.js';
 
 /** A replica leaves a machine that goes at least this long before, in report intervals. */
 const MOVE_AHEAD = 1.5;
 
 /** Empties machines that will be taken or returned, where that saves something. */
 export class Drain {
+  private readonly moves = new Moves();
+
   constructor(
     private readonly settings: Settings,
     private readonly workers: Workers,
@@ -22,6 +26,7 @@
 
   /** Stops the tasks that have to leave their machines now. */
   run(now: number): void {
+    this.moves.settle();
     for (const machine of this.workers.machines.values()) {
       if (machine.noticeAt === null && !machine.leaving) continue;
       const leftMs = machine.noticeAt === null ? Infinity : machine.noticeAt - now;
@@ -45,22 +50,40 @@
 
   /** A replica moves as soon as it can start elsewhere at once, and else as late as is safe. */
   private movesNow(assignment: Assignment, job: Job, leftMs: number, now: number): boolean {
-    return leftMs < this.settings.reportMs * MOVE_AHEAD || this.canMove(assignment, job, now);
+    if (leftMs < this.settings.reportMs * MOVE_AHEAD) return true;
+    const destination = this.destination(assignment, job, now);
+    if (destination === null) return false;
+    this.moves.begin(assignment, job, destination);
+    return true;
   }
 
-  /** Whether there is room elsewhere that has the image. */
-  private canMove(assignment: Assignment, { spec }: Job, now: number): boolean {
+  /** A machine that has the image, and room that no other replica is about to move to. */
+  private destination(assignment: Assignment, job: Job, now: number): Machine | null {
+    const { spec } = job;
     const need = needOf(spec);
     for (const machine of this.workers.machines.values()) {
       const { type, zone, spot } = machine;
       if (machine === assignment.machine || type === null || !machine.images.has(spec.image))
         continue;
       if (!allowed(spec, { type, zone, spot }) || !this.usable(machine, now)) continue;
-      const cpus = type.cpus - machine.cpus;
-      const gpus = type.gpus - machine.gpus;
-      const memoryGb = type.memoryGb - machine.memoryGb;
-      if (whole(need, cpus, gpus, memoryGb) > 0) return true;
+      if (job.avoids(machine.id, now) || !zoneAllows(job, assignment, zone)) continue;
+      const taken = this.moves.takenOn(machine);
+      const cpus = type.cpus - machine.cpus - taken.cpus;
+      const gpus = type.gpus - machine.gpus - taken.gpus;
+      const memoryGb = type.memoryGb - machine.memoryGb - taken.memoryGb;
+      if (whole(need, cpus, gpus, memoryGb) > 0) return machine;
     }
-    return false;
+    return null;
+  }
+}
+
+/** Whether a replica that leaves its machine may start in the zone, beside the others of its service. */
+function zoneAllows({ all, spec }: Job, leaving: Assignment, zone: string): boolean {
+  let there = 0;
+  for (const assignment of all) {
+    if (assignment === leaving || assignment.phase === 'ended') continue;
+    if (assignment.machine.zone === zone) there++;
+    else if (spec.oneZone) return false;
   }
+  return !spec.spread || spreadAllowance(spec, there) > 0;
 }
--- a/src/controller/placement/parts.test.ts
+++ b/src/controller/placement/parts.test.ts
@@ -283,11 +283,16 @@
 
 describe('spreadReplicas', () => {
   it('takes a machine without a replica before one that has some', () => {
-    const service = job({ kind: 'service', tasks: 3 });
+    const service = job({ kind: 'service', tasks: 4 });
     const pass = passOver([machine('n-1'), machine('n-2')]);
     assign(service, roomOf(pass, 'n-1').machine);
     const found = ['n-1', 'n-2'].map((id) => candidate(roomOf(pass, id), 2));
-    const order = spreadReplicas(service, found).map(({ room }) => room.machine.id);
+    const order: string[] = [];
+    for (const { room } of spreadReplicas(service, found)) {
+      order.push(room.machine.id);
+      // The place is used: what is offered next depends on it.
+      service.pending.pop();
+    }
     assert.deepEqual(order, ['n-2', 'n-1', 'n-2', 'n-1']);
   });
 });
