--- a/test/planted.test.ts
+++ b/test/planted.test.ts
@@ -74,6 +74,19 @@
     assert.deepEqual(waits(free, other), []);
   });
 
+  it('none where an answer to a question from before arrives after a newer one', () => {
+    const found = broken((r) => {
+      const unknown = r.standing('req-1');
+      r.answered('req-1', 201, 'pending', true);
+      r.answered('req-1', 404, '', false, unknown);
+      const accepted = r.standing('req-1');
+      r.cancelAsked('req-1');
+      r.answered('req-1', 200, 'aborted', false);
+      r.answered('req-1', 200, 'running', false, accepted);
+    });
+    assert.deepEqual(found, []);
+  });
+
   const cases: [string, (r: Rules, time: { now: number }) => void][] = [
     [
       'ran_twice',
@@ -170,6 +183,33 @@
         for (; time.now <= 31_000; time.now += 1000) r.waiting([free]);
       },
     ],
+    [
+      'forgotten',
+      (r) => {
+        r.answered('req-1', 201, 'pending', true);
+        const accepted = r.standing('req-1');
+        r.answered('req-1', 404, '', false, accepted);
+      },
+    ],
+    [
+      'went_back',
+      (r) => {
+        r.cancelAsked('req-1');
+        r.answered('req-1', 200, 'aborted', false);
+        const cancelled = r.standing('req-1');
+        r.answered('req-1', 200, 'running', false, cancelled);
+      },
+    ],
+    [
+      'went_back',
+      (r) => {
+        const accepted = r.standing('req-1');
+        r.cancelAsked('req-1');
+        for (const t of [0, 1]) r.taskDone('req-1', t);
+        r.answered('req-1', 200, 'done', false);
+        r.answered('req-1', 200, 'aborted', false, accepted);
+      },
+    ],
     ['accepted_odd', (r) => r.acceptedOdd('req-odd-1')],
   ];
   for (const [i, [rule, plant]] of cases.entries())
--- /dev/null
+++ b/test/world/happenings.ts
@@ -0,0 +1,62 @@
+import type { World } from './world.js';
+
+/** What a scripted day may come to; tests assert that it did. */
+export type Happening =
+  | 'asked in an outage'
+  | 'cancelled at a hand-over'
+  | 'cancelled while the leader alone is refused'
+  | 'cancelled with every team at its limit'
+  | 'close look'
+  | 'direct command of an older leader'
+  | 'direct command to a mute machine'
+  | 'leader ended beside a new machine'
+  | 'leader ended with every team at its limit'
+  | 'work on a new machine';
+
+/** Counts of what happened on a day. */
+export class Happenings {
+  private readonly counts = new Map<Happening, number>();
+
+  note(happening: Happening): void {
+    this.counts.set(happening, this.count(happening) + 1);
+  }
+
+  count(happening: Happening): number {
+    return this.counts.get(happening) ?? 0;
+  }
+}
+
+/** A machine counts as new for this long after its rental. */
+export const NEW_MACHINE_MS = 5000;
+/** A cancellation this long before or after the lead is given up falls into the hand-over. */
+const HAND_OVER_MS = 3000;
+const HAND_OVER_REASONS = ['no view of the jobs', 'workers do not reach this node'];
+
+/** Notes combinations of faults as they come about. */
+export function observe(world: World): void {
+  const { rules, sim, state, happenings } = world;
+  let cancelledAt = -Infinity;
+  let handedOverAt = -Infinity;
+  const handOver = (): void => {
+    if (Math.abs(cancelledAt - handedOverAt) <= HAND_OVER_MS)
+      happenings.note('cancelled at a hand-over');
+  };
+  rules.onNews.push((_, news) => {
+    if (news !== 'cancelled') return;
+    cancelledAt = sim.now;
+    handOver();
+    const { leader } = world;
+    if (leader !== null && state.refuses(leader))
+      happenings.note('cancelled while the leader alone is refused');
+    if (rules.everyTeamAtLimit) happenings.note('cancelled with every team at its limit');
+  });
+  world.onLog.push((text, fields) => {
+    const { reason } = fields as { reason?: string };
+    if (text !== 'no longer leader' || !HAND_OVER_REASONS.includes(reason ?? '')) return;
+    handedOverAt = sim.now;
+    handOver();
+  });
+  rules.onStart.push(({ machine }) => {
+    if (world.cloud.ageMs(machine) < NEW_MACHINE_MS) happenings.note('work on a new machine');
+  });
+}
--- /dev/null
+++ b/test/world/play-meeting.ts
@@ -0,0 +1,39 @@
+import type { Meeting } from './meetings.js';
+import { small } from './scenario.js';
+import { bring } from './troubles.js';
+import { present, type Version } from './version.js';
+import { World } from './world.js';
+
+/** Work runs by then, and all troubles begin and end within this time after. */
+const START_MS = 15_000;
+const TROUBLES_MS = 200_000;
+/** Quiet time for the work to be finished, at most. */
+const QUIET_MS = 400_000;
+/** Quiet time in any case: twice what any rule about quiet times allows, and thrice the latest copy. */
+const LEAST_QUIET_MS = 180_000;
+const STEP_MS = 20_000;
+
+/** Work is finished early on most days; services never are, so their days last to the end. */
+function finishes(world: World, meeting: Meeting): boolean {
+  return meeting.jobs.kind !== 'service' && world.rules.unfinished().length === 0;
+}
+
+/** Plays the day of a meeting in quiet surroundings; throws where a rule is broken. */
+export function playMeeting(meeting: Meeting, seed: number, version: Version = present()): World {
+  const quiet = { everyMs: Infinity, doubled: 0.01, errors: 0, bootFails: 0 };
+  const world = new World(meeting.scenario ?? small, seed, quiet, undefined, () => version);
+  const { sim } = world;
+  for (let i = 0; i < meeting.count; i++)
+    sim.after(sim.between(0, START_MS / 2), () => world.user(world.job(meeting.jobs), null));
+  world.play(START_MS);
+  bring(
+    world,
+    meeting.troubles((from, to) => sim.between(from, to)),
+  );
+  world.play(TROUBLES_MS);
+  world.calmDown(0);
+  world.play(LEAST_QUIET_MS);
+  for (let ms = LEAST_QUIET_MS; ms < QUIET_MS && !finishes(world, meeting); ms += STEP_MS)
+    world.play(STEP_MS);
+  return world;
+}
