Frontend: a repeated submission does not share a transaction that has left

A node whose transaction is on its way may get its answer late. If the user was told at other nodes meanwhile that the job is accepted and cancelled, a repeat here shared that late answer and got 201 pending, older than what was told. Found by reading; the test failed before the change.

--- a/src/controller/jobs/frontend.test.ts
+++ b/src/controller/jobs/frontend.test.ts
@@ -6,7 +6,7 @@
 import { defaultProperties } from '../settings/properties.js';
 import { Settings } from '../settings/settings.js';
 import { StateClient } from '../store/client.js';
-import { Frontend, liveKey, type Answer } from './frontend.js';
+import { finalKey, Frontend, liveKey, type Answer } from './frontend.js';
 
 const teams = '[[params.teams]]\nname = "t"\ncpus_max = 8.0\n';
 const next = { rps: 100, writeRps: 60, valueKb: 2, txnOps: 16 };
@@ -21,9 +21,58 @@
   ...{ stow_s: 0, due_s: null },
 };
 
+/** The users' side of one controller, with a state service that answers as the test says. */
+class Node {
+  readonly answers: Answer[] = [];
+  private readonly soon: (() => void)[] = [];
+  private readonly core: Core;
+  private readonly frontend: Frontend;
+
+  constructor(call: Env['call']) {
+    let now = 0;
+    this.core = new Core(
+      {
+        now: () => now,
+        wall: () => now,
+        random: () => 0.5,
+        soon: (fn) => this.soon.push(fn),
+        timer: () => ({ cancel: nothing }),
+        call,
+        mayCall: () => true,
+        sendPeer: nothing,
+      },
+      silent,
+    );
+    const client = new StateClient(this.core, settings);
+    client.setRole(true);
+    this.frontend = new Frontend(this.core, settings, client, {
+      types: () => [
+        {
+          ...{ name: 'g', cpus: 16, gpus: 0, memoryGb: 64, cacheGb: 10, fetchGbPerS: 1 },
+          ...{ price: 1, spotPrice: 1, bootS: 1, zones: ['a'] },
+        },
+      ],
+      progress: () => null,
+      accepted: nothing,
+      cancelled: nothing,
+    });
+    // By then there are tokens for calls.
+    now = 60_000;
+  }
+
+  submit(body: unknown): void {
+    this.core.post('submit', () => this.frontend.submit(body, (a) => this.answers.push(a)));
+    this.run();
+  }
+
+  /** Everything that is due is done. */
+  run(): void {
+    for (let fn = this.soon.shift(); fn !== undefined; fn = this.soon.shift()) fn();
+  }
+}
+
 /** The users' side against a state service where the named jobs are live. */
 function ask(live: string[], body: unknown): Answer {
-  const soon: (() => void)[] = [];
   const answer = (call: Call): Reply => {
     const { if: conditions } = call.body as { if: { k: string; stamp: number }[] };
     const failed = conditions
@@ -31,37 +80,9 @@
       .map((c) => c.k);
     return { status: failed.length > 0 ? 409 : 200, body: { ledger: 5, failed } };
   };
-  let now = 0;
-  const env: Env = {
-    now: () => now,
-    wall: () => now,
-    random: () => 0.5,
-    soon: (fn) => soon.push(fn),
-    timer: () => ({ cancel: nothing }),
-    call: (call, done) => done(answer(call)),
-    mayCall: () => true,
-    sendPeer: nothing,
-  };
-  const core = new Core(env, silent);
-  const client = new StateClient(core, settings);
-  client.setRole(true);
-  const frontend = new Frontend(core, settings, client, {
-    types: () => [
-      {
-        ...{ name: 'g', cpus: 16, gpus: 0, memoryGb: 64, cacheGb: 10, fetchGbPerS: 1 },
-        ...{ price: 1, spotPrice: 1, bootS: 1, zones: ['a'] },
-      },
-    ],
-    progress: () => null,
-    accepted: nothing,
-    cancelled: nothing,
-  });
-  // By then there are tokens for calls.
-  now = 60_000;
-  const answers: Answer[] = [];
-  core.post('submit', () => frontend.submit(body, (a) => answers.push(a)));
-  for (let fn = soon.shift(); fn !== undefined; fn = soon.shift()) fn();
-  const [first] = answers;
+  const node = new Node((call, done) => done(answer(call)));
+  node.submit(body);
+  const [first] = node.answers;
   assert.ok(first);
   return first;
 }
@@ -87,4 +108,27 @@
     it(`one that ${what} gets 200 if its job is known`, () =>
       assert.equal(ask(['req-1'], body).status, 200));
   }
+
+  // The job may have been accepted, and called off, through another node in between.
+  it('a repeat does not share the answer to a transaction that has left before', () => {
+    const calls: { call: Call; done: (reply: Reply) => void }[] = [];
+    const node = new Node((call, done) => calls.push({ call, done }));
+    const reply = (status: number, body: unknown): void => {
+      const first = calls.shift();
+      assert.ok(first);
+      first.done({ status, body });
+      node.run();
+    };
+    node.submit(submission);
+    node.submit(submission);
+    assert.equal(calls.length, 1);
+    reply(200, { ledger: 5 });
+    assert.deepEqual(
+      node.answers.map((a) => a.status),
+      [201],
+    );
+    reply(409, { ledger: 9, failed: [finalKey('req-1')] });
+    reply(200, { k: finalKey('req-1'), value: { state: 'cancelled' }, stamp: 8, permit: null });
+    assert.deepEqual(node.answers[1]?.body, { id: 'req-1', status: 'aborted' });
+  });
 });
--- a/src/controller/jobs/frontend.ts
+++ b/src/controller/jobs/frontend.ts
@@ -92,7 +92,7 @@
   private readonly ends: Batcher;
   /** Questions about jobs that this node has not heard of. */
   private readonly unknown: Batcher;
-  /** Submissions on their way, with all who wait for them. */
+  /** Submissions that have not left yet, with all who wait for them. */
   private readonly creating = new Map<string, Respond[]>();
   private readonly asked = new Map<string, ((s: Standing) => void)[]>();
 
@@ -185,8 +185,11 @@
       return;
     }
     const waiters = [respond];
+    const close = (): void => {
+      if (this.creating.get(spec.id) === waiters) this.creating.delete(spec.id);
+    };
     const answer = (each: (respond: Respond) => void): void => {
-      this.creating.delete(spec.id);
+      close();
       for (const w of waiters) each(w);
     };
     const queued = this.writes.add({
@@ -195,6 +198,9 @@
         { key: finalKey(spec.id), version: 0 },
       ],
       writes: [{ put: liveKey(spec.id), value }],
+      // A repeat that comes once the transaction has left may not share its answer: meanwhile the
+      // user may have been told at another node that the job has ended.
+      sent: close,
       done: (r) => {
         if (r.kind === 'ok') {
           this.live.set(spec.id, r.revision);
