--- a/test/world/answer-meetings.ts
+++ b/test/world/answer-meetings.ts
@@ -11,7 +11,7 @@
     jobs: { estimateS: 10 },
     count: 8,
     troubles: () => [
-      { kind: 'close looks', cancelled: 0.15, at: 0, for: 120 },
+      { kind: 'close looks', cancelled: 0.3, at: 0, for: 120 },
       { kind: 'jobs', count: 12, at: 1 },
       { kind: 'slow', at: 20, for: 60 },
       { kind: 'unwatched', who: 'others', at: 25, for: 50 },
@@ -46,7 +46,7 @@
     count: 10,
     troubles: (between) => [
       { kind: 'lost answers', share: 0.3, at: 0, for: 80 },
-      { kind: 'close looks', cancelled: 0.15, at: 0, for: 100 },
+      { kind: 'close looks', cancelled: 0.3, at: 0, for: 100 },
       { kind: 'jobs', count: 10, at: 1 },
       { kind: 'cancelled', count: 3, at: between(5, 15) },
       { kind: 'jobs', count: 10, at: 25 },
--- a/test/world/takeover-meetings.ts
+++ b/test/world/takeover-meetings.ts
@@ -130,13 +130,13 @@
   },
   {
     name: 'arrays bound to one zone lose machines and a leader',
-    jobs: { ...long, estimateS: 40, zone: 'a' },
+    jobs: { ...long, estimateS: 60, zone: 'a' },
     count: 14,
     troubles: (between) => [
       { kind: 'machines cut', share: 0.4, at: 2, for: between(20, 60) },
       { kind: 'machines lost', share: 0.3, at: between(4, 10) },
       { kind: 'ended', who: 'leader', back: between(0.2, 6), at: between(8, 20) },
-      { kind: 'cancelled', count: 3, at: between(20, 25) },
+      { kind: 'cancelled', count: 3, at: between(4, 10) },
     ],
     happened: (w) => ({ leaders: leaders(w), cancelled: cancelled(w) }),
   },
