--- a/test/mixed-day.ts
+++ b/test/mixed-day.ts
@@ -1,7 +1,7 @@
 /** Days in the simulated world on which controllers of two versions serve side by side. */
 import assert from 'node:assert/strict';
 import type { JobSpec } from '../src/controller/wire/jobs.js';
-import { long } from './world/meetings.js';
+import { long } from './world/meeting.js';
 import { shrinking as deployment } from './world/scenario.js';
 import { bring, type Trouble } from './world/troubles.js';
 import type { Version } from './world/version.js';
--- a/test/world/meetings.ts
+++ b/test/world/meetings.ts
@@ -1,33 +1,8 @@
-import type { JobSpec } from '../../src/controller/wire/jobs.js';
-import { shrinking, type Scenario } from './scenario.js';
+import { cancelled, gaps, leaders, leasesLost, long, type Meeting } from './meeting.js';
+import { shrinking } from './scenario.js';
 import type { Trouble } from './troubles.js';
-import type { World } from './world.js';
-
-/** Two troubles that meet, and what shows that they did. */
-export interface Meeting {
-  name: string;
-  /** What the jobs of the day have in common; the rest is drawn. */
-  jobs: Partial<JobSpec>;
-  count: number;
-  /** Where it is played, if not in the small deployment. */
-  scenario?: Scenario;
-  /** In seconds from when the first work runs; `between` draws. */
-  troubles(between: (from: number, to: number) => number): Trouble[];
-  /** Each must have happened at least once. */
-  happened(w: World): Record<string, number>;
-}
-
-/** Work that has long to go, and of which all can run at one time. */
-export const long: Partial<JobSpec> = {
-  ...{ estimateS: 120, kind: 'array', tasks: 3, oneZone: false, spread: false },
-  ...{ cpus: 1, gpus: 0, memoryGb: 1 },
-};
-
-const leaders = (w: World): number => (w.said.get('elected leader') ?? 0) - 1;
-const gaps = (w: World): number => w.said.get('lease renewed after a gap') ?? 0;
-const cancelled = (w: World): number => w.rules.cancelledRunning.length;
-const leasesLost = (w: World): number => w.leasesLost;
 
+/** Cancellations, outages, silent machines and late messages, around changes of the leader. */
 export const meetings: Meeting[] = [
   {
     name: 'cancelled while the leader alone is refused, then an outage longer than cancel_s',
@@ -38,7 +13,10 @@
       { kind: 'cancelled', count: 6, elsewhere: true, at: between(0.2, 1.8) },
       { kind: 'outage', at: between(2, 4), for: between(46, 130) },
     ],
-    happened: (w) => ({ cancelled: cancelled(w), leasesLost: leasesLost(w) }),
+    happened: (w) => ({
+      cancelled: w.happenings.count('cancelled while the leader alone is refused'),
+      leasesLost: leasesLost(w),
+    }),
   },
   {
     name: 'cancelled while the leader is refused and cut from its peers, then a shorter outage',
@@ -188,7 +166,11 @@
       { kind: 'jobs', count: 6, at: 35 },
       { kind: 'cancelled', count: 3, at: 36 },
     ],
-    happened: (w) => ({ cancelled: cancelled(w), leasesLost: leasesLost(w) }),
+    happened: (w) => ({
+      cancelled: cancelled(w),
+      leasesLost: leasesLost(w),
+      commands: w.happenings.count('direct command to a mute machine'),
+    }),
   },
   {
     name: 'old reports after newer ones, of earlier sessions and attempts, at new leaders',
@@ -266,7 +248,7 @@
     jobs: long,
     count: 16,
     troubles: (between) => [
-      { kind: 'zone cut', zone: 'a', at: 0, for: between(21, 70) },
+      { kind: 'zone cut', zone: 'a', inside: 'leader', at: 0, for: between(21, 70) },
       { kind: 'cancelled', count: 5, elsewhere: true, at: between(4, 12) },
       { kind: 'jobs', count: 6, at: 8 },
     ],
