A new leader goes on from what the leaders before have learned

Jobs are read before the records, and the first live job of each class was counted as having just arrived. Since records of several versions are compared by age, that made every record look older, and it was ignored: a leader that took over kept room for one job of each class, without images and length of stay. Jobs are now counted after the records, and only where a class has none.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -265,8 +265,7 @@
       },
       // What the leader before knew it has counted itself.
       added: (job) => {
-        if (this.reign?.ready === true || !this.reserve.knows(job.spec.class))
-          this.reserve.arrived(job, core.now());
+        if (this.reign?.ready === true) this.reserve.arrived(job, core.now());
       },
       changed: () => this.placeSoon(),
       recorded: (job, task) => workers.doneRecorded(job, task),
@@ -352,7 +351,7 @@
       for (const i of jobs) this.jobLive(reign.table, i.key, i.value, i.version);
       read(PAGES, (pages) => {
         reign.records.load(pages);
-        for (const { value } of reign.records.list(LEARNED_KEY)) this.learn(value);
+        this.learn(reign);
         reign.table.load();
         reign.workers.load();
         reign.placement.load();
@@ -369,10 +368,13 @@
     });
   }
 
-  private learn(value: unknown): void {
-    if (!isMap(value)) return;
-    this.estimates.import(value['ratios']);
-    this.reserve.import(value['arrivals'], this.core.now(), this.core.env.wall());
+  /** What the leaders before have learned. The jobs must have been read. */
+  private learn(reign: Reign): void {
+    const learned = [...reign.records.list(LEARNED_KEY)].map((r) => r.value).filter(isMap);
+    for (const { ratios } of learned) this.estimates.import(ratios);
+    const arrivals = learned.map((l) => l['arrivals']);
+    const { core } = this;
+    this.reserve.takeOver(arrivals, reign.table.jobs.values(), core.now(), core.env.wall());
   }
 
   /** A job that was live when the state service said so; its end may have been heard of before. */
--- a/src/controller/placement/reserve.ts
+++ b/src/controller/placement/reserve.ts
@@ -75,10 +75,6 @@
     });
   }
 
-  knows(cls: string): boolean {
-    return this.classes.has(cls);
-  }
-
   ended(spec: JobSpec, occupancyMs: number): void {
     const c = this.classes.get(spec.class);
     if (c === undefined) return;
@@ -109,8 +105,17 @@
     );
   }
 
-  /** A leader that comes without this would let small work flood the room of large classes. */
-  import(value: unknown, now: number, wall: number): void {
+  /**
+   * What the leaders before have left, and then the live jobs: of a class without a record the first
+   * stands for what came before. A leader that comes without this would let small work flood the
+   * room of large classes.
+   */
+  takeOver(recorded: Iterable<unknown>, live: Iterable<Job>, now: number, wall: number): void {
+    for (const value of recorded) this.import(value, now, wall);
+    for (const job of live) if (!this.classes.has(job.spec.class)) this.arrived(job, now);
+  }
+
+  private import(value: unknown, now: number, wall: number): void {
     if (!isMap(value) || !Array.isArray(value['classes'])) return;
     const onClock = (at: unknown): number => now - Math.max(0, wall - Number(at));
     this.startedAt = Math.min(this.startedAt, onClock(value['since']));
