--- a/src/controller/workers/record.ts
+++ b/src/controller/workers/record.ts
@@ -77,23 +77,45 @@
   return n;
 }
 
-/** The record: session, type, zone, kind, address, and by job its tasks by attempt and time. */
+/** Tasks of one attempt that started close to each other, as they are written. */
+interface AttemptPart {
+  attempt: number;
+  /** Number of the span of time in which they started. */
+  span: number;
+  /** The attempt, the time of its first task, and the numbers of its tasks. */
+  written: number[];
+}
+
+interface JobPart {
+  written: unknown[];
+  attempts: AttemptPart[];
+}
+
+/**
+ * The record: session, type, zone, kind, address, and by job its tasks by attempt and time. It is
+ * written whenever a task comes or goes, so it makes no string for a task.
+ */
 export function writeRecord(m: Machine, settings: Settings, now: number, wall: number): unknown {
-  const jobs = new Map<string, unknown[]>();
-  const attempts = new Map<string, number[]>();
+  const spanMs = together(settings);
+  const jobs = new Map<string, JobPart>();
   for (const a of m.assignments.values()) {
-    let part = jobs.get(a.jobId);
-    if (part === undefined) jobs.set(a.jobId, (part = jobPart(a)));
-    const name = attemptName(a, together(settings));
-    let attempt = attempts.get(name);
-    if (attempt === undefined) {
-      attempt = [a.attempt, Math.round(wall - (now - a.since))];
-      attempts.set(name, attempt);
-      part.push(attempt);
+    let job = jobs.get(a.jobId);
+    if (job === undefined) {
+      job = { written: jobPart(a), attempts: [] };
+      jobs.set(a.jobId, job);
+    }
+    const span = Math.floor(a.since / spanMs);
+    let part = job.attempts.find((p) => p.attempt === a.attempt && p.span === span);
+    if (part === undefined) {
+      const at = Math.round(wall - (now - a.since));
+      part = { attempt: a.attempt, span, written: [a.attempt, at] };
+      job.attempts.push(part);
+      job.written.push(part.written);
     }
-    attempt.push(a.task);
+    part.written.push(a.task);
   }
-  return [m.session, m.typeName, m.zone, m.spot ? 1 : 0, m.addr, ...jobs.values()];
+  const tasks = [...jobs.values()].map((job) => job.written);
+  return [m.session, m.typeName, m.zone, m.spot ? 1 : 0, m.addr, ...tasks];
 }
 
 /** A task on record, as the leader before has left it. */
