--- a/src/controller/leader/leader-term.ts
+++ b/src/controller/leader/leader-term.ts
@@ -157,8 +157,7 @@
   private jobAdded(job: Job): void {
     // What the leader before knew it has counted itself.
     const { reserve } = this.context.learned;
-    if (this.context.takenOver() || !reserve.knows(job.spec.class))
-      reserve.arrived(job, this.context.core.now());
+    if (this.context.takenOver()) reserve.arrived(job, this.context.core.now());
   }
 
   private jobClosed(job: Job): void {
@@ -202,7 +201,7 @@
   /** Takes in what the leaders before have left. */
   takeOver({ jobs, pages, revision, sentAt }: Inheritance): void {
     this.records.load(pages);
-    this.context.learned.load(this.records);
+    this.context.learned.load(this.records, this.table.jobs.values());
     this.table.load();
     this.workers.load();
     this.placement.load();
--- a/src/controller/leader/leader.test.ts
+++ b/src/controller/leader/leader.test.ts
@@ -142,11 +142,11 @@
     const core = new Core(new ManualEnv(), silentLogger);
     const records = storedAtOnce({ learned: { ratios: { c: [1, 2] } } });
     const before = new LearnedFigures(core, settings);
-    before.load(records);
+    before.load(records, []);
     before.save(records);
     assert.ok(!records.has('learned'), 'the single record of older versions stays');
     const after = new LearnedFigures(core, settings);
-    after.load(records);
+    after.load(records, []);
     assert.deepEqual(before.estimates.export(), { c: [1, 2] });
     assert.deepEqual(after.estimates.export(), before.estimates.export());
   });
--- a/src/controller/leader/learned-figures.ts
+++ b/src/controller/leader/learned-figures.ts
@@ -37,15 +37,15 @@
     this.reserve.ended(job.spec, this.core.now() - assignedAt);
   }
 
-  /** Takes in what the leaders before have recorded. */
-  load(records: Pick<Records, 'list'>): void {
-    for (const { value } of records.list(LEARNED_KEY)) this.import(value);
-  }
-
-  private import(value: unknown): void {
-    if (!isMap(value)) return;
-    this.estimates.import(value['ratios']);
-    this.reserve.import(value['arrivals'], this.core.now(), this.core.env.wall());
+  /**
+   * Takes in what the leaders before have recorded, and then the live jobs, which must have been read:
+   * counted before the records, they would make these look outdated.
+   */
+  load(records: Pick<Records, 'list'>, liveJobs: Iterable<Job>): void {
+    const recorded = [...records.list(LEARNED_KEY)].map(({ value }) => value).filter(isMap);
+    for (const { ratios } of recorded) this.estimates.import(ratios);
+    const arrivals = recorded.map((record) => record['arrivals']);
+    this.reserve.takeOver(arrivals, liveJobs, this.core.now(), this.core.env.wall());
   }
 
   /**
--- a/src/controller/workers/record.ts
+++ b/src/controller/workers/record.ts
@@ -81,33 +81,62 @@
   }
 }
 
-/** The record: session, type, zone, kind, address, and by job its tasks by attempt and time. */
+/** Tasks of one attempt that started close to each other, as they are written. */
+interface AttemptPart {
+  attempt: number;
+  /** Number of the span of time in which they started. */
+  span: number;
+  /** The attempt, the time of its first task, and the numbers of its tasks. */
+  written: number[];
+}
+
+/** Tasks of one job, as they are written. */
+interface WrittenJob {
+  written: unknown[];
+  attempts: AttemptPart[];
+}
+
+/**
+ * The record: session, type, zone, kind, address, and by job its tasks by attempt and time. It is
+ * written whenever a task comes or goes, so it makes no string for a task.
+ */
 export function writeRecord(
   machine: Machine,
   settings: Settings,
   now: number,
   wall: number,
 ): unknown {
-  const jobs = new Map<string, unknown[]>();
-  const attempts = new Map<string, number[]>();
-  const withinMs = sharedStartMs(settings);
+  const spanMs = sharedStartMs(settings);
+  const jobs = new Map<string, WrittenJob>();
   for (const assignment of machine.assignments.values()) {
     let job = jobs.get(assignment.jobId);
     if (job === undefined) {
-      job = writeJobPart(assignment);
+      job = { written: writeJobPart(assignment), attempts: [] };
       jobs.set(assignment.jobId, job);
     }
-    const group = attemptGroup(assignment, withinMs);
-    let attempt = attempts.get(group);
-    if (attempt === undefined) {
-      attempt = [assignment.attempt, Math.round(wall - (now - assignment.since))];
-      attempts.set(group, attempt);
-      job.push(attempt);
-    }
-    attempt.push(assignment.task);
+    attemptPart(job, assignment, spanMs, now, wall).written.push(assignment.task);
   }
   const { session, typeName, zone, spot, addr } = machine;
-  return [session, typeName, zone, spot ? 1 : 0, addr, ...jobs.values()];
+  const tasks = [...jobs.values()].map((job) => job.written);
+  return [session, typeName, zone, spot ? 1 : 0, addr, ...tasks];
+}
+
+/** The part of the job's record that the task belongs to. */
+function attemptPart(
+  job: WrittenJob,
+  { attempt, since }: Assignment,
+  spanMs: number,
+  now: number,
+  wall: number,
+): AttemptPart {
+  const span = Math.floor(since / spanMs);
+  const known = job.attempts.find((part) => part.attempt === attempt && part.span === span);
+  if (known !== undefined) return known;
+  const startedAt = Math.round(wall - (now - since));
+  const part = { attempt, span, written: [attempt, startedAt] };
+  job.attempts.push(part);
+  job.written.push(part.written);
+  return part;
 }
 
 /** A task on record, as the leader before has left it. */
