--- a/src/controller/fleet/fleet.test.ts
+++ b/src/controller/fleet/fleet.test.ts
@@ -210,7 +210,7 @@
 });
 
 describe('unused machines', () => {
-  const quiet: WorkOutlook = { noWork: false, rentalsRefused: false };
+  const quiet: WorkOutlook = { noWork: false, rentalsRefused: false, arrivalsStopped: false };
 
   function search() {
     const { core, workers, booting } = setUp();
@@ -251,6 +251,17 @@
     const rest = unused.find(idleMs + 1, { ...quiet, noWork: true });
     assert.ok(rest.includes('n-3'));
   });
+
+  // Kept for jobs that don't come, they would cost as much as those that work.
+  it('are idle for no longer than a boot takes once no jobs arrive any more', () => {
+    const { workers, unused } = search();
+    for (const id of ['n-1', 'n-2', 'n-3']) workers.add(id);
+    const bootMs = plain.bootS * 1000;
+    const stopped = { ...quiet, arrivalsStopped: true };
+    assert.deepEqual(unused.find(bootMs, stopped), []);
+    assert.deepEqual(unused.find(bootMs + 1, quiet), []);
+    assert.deepEqual(unused.find(bootMs + 1, stopped), ['n-1', 'n-2']);
+  });
 });
 
 describe('renting', () => {
--- a/src/controller/fleet/fleet.ts
+++ b/src/controller/fleet/fleet.ts
@@ -6,6 +6,7 @@
 import type { MachineType } from '../wire/cloud.js';
 import type { Machine } from '../workers/machine.js';
 import type { Workers } from '../workers/workers.js';
+import { Arrivals } from './arrivals.js';
 import type { BootingMachines } from './booting-machines.js';
 import { CloudClient } from './cloud-client.js';
 import { MachineList } from './machine-list.js';
@@ -14,6 +15,11 @@
 import { SilentReplicas } from './silent-replicas.js';
 import { UnusedMachines } from './unused-machines.js';
 
+/** A pause of the steps that is longer than this many leases of the leader hides arrivals. */
+const INTERRUPTION_LEASES = 2;
+/** Users whose submissions fail try again within this ratio of the workers' lease. */
+const LEAST_SILENCE_LEASES = 2;
+
 /** The machines of one leader's term. */
 export class Fleet {
   private readonly bootingMachines: BootingMachines = new Map();
@@ -24,6 +30,8 @@
   private readonly silentReplicas: SilentReplicas;
   /** When there last was any unfinished job. */
   private workAt: number;
+  private readonly arrivals: Arrivals;
+  private steppedAt = -Infinity;
 
   constructor(
     private readonly core: Core,
@@ -35,6 +43,9 @@
     private readonly acting: () => boolean,
   ) {
     this.workAt = core.now();
+    const memoryMs = settings.workerLeaseMs * settings.get('placement.reserve.memory.ratio');
+    const leastMs = settings.workerLeaseMs * LEAST_SILENCE_LEASES;
+    this.arrivals = new Arrivals(memoryMs, leastMs, core.now());
     const cloud = new CloudClient(core, settings);
     const common = { workers, placement, cloud, booting: this.bootingMachines, types, acting };
     this.releases = new MachineReleases(core, settings, common);
@@ -52,12 +63,14 @@
     const now = this.core.now();
     this.list.step(now);
     this.noteWork(now);
+    this.noteArrivals(now);
     const types = this.types();
     if (types === null) return;
     this.silentReplicas.step(now);
     const noWork = this.noWork(now);
     this.returnUnused(now, noWork);
-    if (this.list.complete && !this.renting.busy) this.renting.step(now, types, !noWork);
+    const ahead = !noWork && !this.arrivals.stopped(now);
+    if (this.list.complete && !this.renting.busy) this.renting.step(now, types, ahead);
   }
 
   private noteWork(now: number): void {
@@ -65,6 +78,17 @@
     for (const job of this.table.jobs.values()) this.renting.seen(job.spec, now);
   }
 
+  private noteArrivals(now: number): void {
+    const pauseMs = this.settings.leaderLeaseMs * INTERRUPTION_LEASES;
+    if (now - this.steppedAt > pauseMs) this.arrivals.interrupted(now);
+    this.steppedAt = now;
+    this.arrivals.observe(this.submissionTimes(), now);
+  }
+
+  private *submissionTimes(): Generator<number> {
+    for (const job of this.table.jobs.values()) yield job.submittedAt;
+  }
+
   /** Nothing at all to do for long: nobody should pay for readiness. */
   private noWork(now: number): boolean {
     const emptyMs = this.settings.workerLeaseMs * this.settings.get('fleet.empty.ratio');
@@ -73,7 +97,8 @@
 
   private returnUnused(now: number, noWork: boolean): void {
     const rentalsRefused = this.renting.refused(now);
-    const machineIds = this.unused.find(now, { noWork, rentalsRefused });
+    const arrivalsStopped = this.arrivals.stopped(now);
+    const machineIds = this.unused.find(now, { noWork, rentalsRefused, arrivalsStopped });
     if (machineIds.length > 0) this.releases.release(machineIds, 'no use');
   }
 
--- a/src/controller/fleet/unused-machines.ts
+++ b/src/controller/fleet/unused-machines.ts
@@ -26,12 +26,20 @@
   noWork: boolean;
   /** The cloud refuses some kinds of machines. */
   rentalsRefused: boolean;
+  /** No jobs have arrived for much longer than is usual. */
+  arrivalsStopped: boolean;
 }
 
 function idleKey(machine: Machine): string {
   return `${machine.typeName} ${machine.spot ? 1 : 0}`;
 }
 
+/** Once no jobs arrive any more, a machine is kept no longer than renting it again would take. */
+function idleLimitMs(machine: Machine, usualMs: number, { arrivalsStopped }: WorkOutlook): number {
+  const bootMs = (machine.type?.bootS ?? 0) * 1000;
+  return arrivalsStopped ? Math.min(usualMs, bootMs) : usualMs;
+}
+
 /** Machines that never came up, have failed, are silent or idle. */
 export class UnusedMachines {
   constructor(
@@ -51,7 +59,7 @@
       if (machine.listed === 'failed') found.push(machine.id);
       else if (this.silent(machine, silentMs)) {
         if (this.silentToReturn(machine, now, silentMs)) found.push(machine.id);
-      } else if (!machine.busy && now - machine.idleSince > idleMs) {
+      } else if (!machine.busy && now - machine.idleSince > idleLimitMs(machine, idleMs, outlook)) {
         if (this.idleToReturn(machine, idleAlike, outlook.noWork)) found.push(machine.id);
       }
     }
--- a/src/controller/placement/gang-reservations.ts
+++ b/src/controller/placement/gang-reservations.ts
@@ -18,6 +18,9 @@
 /** Work is stopped for a gang this long before its reservation should be full, in report intervals. */
 const STOP_AHEAD = 3;
 
+/** Time allowed for the victims' saves when work is stopped for a gang, as a ratio to the longest. */
+const SAVE_MARGIN = 1.5;
+
 /** The key of the record that has the machines which a gang has reserved. */
 export function reservationKey(jobId: string): string {
   return `${KEY_PREFIX}${jobId}`;
@@ -90,10 +93,20 @@
     setBlockedReason(job, waited ? `cannot fill yet: holds ${there}` : '');
     // Stopping work pays only if the whole gang can start then, and soon: what else its rooms wait
     // for takes its time, and until then the work may go on.
-    const soon = fillAt - pass.now <= settings.reportMs * STOP_AHEAD;
+    const soon = fillAt - pass.now <= this.stopAheadMs(victims);
     if (rooms.length === tasks && soon) preemption.stopAll(victims, job);
   }
 
+  /**
+   * How long before a gang's reservation should be full work is stopped for it. The victims' own
+   * saves are no reason to put it off: where reports come often, a save takes many report intervals.
+   */
+  private stopAheadMs(victims: readonly Assignment[]): number {
+    const { reportMs } = this.parts.settings;
+    const longestSaveMs = Math.max(0, ...victims.map((victim) => victim.saveS)) * 1000;
+    return Math.max(reportMs * STOP_AHEAD, reportMs + longestSaveMs * SAVE_MARGIN);
+  }
+
   /**
    * The rooms that the gang fills up: those it has reserved already, or after a while the best that
    * there are by now. Searching for them is what costs most in a pass.
--- a/src/controller/placement/parts.test.ts
+++ b/src/controller/placement/parts.test.ts
@@ -202,7 +202,10 @@
   it('sees the machines anew after an interruption', () => {
     const pass = passOver([machine('n-1'), machine('n-2')]);
     const room = roomOf(pass, 'n-1');
-    room.outlook = { ends: [], stopping: false, lowest: 0, unguaranteed: false };
+    room.outlook = {
+      ...{ ends: [], stopping: false, longestSaveMs: 0 },
+      ...{ lowest: 0, unguaranteed: false },
+    };
     pass.resume(7, ({ id }) => id === 'n-2');
     assert.deepEqual([pass.now, room.closed, room.outlook], [7, true, null]);
     assert.ok(!roomOf(pass, 'n-2').closed);
@@ -405,3 +408,45 @@
     assert.deepEqual([gang.reservation, written.get('h/req-1')], [null, undefined]);
   });
 });
+
+describe('stopping work for a gang', () => {
+  const { reportMs } = settings;
+  const SAVE_S = 20;
+
+  /** How many tasks are stopped where the gang's reservation should be full after the time given. */
+  function stoppedFor(fillMs: number): number {
+    let stopped = 0;
+    const victim = { ...assign(job(), machine('n-1')), saveS: SAVE_S };
+    const reservations = new GangReservations({
+      core: { log: silent, now: () => 0 },
+      settings,
+      records: { list: () => [][Symbol.iterator](), set: nothing },
+      estimates: { fetchMs: () => 0 },
+      targets: {
+        find: ({ rooms }) =>
+          rooms.map((room) => ({
+            ...{ room, fillAt: fillMs, victims: [victim], lostMs: 0, stopping: false },
+          })),
+      },
+      preemption: {
+        stopAll: (victims) => {
+          stopped += victims.length;
+          return true;
+        },
+      },
+    });
+    reservations.reserve(passOver([machine('n-1')]), job({ kind: 'gang', tasks: 1 }));
+    return stopped;
+  }
+
+  // Where workers report every second, a save takes many report intervals: gangs then waited for
+  // room that nobody was told to free.
+  it('does not wait for saves that begin only with the stop', () => {
+    assert.ok(SAVE_S * 1000 > 3 * reportMs);
+    assert.equal(stoppedFor(reportMs + SAVE_S * 1000), 1);
+  });
+
+  it('waits while other work keeps the gang from starting', () => {
+    assert.equal(stoppedFor(reportMs + 2 * SAVE_S * 1000), 0);
+  });
+});
--- a/src/controller/placement/room-filling.ts
+++ b/src/controller/placement/room-filling.ts
@@ -90,13 +90,20 @@
   }
 
   /** A room's tasks in the order in which they should end by themselves, and what may be stopped. */
-  private outlook(room: Room, now: number): Outlook {
+  outlook(room: Room, now: number): Outlook {
     if (room.outlook !== null) return room.outlook;
-    const outlook: Outlook = { ends: [], stopping: false, lowest: Infinity, unguaranteed: false };
+    const outlook: Outlook = {
+      ends: [],
+      stopping: false,
+      longestSaveMs: 0,
+      lowest: Infinity,
+      unguaranteed: false,
+    };
     const youngAfter = this.rules.youngAfter(now);
     for (const a of room.machine.assignments.values()) {
       if (a.phase === 'ended') continue;
       outlook.ends.push({ a, at: now + this.estimates.remainingMs(a, now) });
+      outlook.longestSaveMs = Math.max(outlook.longestSaveMs, a.saveS * 1000);
       if (a.stop !== null) outlook.stopping = true;
       else if (a.job !== null && a.since <= youngAfter) {
         if (a.job.level < outlook.lowest) outlook.lowest = a.job.level;
--- a/src/controller/placement/room.ts
+++ b/src/controller/placement/room.ts
@@ -22,6 +22,8 @@
   ends: { a: Assignment; at: number }[];
   /** Some are being stopped. */
   stopping: boolean;
+  /** The longest time that any of them needs to save when it is stopped. */
+  longestSaveMs: number;
   /** Of those that are old enough to be stopped: the lowest level, and whether any is outside its team's guarantee. */
   lowest: number;
   unguaranteed: boolean;
--- a/src/controller/placement/targets.ts
+++ b/src/controller/placement/targets.ts
@@ -117,8 +117,11 @@
     if (fill === null) return Infinity;
     if (search.made && fill.victims.length === 0 && !fill.stopping) return Infinity;
     const { machine } = room;
-    // Reservations last: a machine already reserved is left only for one clearly better.
-    const kept = reserved.has(machine.id) ? this.keptMs : 0;
+    // Reservations last: a machine already reserved is left only for one clearly better; where work
+    // is stopped for it, its save would be in vain.
+    const kept = reserved.has(machine.id)
+      ? this.keptMs + this.filling.outlook(room, search.now).longestSaveMs
+      : 0;
     const fetch = this.estimates.fetchMs(search.job.spec, machine, search.now);
     return fill.fillAt + fetch - kept + LOST_WEIGHT * fill.lostMs + search.prefer(room);
   }
