--- a/src/controller/store/pages.ts
+++ b/src/controller/store/pages.ts
@@ -1,38 +1,9 @@
+/** Packs the leader's records into pages, the values that the state service stores. */
 import { isMap } from '../wire/cbor.js';
 import type { Item } from '../wire/state.js';
+import { newEntry, newPage, PAGE_HEAD_BYTES, type Entry, type Page } from './page.js';
 
-/** One of the leader's records: a key and the newest value that was set, in JSON form. */
-export interface Entry {
-  readonly key: string;
-  /** null: deleted. */
-  text: string | null;
-  /** Size in its page, as the state service counts it. */
-  bytes: number;
-  /** The page that has the newest value, or will have it. */
-  page: Page | null;
-  /** Pages that may have some value of the key at the state service. */
-  copies: number;
-  /** The page whose stored copy has the newest value that is surely stored. */
-  safe: Page | null;
-  /** The newest value has not been sent. */
-  dirty: boolean;
-  /** A value has been sent and not been answered. */
-  inFlight: boolean;
-}
-
-/** A value of the state service that holds many records. It is always written whole. */
-export interface Page {
-  readonly key: string;
-  readonly entries: Set<Entry>;
-  bytes: number;
-  /** Version at the service as far as known; 0: absent. */
-  version: number;
-  /** Keys that some copy of the page at the service may contain. */
-  stored: Set<string>;
-  /** A write of it met another version: it is read before it is written again. */
-  unsure: boolean;
-}
-
+/** Prefix of the pages' keys at the state service. */
 export const PAGES = 'page/';
 
 /**
@@ -44,15 +15,30 @@
 const SMALL_BYTES = 2048;
 /** A page is filled again once no more than this share of that room is still in use. */
 const REUSE = 0.25;
-/** JSON of a page without entries, and of an entry beside its key and text. */
-const HEAD_BYTES = 40;
+/** JSON of an entry beside its key and text. */
 const ENTRY_BYTES = 8;
+/** JSON of `null`. */
+const NULL_BYTES = 4;
 
 /** Size of a value as the state service counts it. */
 export function sizeOf(value: unknown): number {
   return JSON.stringify(value).length;
 }
 
+/** A page's value as it is stored. */
+interface StoredPage {
+  sequence: number;
+  /** Keys and texts in turn. */
+  list: unknown[];
+}
+
+function readPage(value: unknown): StoredPage | null {
+  if (!isMap(value)) return null;
+  const { seq, entries } = value;
+  if (typeof seq !== 'number' || !Array.isArray(entries)) return null;
+  return { sequence: seq, list: entries };
+}
+
 /**
  * The leader's records, packed into pages. What changes moves to one page, the head, so that a
  * commit usually puts a single value however many records it is about; a page that has been left by
@@ -64,19 +50,19 @@
   readonly pages = new Map<string, Page>();
   private head: Page | null = null;
   private sequence = 0;
-  private number = 0;
+  private nextNumber = 0;
 
   /** `valueBytes`: the largest value, which may become smaller. */
   constructor(private readonly valueBytes: () => number) {}
 
-  private get fill(): number {
+  private get fillBytes(): number {
     const most = this.valueBytes();
     return Math.min(most * FILL_SMALL, Math.max(most * FILL, SMALL_BYTES));
   }
 
   /** Whether the entry can be written at all. */
-  writable(e: Entry): boolean {
-    return HEAD_BYTES + e.bytes <= this.valueBytes();
+  writable(entry: Entry): boolean {
+    return PAGE_HEAD_BYTES + entry.bytes <= this.valueBytes();
   }
 
   /** All pages as they were read at takeover. */
@@ -86,88 +72,97 @@
       const page = this.page(item.key);
       page.version = item.version;
       const number = Number(item.key.slice(PAGES.length));
-      if (number >= this.number) this.number = number + 1;
-      const v = item.value;
-      if (!isMap(v) || typeof v['seq'] !== 'number' || !Array.isArray(v['entries'])) continue;
-      const { seq } = v;
-      this.sequence = Math.max(this.sequence, seq);
-      const list = v['entries'] as unknown[];
-      for (let i = 0; i + 1 < list.length; i += 2) {
-        const key = list[i];
-        const text = list[i + 1];
-        if (typeof key !== 'string' || (text !== null && typeof text !== 'string')) continue;
-        page.stored.add(key);
-        const e = this.entry(key);
-        e.copies++;
-        if (seq <= (newest.get(key) ?? -1)) continue;
-        newest.set(key, seq);
-        this.resize(e, text);
-        this.move(e, page);
-        e.safe = page;
-      }
+      if (number >= this.nextNumber) this.nextNumber = number + 1;
+      const stored = readPage(item.value);
+      if (stored !== null) this.loadPage(page, stored, newest);
+    }
+    for (const entry of this.entries.values()) this.dropIfGone(entry);
+  }
+
+  /** `newest`: by key, the highest sequence number among the pages that were loaded before. */
+  private loadPage(page: Page, stored: StoredPage, newest: Map<string, number>): void {
+    const { sequence, list } = stored;
+    this.sequence = Math.max(this.sequence, sequence);
+    for (let i = 0; i + 1 < list.length; i += 2) {
+      const key = list[i];
+      const text = list[i + 1];
+      if (typeof key !== 'string' || (text !== null && typeof text !== 'string')) continue;
+      page.stored.add(key);
+      const entry = this.entry(key);
+      entry.copies++;
+      if (sequence <= (newest.get(key) ?? -1)) continue;
+      newest.set(key, sequence);
+      this.resize(entry, text);
+      this.move(entry, page);
+      entry.safe = page;
     }
-    for (const e of this.entries.values()) this.dropIfGone(e);
   }
 
   private page(key: string): Page {
-    let p = this.pages.get(key);
-    if (p === undefined) {
-      p = {
-        ...{ key, entries: new Set<Entry>(), bytes: HEAD_BYTES, version: 0 },
-        ...{ stored: new Set<string>(), unsure: false },
-      };
-      this.pages.set(key, p);
+    let page = this.pages.get(key);
+    if (page === undefined) {
+      page = newPage(key);
+      this.pages.set(key, page);
     }
-    return p;
+    return page;
   }
 
   private entry(key: string): Entry {
-    let e = this.entries.get(key);
-    if (e === undefined) {
-      e = {
-        ...{ key, text: null, bytes: 0, page: null, copies: 0, safe: null },
-        ...{ dirty: false, inFlight: false },
-      };
-      this.entries.set(key, e);
+    let entry = this.entries.get(key);
+    if (entry === undefined) {
+      entry = newEntry(key);
+      this.entries.set(key, entry);
     }
-    return e;
+    return entry;
   }
 
-  private resize(e: Entry, text: string | null): void {
-    const bytes = sizeOf(e.key) + (text === null ? 4 : sizeOf(text)) + ENTRY_BYTES;
-    if (e.page !== null) e.page.bytes += bytes - e.bytes;
-    e.bytes = bytes;
-    e.text = text;
+  private resize(entry: Entry, text: string | null): void {
+    const bytes = sizeOf(entry.key) + (text === null ? NULL_BYTES : sizeOf(text)) + ENTRY_BYTES;
+    if (entry.page !== null) entry.page.bytes += bytes - entry.bytes;
+    entry.bytes = bytes;
+    entry.text = text;
   }
 
   /** `undefined` deletes. Returns null if nothing is known of what is to be deleted. */
   set(key: string, value: unknown): Entry | null {
     if (value === undefined && !this.entries.has(key)) return null;
-    const e = this.entry(key);
+    const entry = this.entry(key);
     const text = value === undefined ? null : JSON.stringify(value);
-    if (e.page !== null && text === e.text) return e;
-    this.resize(e, text);
-    e.dirty = true;
-    return e;
+    if (entry.page !== null && text === entry.text) return entry;
+    this.resize(entry, text);
+    entry.dirty = true;
+    return entry;
   }
 
   /** The page that the entry's newest value should go to. */
-  target(e: Entry): Page {
-    const head = this.head;
-    if (head !== null && !head.unsure) {
-      const bytes = e.page === head ? head.bytes : head.bytes + e.bytes;
-      if (bytes <= this.fill || head.entries.size === 0) return head;
-      if (e.page === head && head.entries.size === 1) return head;
-    }
-    let best: Page | null = null;
-    for (const p of this.pages.values()) {
-      if (p.unsure || p === head || (best !== null && p.bytes >= best.bytes)) continue;
-      if (!this.guarded(p)) best = p;
+  target(entry: Entry): Page {
+    if (this.head !== null && this.headTakes(this.head, entry)) return this.head;
+    const emptiest = this.emptiestReusable();
+    const reusable =
+      emptiest !== null &&
+      emptiest.bytes <= this.fillBytes * REUSE &&
+      emptiest.bytes + entry.bytes <= this.fillBytes;
+    this.head = reusable ? emptiest : this.page(`${PAGES}${this.nextNumber++}`);
+    return this.head;
+  }
+
+  private headTakes(head: Page, entry: Entry): boolean {
+    if (head.unsure) return false;
+    const present = entry.page === head;
+    const bytes = present ? head.bytes : head.bytes + entry.bytes;
+    if (bytes <= this.fillBytes || head.entries.size === 0) return true;
+    return present && head.entries.size === 1;
+  }
+
+  /** Of the pages that may be written without what has left them, the one with the most room. */
+  private emptiestReusable(): Page | null {
+    let emptiest: Page | null = null;
+    for (const page of this.pages.values()) {
+      if (page.unsure || page === this.head) continue;
+      if (emptiest !== null && page.bytes >= emptiest.bytes) continue;
+      if (!this.guarded(page)) emptiest = page;
     }
-    if (best === null || best.bytes > this.fill * REUSE || best.bytes + e.bytes > this.fill)
-      best = this.page(`${PAGES}${this.number++}`);
-    this.head = best;
-    return best;
+    return emptiest;
   }
 
   /**
@@ -177,72 +172,75 @@
    */
   private guarded(page: Page): boolean {
     for (const key of page.stored) {
-      const e = this.entries.get(key);
-      if (e?.safe === page && e.page !== page) return true;
+      const entry = this.entries.get(key);
+      if (entry?.safe === page && entry.page !== page) return true;
     }
     return false;
   }
 
-  move(e: Entry, page: Page): void {
-    if (e.page === page) return;
-    if (e.page !== null) {
-      e.page.entries.delete(e);
-      e.page.bytes -= e.bytes;
+  /** Makes `page` the one that has the entry's newest value. */
+  move(entry: Entry, page: Page): void {
+    if (entry.page === page) return;
+    if (entry.page !== null) {
+      entry.page.entries.delete(entry);
+      entry.page.bytes -= entry.bytes;
     }
-    e.page = page;
-    page.entries.add(e);
-    page.bytes += e.bytes;
+    entry.page = page;
+    page.entries.add(entry);
+    page.bytes += entry.bytes;
   }
 
   /** What is written. Every commit has a later number than all before. */
-  value(page: Page, seq: number): unknown {
+  value(page: Page, sequence: number): unknown {
     const entries: (string | null)[] = [];
-    for (const e of page.entries) entries.push(e.key, e.text);
-    return { seq, entries };
+    for (const entry of page.entries) entries.push(entry.key, entry.text);
+    return { seq: sequence, entries };
   }
 
+  /** The number of the next commit. */
   nextSequence(): number {
     return ++this.sequence;
   }
 
   /** The page may have been written with these keys: no answer came. */
   perhapsWritten(page: Page, keys: Set<string>): void {
-    for (const k of keys) {
-      const e = this.entries.get(k);
-      if (e === undefined || page.stored.has(k)) continue;
-      page.stored.add(k);
-      e.copies++;
+    for (const key of keys) {
+      const entry = this.entries.get(key);
+      if (entry === undefined || page.stored.has(key)) continue;
+      page.stored.add(key);
+      entry.copies++;
     }
   }
 
+  /** The page has been written with these keys and no others. */
   written(page: Page, keys: Set<string>, version: number): void {
     this.perhapsWritten(page, keys);
     page.version = version;
-    for (const k of page.stored) {
-      if (keys.has(k)) continue;
-      page.stored.delete(k);
-      const e = this.entries.get(k);
-      if (e === undefined) continue;
-      e.copies--;
-      this.dropIfGone(e);
+    for (const key of page.stored) {
+      if (keys.has(key)) continue;
+      page.stored.delete(key);
+      const entry = this.entries.get(key);
+      if (entry === undefined) continue;
+      entry.copies--;
+      this.dropIfGone(entry);
     }
-    for (const k of keys) {
-      const e = this.entries.get(k);
-      if (e === undefined) continue;
-      e.safe = page;
-      this.dropIfGone(e);
+    for (const key of keys) {
+      const entry = this.entries.get(key);
+      if (entry === undefined) continue;
+      entry.safe = page;
+      this.dropIfGone(entry);
     }
   }
 
   /** A deletion has to stay on record for as long as some other page may have an older value. */
-  private dropIfGone(e: Entry): void {
-    const { page } = e;
-    if (e.text !== null || page === null || e.dirty || e.inFlight) return;
-    const elsewhere = e.copies - (page.stored.has(e.key) ? 1 : 0);
+  private dropIfGone(entry: Entry): void {
+    const { page } = entry;
+    if (entry.text !== null || page === null || entry.dirty || entry.inFlight) return;
+    const elsewhere = entry.copies - (page.stored.has(entry.key) ? 1 : 0);
     if (elsewhere > 0) return;
-    page.entries.delete(e);
-    page.stored.delete(e.key);
-    page.bytes -= e.bytes;
-    this.entries.delete(e.key);
+    page.entries.delete(entry);
+    page.stored.delete(entry.key);
+    page.bytes -= entry.bytes;
+    this.entries.delete(entry.key);
   }
 }
