jobs: submissions, status queries and cancellations in modules of their own

Frontend stays the facade. Keys and values of jobs' records move to job-records.ts; the test imports them from there. No change of behaviour.

--- /dev/null
+++ b/src/controller/jobs/cancellations.ts
@@ -0,0 +1,104 @@
+/** Users' cancellations: a job ends by one transaction on its live and its final record. */
+import { reserve, type Read, type TxnResult } from '../store/client.js';
+import { isJobId } from '../wire/jobs.js';
+import type { Item } from '../wire/state.js';
+import {
+  CALL_TIMEOUT_MS,
+  noSuchJob,
+  retryLater,
+  type FrontendContext,
+  type Respond,
+} from './frontend-context.js';
+import { finalKey, finalRecord, liveKey } from './job-records.js';
+import type { StatusQueries } from './status-queries.js';
+
+/** How often the version of a job's live record may prove outdated before the user has to retry. */
+const MAX_ATTEMPTS = 3;
+
+/** One user's cancellation of a job. */
+interface Cancellation {
+  id: string;
+  attemptsLeft: number;
+  respond: Respond;
+}
+
+/** Cancels jobs. */
+export class Cancellations {
+  constructor(
+    private readonly context: FrontendContext,
+    private readonly queries: StatusQueries,
+  ) {}
+
+  /** Ends a job that has not ended, and tells how it ended. */
+  cancel(id: string, respond: Respond): void {
+    if (!isJobId(id)) return respond(noSuchJob());
+    this.attempt({ id, attemptsLeft: MAX_ATTEMPTS, respond });
+  }
+
+  private attempt(cancellation: Cancellation): void {
+    const { id, attemptsLeft, respond } = cancellation;
+    const { known, client } = this.context;
+    const ended = known.finalState(id);
+    if (ended !== undefined) return this.queries.reply(id, ended, respond);
+    if (client.down || attemptsLeft === 0) return retryLater(this.context, respond);
+    const version = known.liveVersion(id);
+    if (version === undefined) this.readVersion(cancellation);
+    else this.write(cancellation, version);
+  }
+
+  private retry(cancellation: Cancellation): void {
+    this.attempt({ ...cancellation, attemptsLeft: cancellation.attemptsLeft - 1 });
+  }
+
+  private readVersion(cancellation: Cancellation): void {
+    const { id, respond } = cancellation;
+    const { client } = this.context;
+    if (!client.tokens.take(1, reserve.submissions)) return retryLater(this.context, respond);
+    client.get(liveKey(id), CALL_TIMEOUT_MS, (got) => this.versionRead(cancellation, got));
+  }
+
+  private versionRead(cancellation: Cancellation, got: Read<Item | null>): void {
+    const { id, respond } = cancellation;
+    if (got.kind === 'failed') return retryLater(this.context, respond);
+    if (got.value !== null) {
+      this.context.known.setLive(id, got.value.version);
+      return this.attempt(cancellation);
+    }
+    this.context.known.forgetLive(id);
+    this.queries.ask(id, (standing) => {
+      // Accepted between the two questions: look again.
+      if (standing === 'live') this.retry(cancellation);
+      else this.queries.reply(id, standing, respond);
+    });
+  }
+
+  private write(cancellation: Cancellation, version: number): void {
+    const { id, respond } = cancellation;
+    const { core, writes } = this.context;
+    const added = writes.add({
+      conditions: [
+        { key: liveKey(id), version },
+        { key: finalKey(id), version: 0 },
+      ],
+      writes: [
+        { delete: liveKey(id) },
+        { put: finalKey(id), value: finalRecord('cancelled', Math.round(core.env.wall())) },
+      ],
+      done: (result) => this.settle(cancellation, result),
+    });
+    if (!added) retryLater(this.context, respond);
+  }
+
+  private settle(cancellation: Cancellation, result: TxnResult): void {
+    const { id, respond } = cancellation;
+    const { known, hooks } = this.context;
+    if (result.kind === 'ok') {
+      known.learnFinal(id, 'cancelled');
+      hooks.cancelled(id);
+      this.queries.reply(id, 'cancelled', respond);
+    } else if (result.kind === 'conflict') {
+      known.forgetLive(id);
+      this.retry(cancellation);
+    } else retryLater(this.context, respond);
+  }
+}
--- a/src/controller/jobs/feed.ts
+++ b/src/controller/jobs/feed.ts
@@ -1,18 +1,20 @@
+/** The leader's watch on the jobs that have not ended. */
 import type { Core } from '../core/core.js';
 import type { Settings } from '../settings/settings.js';
 import type { StateClient } from '../store/client.js';
 import type { Event, Item } from '../wire/state.js';
+import { LIVE_PREFIX } from './job-records.js';
 
-export const LIVE = 'live/';
-
+/** What the feed tells the leader. */
 export interface FeedHooks {
   /** Every job that has not ended, and nothing else is live: read anew. */
   all(items: Item[]): void;
+  /** Changes of live records, in their order. */
   changes(events: Event[]): void;
 }
 
 /** A watch that has been open for this many times its hold has been lost. */
-const LOST = 2;
+const LOST_HOLDS = 2;
 
 /**
  * The leader's view of which jobs are live, as the state service tells it, and how old that view is.
@@ -40,6 +42,7 @@
     private readonly hooks: FeedHooks,
   ) {}
 
+  /** Nothing is told any more. */
   close(): void {
     this.closed = true;
   }
@@ -56,6 +59,7 @@
     return this.knownAt >= this.since && this.ageMs <= this.settings.viewMs;
   }
 
+  /** Time since the last moment of which everything is known. */
   get ageMs(): number {
     return this.core.now() - this.knownAt;
   }
@@ -82,8 +86,8 @@
     const round = ++this.round;
     const sentAt = this.core.now();
     // One that gets lost must not keep the next from being asked for as long as its time-out lasts.
-    if (holdMs > 0) this.again(round, holdMs * LOST, () => this.follow(0));
-    this.client.follow(LIVE, this.revision, holdMs, (got) => {
+    if (holdMs > 0) this.again(round, holdMs * LOST_HOLDS, () => this.follow(0));
+    this.client.follow(LIVE_PREFIX, this.revision, holdMs, (got) => {
       if (this.closed || round !== this.round) return;
       if (got.kind === 'too-old') return this.reload();
       if (got.kind === 'failed')
@@ -99,7 +103,7 @@
   private reload(): void {
     const round = ++this.round;
     const sentAt = this.core.now();
-    this.client.range(LIVE, this.holdMs, (got) => {
+    this.client.range(LIVE_PREFIX, this.holdMs, (got) => {
       if (this.closed || round !== this.round) return;
       if (got.kind === 'failed')
         return this.again(round, this.settings.reportMs / 10, () => this.reload());
--- /dev/null
+++ b/src/controller/jobs/frontend-context.ts
@@ -0,0 +1,63 @@
+/** What the parts of the users' side share. */
+import type { Core } from '../core/core.js';
+import type { Settings } from '../settings/settings.js';
+import type { Batcher } from '../store/batcher.js';
+import type { StateClient } from '../store/client.js';
+import type { MachineType } from '../wire/cloud.js';
+import type { JobAnswer } from '../wire/jobs.js';
+import type { KnownJobs } from './known-jobs.js';
+
+/** A response to a user's request. */
+export interface Answer {
+  allow?: string;
+  /** A body that is not CBOR, with its type. */
+  raw?: Buffer;
+  type?: string;
+  status: number;
+  body?: unknown;
+  retryAfterS?: number;
+}
+
+/** Sends the response to one request. */
+export type Respond = (answer: Answer) => void;
+
+/** What the users' side asks of the rest of the controller, and tells it. */
+export interface FrontendHooks {
+  /** The machine types of the cloud, as far as they are known. */
+  types(): MachineType[] | null;
+  /** Counts for display, if this node has them. */
+  progress(id: string): JobAnswer | null;
+  /** This node has just accepted a job. */
+  accepted(id: string): void;
+  /** This node has just ended a job by cancelling it. */
+  cancelled(id: string): void;
+}
+
+/** Time-out of calls to the state service for a user who waits. */
+export const CALL_TIMEOUT_MS = 1500;
+
+/** Wait that a user is told while the state service can't be reached. */
+const DOWN_RETRY_MS = 1000;
+
+/** Shared by submissions, status queries and cancellations of one node. */
+export interface FrontendContext {
+  readonly core: Core;
+  readonly settings: Settings;
+  readonly client: StateClient;
+  readonly hooks: FrontendHooks;
+  readonly known: KnownJobs;
+  /** Group commit of submissions and cancellations. */
+  readonly writes: Batcher;
+}
+
+/** Tells the user to ask again later. */
+export function retryLater({ writes, client }: FrontendContext, respond: Respond): void {
+  const seconds = Math.max(writes.waitMs(), client.down ? DOWN_RETRY_MS : 0) / 1000;
+  const retryAfterS = Math.max(1, Math.ceil(seconds));
+  respond({ status: 503, body: { error: 'not now' }, retryAfterS });
+}
+
+/** The response about a job that does not exist. */
+export function noSuchJob(): Answer {
+  return { status: 404, body: { error: 'no such job' } };
+}
--- a/src/controller/jobs/frontend.test.ts
+++ b/src/controller/jobs/frontend.test.ts
@@ -6,7 +6,8 @@
 import { defaultProperties } from '../settings/properties.js';
 import { Settings } from '../settings/settings.js';
 import { StateClient } from '../store/client.js';
-import { finalKey, Frontend, liveKey, type Answer } from './frontend.js';
+import { Frontend, type Answer } from './frontend.js';
+import { finalKey, liveKey } from './job-records.js';
 
 const teams = '[[params.teams]]\nname = "t"\ncpus_max = 8.0\n';
 const next = { rps: 100, writeRps: 60, valueKb: 2, txnOps: 16 };
--- /dev/null
+++ b/src/controller/jobs/status-queries.ts
@@ -0,0 +1,122 @@
+/** Users' questions about jobs: what is current, confirmed by the state service. */
+import { Batcher } from '../store/batcher.js';
+import { reserve, type TxnResult } from '../store/client.js';
+import { isJobId, writeAnswer, type FinalState } from '../wire/jobs.js';
+import type { Condition } from '../wire/state.js';
+import {
+  CALL_TIMEOUT_MS,
+  noSuchJob,
+  retryLater,
+  type FrontendContext,
+  type Respond,
+} from './frontend-context.js';
+import { finalKey, liveKey, readFinal } from './job-records.js';
+
+/** What is current for a job at the state service. */
+export type JobStanding = 'absent' | 'live' | FinalState | 'unsure';
+
+/** Told what is current for a job. */
+export type StandingCallback = (standing: JobStanding) => void;
+
+/** Transactions of questions that are sent in each report interval, at most. */
+const QUERIES_PER_REPORT = 25;
+
+/** Finds out and answers what is current, many jobs in one transaction that only compares. */
+export class StatusQueries {
+  /** Questions whether jobs that are known to have been accepted have ended. */
+  private readonly knownQueries: Batcher;
+  /** Questions about jobs that this node has not heard of. */
+  private readonly unknownQueries: Batcher;
+  /** Questions that have not left yet, with all who wait for their answers. */
+  private readonly queued = new Map<string, StandingCallback[]>();
+
+  constructor(private readonly context: FrontendContext) {
+    const { core, client, settings } = context;
+    const options = {
+      timeoutMs: CALL_TIMEOUT_MS,
+      queueMs: CALL_TIMEOUT_MS,
+      reserve: reserve.polls,
+      everyMs: settings.reportMs / QUERIES_PER_REPORT,
+    };
+    this.knownQueries = new Batcher(core, client, options);
+    this.unknownQueries = new Batcher(core, client, options);
+  }
+
+  /** Answers a user's question about a job. */
+  poll(id: string, respond: Respond): void {
+    if (!isJobId(id)) return respond(noSuchJob());
+    this.ask(id, (standing) => this.reply(id, standing, respond));
+  }
+
+  /** The response about a job of which this is current. */
+  reply(id: string, standing: JobStanding, respond: Respond): void {
+    if (standing === 'unsure') return retryLater(this.context, respond);
+    if (standing === 'absent') return respond(noSuchJob());
+    if (standing !== 'live')
+      return respond({ status: 200, body: writeAnswer({ id, state: standing }) });
+    const progress = this.context.hooks.progress(id);
+    const open = progress !== null && (progress.state === 'queued' || progress.state === 'running');
+    respond({ status: 200, body: writeAnswer(open ? progress : { id, state: 'queued' }) });
+  }
+
+  /** Finds out what is current for a job. */
+  ask(id: string, done: StandingCallback): void {
+    const ended = this.context.known.finalState(id);
+    if (ended !== undefined) return done(ended);
+    if (this.context.client.down) return done('unsure');
+    const waiting = this.queued.get(id);
+    if (waiting !== undefined) waiting.push(done);
+    else this.send(id, done);
+  }
+
+  private send(id: string, done: StandingCallback): void {
+    const waiters = [done];
+    const close = (): void => {
+      if (this.queued.get(id) === waiters) this.queued.delete(id);
+    };
+    const settle = (standing: JobStanding): void => {
+      close();
+      for (const waiter of waiters) waiter(standing);
+    };
+    const known = this.context.known.isLive(id);
+    const conditions: Condition[] = [{ key: finalKey(id), version: 0 }];
+    if (!known) conditions.push({ key: liveKey(id), version: 0 });
+    const added = (known ? this.knownQueries : this.unknownQueries).add({
+      conditions,
+      writes: [],
+      // Only a question that has not left may be shared: one on its way may find the state from
+      // before an answer that this user got elsewhere meanwhile.
+      sent: close,
+      done: (result) => this.answered(id, known, result, settle),
+    });
+    if (added) this.queued.set(id, waiters);
+    else done('unsure');
+  }
+
+  private answered(id: string, known: boolean, result: TxnResult, settle: StandingCallback): void {
+    if (result.kind === 'ok') settle(known ? 'live' : 'absent');
+    else if (result.kind === 'conflict') this.readStanding(id, result.failed, settle);
+    else settle('unsure');
+  }
+
+  /** What failed conditions tell. A job's live and final records never exist together. */
+  readStanding(id: string, failedKeys: readonly string[], done: StandingCallback): void {
+    if (failedKeys.includes(finalKey(id))) {
+      this.readEnd(id, (state) => done(state ?? 'unsure'));
+      return;
+    }
+    if (!failedKeys.includes(liveKey(id))) return done('unsure');
+    this.context.known.learnLive(id);
+    done('live');
+  }
+
+  private readEnd(id: string, done: (state: FinalState | null) => void): void {
+    const { client, known } = this.context;
+    if (!client.tokens.take(1, reserve.reads)) return done(null);
+    client.get(finalKey(id), CALL_TIMEOUT_MS, (got) => {
+      const state = got.kind === 'ok' && got.value !== null ? readFinal(got.value.value) : null;
+      if (state !== null) known.learnFinal(id, state);
+      done(state);
+    });
+  }
+}
--- /dev/null
+++ b/src/controller/jobs/submissions.ts
@@ -0,0 +1,118 @@
+/** Users' submissions: judged, and put on record once however often they are repeated. */
+import type { TxnResult } from '../store/client.js';
+import { sizeOf } from '../store/pages.js';
+import { WireError } from '../wire/cbor.js';
+import { readJob, readJobId, writeAnswer, writeJob, type JobSpec } from '../wire/jobs.js';
+import { admit } from './admission.js';
+import { retryLater, type Answer, type FrontendContext, type Respond } from './frontend-context.js';
+import { finalKey, liveKey } from './job-records.js';
+import type { StatusQueries } from './status-queries.js';
+
+/** Users who wait for the outcome of the same submission. */
+type Waiters = Respond[];
+
+/** Accepts jobs. */
+export class Submissions {
+  /** Submissions that have not left yet, with all who wait for them. */
+  private readonly queued = new Map<string, Waiters>();
+
+  constructor(
+    private readonly context: FrontendContext,
+    private readonly queries: StatusQueries,
+  ) {}
+
+  /** Accepts a job, refuses it, or tells a user who repeats a submission what is current. */
+  submit(body: unknown, respond: Respond): void {
+    const spec = this.parse(body, respond);
+    if (spec === null) return;
+    const { known, settings, hooks } = this.context;
+    const ended = known.finalState(spec.id);
+    if (ended !== undefined) return this.queries.reply(spec.id, ended, respond);
+    const verdict = admit(spec, settings.platform.teams, hooks.types());
+    if (typeof verdict === 'object')
+      return this.refuse(spec.id, { status: 422, body: { error: verdict.refuse } }, respond);
+    if (verdict !== 'accept' || known.isLive(spec.id)) {
+      this.replyIfKnown(spec.id, respond, () => retryLater(this.context, respond));
+      return;
+    }
+    this.record(spec, respond);
+  }
+
+  /** Null: malformed, and refused. */
+  private parse(body: unknown, respond: Respond): JobSpec | null {
+    try {
+      return readJob(body);
+    } catch (error) {
+      if (!(error instanceof WireError)) throw error;
+      this.context.core.log.debug({ reason: error.message, body }, 'malformed submission');
+      this.refuse(readJobId(body), { status: 400, body: { error: error.message } }, respond);
+      return null;
+    }
+  }
+
+  /**
+   * A job that is known already is recognised before it is judged: teams, machine types and what a
+   * version takes for a submission may have changed since it was accepted.
+   */
+  private refuse(id: string | null, refusal: Answer, respond: Respond): void {
+    if (id === null) respond(refusal);
+    else this.replyIfKnown(id, respond, () => respond(refusal));
+  }
+
+  private replyIfKnown(id: string, respond: Respond, absent: () => void): void {
+    this.queries.ask(id, (standing) => {
+      if (standing === 'absent') absent();
+      else this.queries.reply(id, standing, respond);
+    });
+  }
+
+  private record(spec: JobSpec, respond: Respond): void {
+    const { core, client } = this.context;
+    const value = { job: writeJob(spec), at: Math.round(core.env.wall()) };
+    if (sizeOf(value) > client.limits.valueBytes) {
+      const refusal = { status: 400, body: { error: 'models: too many or too long' } };
+      return this.refuse(spec.id, refusal, respond);
+    }
+    if (client.down) return retryLater(this.context, respond);
+    const waiting = this.queued.get(spec.id);
+    if (waiting !== undefined) waiting.push(respond);
+    else this.create(spec.id, value, respond);
+  }
+
+  private create(id: string, value: unknown, respond: Respond): void {
+    const waiters = [respond];
+    const close = (): void => {
+      if (this.queued.get(id) === waiters) this.queued.delete(id);
+    };
+    const added = this.context.writes.add({
+      conditions: [
+        { key: liveKey(id), version: 0 },
+        { key: finalKey(id), version: 0 },
+      ],
+      writes: [{ put: liveKey(id), value }],
+      // A repeat that comes once the transaction has left may not share its answer: meanwhile the
+      // user may have been told at another node that the job has ended.
+      sent: close,
+      done: (result) => this.settle(id, result, waiters, close),
+    });
+    if (added) this.queued.set(id, waiters);
+    else retryLater(this.context, respond);
+  }
+
+  private settle(id: string, result: TxnResult, waiters: Waiters, close: () => void): void {
+    const answer = (each: (respond: Respond) => void): void => {
+      close();
+      for (const waiter of waiters) each(waiter);
+    };
+    if (result.kind === 'ok') {
+      this.context.known.setLive(id, result.revision);
+      this.context.hooks.accepted(id);
+      const body = writeAnswer({ id, state: 'queued' });
+      answer((respond) => respond({ status: 201, body }));
+    } else if (result.kind === 'conflict') {
+      this.queries.readStanding(id, result.failed, (standing) =>
+        answer((respond) => this.queries.reply(id, standing, respond)),
+      );
+    } else answer((respond) => retryLater(this.context, respond));
+  }
+}
--- a/src/controller/jobs/table.ts
+++ b/src/controller/jobs/table.ts
@@ -7,7 +7,7 @@
 import { readJob, type FinalState, type JobSpec } from '../wire/jobs.js';
 import type { Cause } from '../wire/workers.js';
 import { Completions } from './completions.js';
-import { finalKey, finalRecord, liveKey, readFinal } from './frontend.js';
+import { finalKey, finalRecord, liveKey, readFinal } from './job-records.js';
 import { Job } from './job.js';
 
 export { Job, levels, type GangReservation } from './job.js';
--- a/src/controller/leader/leader-term.ts
+++ b/src/controller/leader/leader-term.ts
@@ -2,7 +2,8 @@
 import type { Core } from '../core/core.js';
 import type { Catalogue } from '../fleet/catalogue.js';
 import { Fleet } from '../fleet/fleet.js';
-import { JobFeed, LIVE } from '../jobs/feed.js';
+import { JobFeed } from '../jobs/feed.js';
+import { LIVE_PREFIX } from '../jobs/job-records.js';
 import type { Frontend } from '../jobs/frontend.js';
 import { takeChangedProgress, type ProgressCache } from '../jobs/progress.js';
 import { JobTable, type Job } from '../jobs/table.js';
@@ -170,13 +171,14 @@
   private jobsReloaded(items: readonly Item[]): void {
     const live = new Set(items.map((item) => item.key));
     this.jobsRead(items);
-    for (const id of [...this.table.jobs.keys()]) if (!live.has(LIVE + id)) this.table.removed(id);
+    for (const id of [...this.table.jobs.keys()])
+      if (!live.has(LIVE_PREFIX + id)) this.table.removed(id);
   }
 
   private jobsChanged(events: readonly Event[]): void {
     for (const event of events) {
       if (event.kind === 'put') this.jobLive(event.key, event.value, event.version);
-      else this.table.removed(event.key.slice(LIVE.length));
+      else this.table.removed(event.key.slice(LIVE_PREFIX.length));
     }
   }
 
@@ -186,7 +188,7 @@
   }
 
   private jobLive(key: string, value: unknown, version: number): void {
-    const id = key.slice(LIVE.length);
+    const id = key.slice(LIVE_PREFIX.length);
     // Its end may have been heard of before.
     if (this.context.frontend.ended(id) === null) this.table.add(id, value, version);
   }
--- a/src/controller/leader/takeover.ts
+++ b/src/controller/leader/takeover.ts
@@ -1,6 +1,6 @@
 /** Reads what the leaders before have left, once this node has been elected. */
 import type { Core } from '../core/core.js';
-import { LIVE } from '../jobs/feed.js';
+import { LIVE_PREFIX } from '../jobs/job-records.js';
 import type { StateClient } from '../store/client.js';
 import { PAGES } from '../store/pages.js';
 import type { Item } from '../wire/state.js';
@@ -43,7 +43,7 @@
 
   /** Reads jobs, then pages. */
   start(): void {
-    this.read(LIVE, ({ items: jobs, revision, sentAt }) => {
+    this.read(LIVE_PREFIX, ({ items: jobs, revision, sentAt }) => {
       this.heir.jobsRead(jobs);
       this.read(PAGES, ({ items: pages }) => {
         this.heir.takeOver({ jobs, revision, sentAt, pages });
