--- a/src/controller/leadership/leadership.ts
+++ b/src/controller/leadership/leadership.ts
@@ -1,22 +1,32 @@
+/** Election, renewal and hand-over of the lead among the controllers. */
 import type { Core } from '../core/core.js';
 import type { Settings } from '../settings/settings.js';
-import type { StateClient } from '../store/client.js';
-import { isMap } from '../wire/cbor.js';
+import type { Read, StateClient } from '../store/client.js';
+import type { Event, Item } from '../wire/state.js';
+import { Election, type WonElection } from './election.js';
+import { LEADER_KEY, readLeader, type LeaderInfo } from './leader-record.js';
 
-export const LEADER_KEY = 'lead';
+/** Names of the timers' commands in the log. */
+const OBSERVE_COMMAND = 'look';
+const RENEW_COMMAND = 'renew';
 
-export interface LeaderInfo {
-  host: string;
-  identity: string;
-  lease: number;
-  /** Version of the key: the leader's term. */
+/** Wait before the key is read again, as a share of the lease: the least, and what chance adds. */
+const RETRY_RATIO = 0.04;
+const RETRY_JITTER_RATIO = 0.04;
+
+/** The lease and the term of this node while it leads. */
+interface OwnTerm {
   term: number;
+  lease: number;
 }
 
+/** What is told of this node's own terms. */
 export interface LeadershipEvents {
+  /** This node leads from now on. */
   elected(term: number): void;
   /** The same term goes on after a time in which this node might not act. */
   resumed(): void;
+  /** This node leads no longer. */
   deposed(): void;
 }
 
@@ -27,16 +37,16 @@
  */
 export class Leadership {
   private info: LeaderInfo | null = null;
-  private mine: { term: number; lease: number } | null = null;
+  private ownTerm: OwnTerm | null = null;
   /** This node may act as leader until then, on its own clock. */
   private actUntil = -Infinity;
   /** The latest term that is known to be over. */
   private endedTerm = 0;
-  private trying = false;
-  private watching = false;
+  private readonly election: Election;
+  private observing = false;
   /** This node has handed over and leaves the lead to the others until then, if they take it. */
-  private standsBackUntil = -Infinity;
-  private leftToOthers = false;
+  private yieldsUntil = -Infinity;
+  private yielded = false;
   /** Guards against answers to questions of an earlier term or role. */
   private generation = 0;
 
@@ -46,29 +56,34 @@
     private readonly client: StateClient,
     readonly identity: string,
     private readonly events: LeadershipEvents,
-  ) {}
+  ) {
+    this.election = new Election(core, settings, client, identity);
+  }
 
+  /** Finds out who leads, and takes the lead if nobody does. */
   start(): void {
-    this.look();
+    this.observe();
   }
 
+  /** This node's term while it leads. */
   get term(): number | null {
-    return this.mine?.term ?? null;
+    return this.ownTerm?.term ?? null;
   }
 
   /** The lease still runs, counted from when its last successful renewal was sent. */
   get acting(): boolean {
-    return this.mine !== null && this.core.now() < this.actUntil;
+    return this.ownTerm !== null && this.core.now() < this.actUntil;
   }
 
+  /** Who leads, as far as this node knows. */
   get leader(): LeaderInfo | null {
     return this.info;
   }
 
   /** Somebody has shown a term above ours: there is a later leader. */
   higherTerm(term: number): void {
-    if (this.mine === null || term <= this.mine.term) return;
-    this.core.log.warn({ term: this.mine.term, seen: term }, 'a later term was seen');
+    if (this.ownTerm === null || term <= this.ownTerm.term) return;
+    this.core.log.warn({ term: this.ownTerm.term, seen: term }, 'a later term was seen');
     this.stepDown('higher term');
   }
 
@@ -80,7 +95,7 @@
   heard(host: string, term: number): void {
     if (host === '') return;
     this.higherTerm(term);
-    if (this.mine !== null || term <= Math.max(this.endedTerm, this.info?.term ?? 0)) return;
+    if (this.ownTerm !== null || term <= Math.max(this.endedTerm, this.info?.term ?? 0)) return;
     this.info = { host, identity: '', lease: 0, term };
   }
 
@@ -89,144 +104,106 @@
     this.info = null;
   }
 
+  /** Gives the lead up; any node may take it. */
   stepDown(reason: string): void {
-    const { mine } = this;
-    if (mine === null) return;
-    this.core.log.info({ term: mine.term, reason }, 'no longer leader');
-    this.mine = null;
+    const { ownTerm } = this;
+    if (ownTerm === null) return;
+    this.core.log.info({ term: ownTerm.term, reason }, 'no longer leader');
+    this.ownTerm = null;
     this.actUntil = -Infinity;
     this.noLeader();
     this.generation++;
     this.client.setRole(false);
     // The lease goes too: otherwise a late copy of the request that made the key could make it
     // once more under a lease that nobody renews.
-    this.client.revoke(mine.lease, this.timeout, () => undefined);
+    this.client.revoke(ownTerm.lease, this.timeoutMs, () => undefined);
     this.events.deposed();
     this.retry();
   }
 
   /** Gives the lead to a node that may be better placed. */
   handOver(reason: string): void {
-    this.standsBackUntil = this.core.now() + this.settings.workerLeaseMs;
-    this.leftToOthers = false;
+    this.yieldsUntil = this.core.now() + this.settings.workerLeaseMs;
+    this.yielded = false;
     this.stepDown(reason);
   }
 
   /** The key is free. Who has handed over takes it only if no other node does within a moment. */
   private contend(): void {
     this.noLeader();
-    if (this.leftToOthers || this.core.now() >= this.standsBackUntil) return this.acquire();
-    this.leftToOthers = true;
-    this.core.after(this.settings.leaderLeaseMs / 2, 'look', () => this.look());
+    if (this.yielded || this.core.now() >= this.yieldsUntil) return this.elect();
+    this.yielded = true;
+    this.core.after(this.settings.leaderLeaseMs / 2, OBSERVE_COMMAND, () => this.observe());
   }
 
-  private get timeout(): number {
+  private get timeoutMs(): number {
     return this.settings.leaderLeaseMs / 4;
   }
 
   private retry(): void {
-    const ms = this.settings.leaderLeaseMs * (0.04 + 0.04 * this.core.env.random());
-    this.core.after(ms, 'look', () => this.look());
+    const ms =
+      this.settings.leaderLeaseMs * (RETRY_RATIO + RETRY_JITTER_RATIO * this.core.env.random());
+    this.core.after(ms, OBSERVE_COMMAND, () => this.observe());
   }
 
-  /** Finds out who leads, then waits for a change, then looks again. */
-  private look(): void {
-    if (this.watching || this.trying || this.mine !== null) return;
-    this.watching = true;
+  /** Finds out who leads, then waits for a change, then observes again. */
+  private observe(): void {
+    if (this.observing || this.election.inProgress || this.ownTerm !== null) return;
+    this.observing = true;
     this.client.tokens.force();
-    this.client.get(LEADER_KEY, this.timeout, (got) => {
-      this.watching = false;
-      if (this.mine !== null) return;
-      if (got.kind === 'failed') return this.retry();
-      const item = got.value;
-      if (item === null) return this.contend();
-      this.leftToOthers = false;
-      const info = this.read(item.value, item.version);
-      if (info === null) return this.retry();
-      if (info.host === this.settings.platform.host && info.identity !== this.identity) {
-        // The key is of an earlier process of this very host, which has ended: one runs at a time.
-        this.core.log.info({ term: info.term }, 'ending the lease of the process before');
-        this.client.revoke(info.lease, this.timeout, () => this.look());
-        return;
-      }
-      this.info = info;
-      this.follow(item.version);
+    this.client.get(LEADER_KEY, this.timeoutMs, (got) => {
+      this.observing = false;
+      if (this.ownTerm === null) this.observed(got);
     });
   }
 
-  private read(value: unknown, version: number): LeaderInfo | null {
-    if (!isMap(value)) return null;
-    const { host, identity, lease } = value;
-    if (typeof host !== 'string' || typeof identity !== 'string' || typeof lease !== 'number')
-      return null;
-    return { host, identity, lease, term: version };
+  private observed(got: Read<Item | null>): void {
+    if (got.kind === 'failed') return this.retry();
+    const item = got.value;
+    if (item === null) return this.contend();
+    this.yielded = false;
+    const leader = readLeader(item.value, item.version);
+    if (leader === null) return this.retry();
+    if (leader.host === this.settings.platform.host && leader.identity !== this.identity) {
+      // The key is of an earlier process of this very host, which has ended: one runs at a time.
+      this.core.log.info({ term: leader.term }, 'ending the lease of the process before');
+      this.client.revoke(leader.lease, this.timeoutMs, () => this.observe());
+      return;
+    }
+    this.info = leader;
+    this.follow(item.version);
+  }
+
+  /** Waits for a change of the leader's key after a revision. */
+  private follow(revision: number): void {
+    this.observing = true;
+    this.client.follow(LEADER_KEY, revision, this.settings.leaderLeaseMs, (got) => {
+      this.observing = false;
+      if (this.ownTerm !== null) return;
+      if (got.kind === 'ok') this.changed(got.value.events, revision, got.value.revision);
+      else this.retry();
+    });
   }
 
-  private follow(from: number): void {
-    this.watching = true;
-    this.client.follow(LEADER_KEY, from, this.settings.leaderLeaseMs, (got) => {
-      this.watching = false;
-      if (this.mine !== null) return;
-      if (got.kind !== 'ok') {
-        this.retry();
-        return;
-      }
-      const last = got.value.events.filter((e) => e.key === LEADER_KEY).at(-1);
-      if (last === undefined) this.follow(Math.max(from, got.value.revision));
-      else if (last.kind === 'put') {
-        this.info = this.read(last.value, last.version);
-        this.follow(got.value.revision);
-      } else this.contend();
-    });
+  private changed(events: readonly Event[], followedFrom: number, revision: number): void {
+    const last = events.filter((event) => event.key === LEADER_KEY).at(-1);
+    if (last === undefined) this.follow(Math.max(followedFrom, revision));
+    else if (last.kind === 'put') {
+      this.info = readLeader(last.value, last.version);
+      this.follow(revision);
+    } else this.contend();
   }
 
-  private acquire(): void {
-    if (this.trying) return;
-    this.trying = true;
-    const sent = this.core.now();
-    this.client.grant(this.settings.leaderLeaseMs, this.timeout, (granted) => {
-      if (granted.kind === 'failed') {
-        this.trying = false;
-        return this.retry();
-      }
-      const lease = granted.value;
-      const value = { host: this.settings.platform.host, identity: this.identity, lease };
-      const give = (): void => {
-        this.trying = false;
-        this.client.revoke(lease, this.timeout, () => undefined);
-        this.retry();
-      };
-      this.client.tokens.force();
-      this.client.multi(
-        [{ key: LEADER_KEY, version: 0 }],
-        [{ put: LEADER_KEY, value, lease }],
-        this.timeout,
-        (r) => {
-          if (r.kind === 'ok') {
-            this.trying = false;
-            this.won(r.revision, lease, sent);
-          } else if (r.kind === 'unknown') {
-            // Perhaps it was made: only reading tells.
-            this.client.tokens.force();
-            this.client.get(LEADER_KEY, this.timeout, (got) => {
-              const info =
-                got.kind === 'ok' && got.value !== null
-                  ? this.read(got.value.value, got.value.version)
-                  : null;
-              if (info?.identity === this.identity && info.lease === lease) {
-                this.trying = false;
-                this.won(info.term, lease, sent);
-              } else give();
-            });
-          } else give();
-        },
-      );
+  private elect(): void {
+    this.election.start((won) => {
+      if (won === null) this.retry();
+      else this.won(won);
     });
   }
 
-  private won(term: number, lease: number, sent: number): void {
-    this.mine = { term, lease };
-    this.actUntil = sent + this.settings.leaderActsMs;
+  private won({ term, lease, sentAt }: WonElection): void {
+    this.ownTerm = { term, lease };
+    this.actUntil = sentAt + this.settings.leaderActsMs;
     this.info = { host: this.settings.platform.host, identity: this.identity, lease, term };
     this.generation++;
     this.client.setRole(true);
@@ -236,28 +213,30 @@
   }
 
   private renewLater(generation: number, ms: number): void {
-    this.core.after(ms, 'renew', () => {
+    this.core.after(ms, RENEW_COMMAND, () => {
       if (generation === this.generation) this.renew(generation);
     });
   }
 
   private renew(generation: number): void {
-    const { mine } = this;
-    if (mine === null) return;
-    const sent = this.core.now();
-    this.client.extend(mine.lease, this.timeout, (r) => {
+    const { ownTerm } = this;
+    if (ownTerm === null) return;
+    const sentAt = this.core.now();
+    this.client.extend(ownTerm.lease, this.timeoutMs, (outcome) => {
       if (generation !== this.generation) return;
-      if (r === 'ended') return this.stepDown('lease ended');
-      if (r === 'ok') {
-        // Told even if the gap came while the renewal was on its way.
-        const gap = !this.acting;
-        this.actUntil = Math.max(this.actUntil, sent + this.settings.leaderActsMs);
-        if (gap) {
-          this.core.log.info({ term: mine.term }, 'lease renewed after a gap');
-          this.events.resumed();
-        }
-        this.renewLater(generation, this.settings.renewMs);
-      } else this.renewLater(generation, this.settings.renewMs / 4);
+      if (outcome === 'ended') return this.stepDown('lease ended');
+      if (outcome === 'ok') this.renewed(ownTerm, sentAt);
+      const waitMs = outcome === 'ok' ? this.settings.renewMs : this.settings.renewMs / 4;
+      this.renewLater(generation, waitMs);
     });
   }
+
+  private renewed(ownTerm: OwnTerm, sentAt: number): void {
+    // Told even if the gap came while the renewal was on its way.
+    const gap = !this.acting;
+    this.actUntil = Math.max(this.actUntil, sentAt + this.settings.leaderActsMs);
+    if (!gap) return;
+    this.core.log.info({ term: ownTerm.term }, 'lease renewed after a gap');
+    this.events.resumed();
+  }
 }
