--- a/src/controller/http/parser.ts
+++ b/src/controller/http/parser.ts
@@ -3,6 +3,7 @@
  * arrive, however split or merged, and hands out whole messages.
  */
 
+/** A request or a response. */
 export interface Message {
   /** Requests. */
   method: string;
@@ -14,11 +15,13 @@
   keepAlive: boolean;
 }
 
+/** Largest head and body that are taken. */
 export interface Limits {
   headBytes: number;
   bodyBytes: number;
 }
 
+/** A message that can't be taken, with the status that says why. */
 export class HttpError extends Error {
   constructor(
     readonly status: number,
@@ -33,8 +36,31 @@
 const DECIMAL = /^\d{1,15}$/;
 const HEX = /^[0-9a-fA-F]{1,8}$/;
 
+const CR = 13;
+const LF = 10;
+/** Longest line with a chunk's size and its extensions. */
+const CHUNK_SIZE_LINE_BYTES = 128;
+const CHUNK_END_LINE_BYTES = 2;
+
 type Stage = 'head' | 'sized' | 'chunk-size' | 'chunk' | 'chunk-end' | 'trailer';
 
+/** What reading one stage has brought: a whole message, or whether there is another stage to read. */
+type Step = Message | 'advanced' | 'incomplete';
+
+function addHeader(headers: Map<string, string>, line: string): void {
+  const colon = line.indexOf(':');
+  const name = line.slice(0, Math.max(colon, 0));
+  if (!TOKEN.test(name)) throw new HttpError(400, 'bad header');
+  const key = name.toLowerCase();
+  const value = line.slice(colon + 1).trim();
+  const before = headers.get(key);
+  if (before === undefined || key === 'content-length') {
+    if (before !== undefined && before !== value) throw new HttpError(400, 'two lengths');
+    headers.set(key, value);
+  } else headers.set(key, `${before}, ${value}`);
+}
+
+/** Parses the messages of one connection. */
 export class Parser {
   private data: Buffer = EMPTY;
   private stage: Stage = 'head';
@@ -54,6 +80,7 @@
     return this.stage === 'head' && this.data.length === 0;
   }
 
+  /** Takes bytes as they arrive. */
   push(bytes: Buffer): void {
     this.data = this.data.length === 0 ? bytes : Buffer.concat([this.data, bytes]);
   }
@@ -61,46 +88,63 @@
   /** The next whole message, or null while more bytes are needed. Throws HttpError. */
   next(): Message | null {
     for (;;) {
-      switch (this.stage) {
-        case 'head':
-          if (!this.readHead()) return null;
-          break;
-        case 'sized':
-          if (this.data.length < this.need) return null;
-          return this.finish(this.cut(this.need));
-        case 'chunk-size': {
-          const line = this.line(128);
-          if (line === null) return null;
-          const size = line.split(';', 1)[0]?.trim() ?? '';
-          if (!HEX.test(size)) throw new HttpError(400, 'bad chunk size');
-          this.need = parseInt(size, 16);
-          this.chunked += this.need;
-          if (this.chunked > this.limits.bodyBytes) throw new HttpError(413, 'body too large');
-          this.stage = this.need === 0 ? 'trailer' : 'chunk';
-          break;
-        }
-        case 'chunk':
-          if (this.data.length < this.need) return null;
-          this.chunks.push(this.cut(this.need));
-          this.stage = 'chunk-end';
-          break;
-        case 'chunk-end': {
-          const line = this.line(2);
-          if (line === null) return null;
-          if (line !== '') throw new HttpError(400, 'bad chunk end');
-          this.stage = 'chunk-size';
-          break;
-        }
-        case 'trailer': {
-          const line = this.line(this.limits.headBytes);
-          if (line === null) return null;
-          if (line === '') return this.finish(Buffer.concat(this.chunks));
-          break;
-        }
-      }
+      const step = this.readStage();
+      if (step === 'incomplete') return null;
+      if (step !== 'advanced') return step;
+    }
+  }
+
+  private readStage(): Step {
+    switch (this.stage) {
+      case 'head':
+        return this.readHead();
+      case 'sized':
+        if (this.data.length < this.need) return 'incomplete';
+        return this.finish(this.cut(this.need));
+      case 'chunk-size':
+        return this.readChunkSize();
+      case 'chunk':
+        return this.readChunk();
+      case 'chunk-end':
+        return this.readChunkEnd();
+      case 'trailer':
+        return this.readTrailer();
     }
   }
 
+  private readChunkSize(): Step {
+    const line = this.line(CHUNK_SIZE_LINE_BYTES);
+    if (line === null) return 'incomplete';
+    const size = line.split(';', 1)[0]?.trim() ?? '';
+    if (!HEX.test(size)) throw new HttpError(400, 'bad chunk size');
+    this.need = parseInt(size, 16);
+    this.chunked += this.need;
+    if (this.chunked > this.limits.bodyBytes) throw new HttpError(413, 'body too large');
+    this.stage = this.need === 0 ? 'trailer' : 'chunk';
+    return 'advanced';
+  }
+
+  private readChunk(): Step {
+    if (this.data.length < this.need) return 'incomplete';
+    this.chunks.push(this.cut(this.need));
+    this.stage = 'chunk-end';
+    return 'advanced';
+  }
+
+  private readChunkEnd(): Step {
+    const line = this.line(CHUNK_END_LINE_BYTES);
+    if (line === null) return 'incomplete';
+    if (line !== '') throw new HttpError(400, 'bad chunk end');
+    this.stage = 'chunk-size';
+    return 'advanced';
+  }
+
+  private readTrailer(): Step {
+    const line = this.line(this.limits.headBytes);
+    if (line === null) return 'incomplete';
+    return line === '' ? this.finish(Buffer.concat(this.chunks)) : 'advanced';
+  }
+
   private cut(size: number): Buffer {
     const part = this.data.subarray(0, size);
     this.data = this.data.length === size ? EMPTY : this.data.subarray(size);
@@ -130,50 +174,47 @@
     return message;
   }
 
-  private readHead(): boolean {
+  private readHead(): Step {
+    const lines = this.headLines();
+    if (lines === null) return 'incomplete';
+    const message = this.startLine(lines[0] ?? '');
+    for (let i = 1; i < lines.length; i++) addHeader(message.headers, lines[i] ?? '');
+    this.message = message;
+    this.frame(message);
+    return 'advanced';
+  }
+
+  private headLines(): string[] | null {
     // Stray empty lines before a start line are allowed.
-    while (this.data.length >= 2 && this.data[0] === 13 && this.data[1] === 10) this.cut(2);
+    while (this.data.length >= 2 && this.data[0] === CR && this.data[1] === LF) this.cut(2);
     const end = this.data.indexOf('\r\n\r\n', Math.max(0, this.scanned - 3));
     if (end < 0) {
       this.scanned = this.data.length;
       if (this.data.length > this.limits.headBytes) throw new HttpError(431, 'head too large');
-      return false;
+      return null;
     }
     if (end > this.limits.headBytes) throw new HttpError(431, 'head too large');
-    const lines = this.cut(end + 4)
+    return this.cut(end + 4)
       .toString('latin1', 0, end)
       .split('\r\n');
-    const message = this.startLine(lines[0] ?? '');
-    for (let i = 1; i < lines.length; i++) {
-      const line = lines[i] ?? '';
-      const colon = line.indexOf(':');
-      const name = line.slice(0, Math.max(colon, 0));
-      if (!TOKEN.test(name)) throw new HttpError(400, 'bad header');
-      const key = name.toLowerCase();
-      const value = line.slice(colon + 1).trim();
-      const before = message.headers.get(key);
-      if (before !== undefined && key === 'content-length' && before !== value)
-        throw new HttpError(400, 'two lengths');
-      message.headers.set(
-        key,
-        before === undefined || key === 'content-length' ? value : `${before}, ${value}`,
-      );
-    }
-    this.message = message;
-    this.frame(message);
-    return true;
   }
 
   private startLine(line: string): Message {
     const base = { headers: new Map<string, string>(), body: EMPTY, keepAlive: true };
     if (this.kind === 'request') {
-      const m = /^([A-Z]{1,16}) (\/[\x21-\x7e]*) HTTP\/1\.([01])$/.exec(line);
-      if (m === null) throw new HttpError(400, 'bad request line');
-      return { ...base, method: m[1] ?? '', path: m[2] ?? '', status: 0, keepAlive: m[3] === '1' };
+      const match = /^([A-Z]{1,16}) (\/[\x21-\x7e]*) HTTP\/1\.([01])$/.exec(line);
+      if (match === null) throw new HttpError(400, 'bad request line');
+      return {
+        ...base,
+        method: match[1] ?? '',
+        path: match[2] ?? '',
+        status: 0,
+        keepAlive: match[3] === '1',
+      };
     }
-    const m = /^HTTP\/1\.([01]) (\d{3})(?: .*)?$/.exec(line);
-    if (m === null) throw new HttpError(400, 'bad status line');
-    return { ...base, method: '', path: '', status: Number(m[2]), keepAlive: m[1] === '1' };
+    const match = /^HTTP\/1\.([01]) (\d{3})(?: .*)?$/.exec(line);
+    if (match === null) throw new HttpError(400, 'bad status line');
+    return { ...base, method: '', path: '', status: Number(match[2]), keepAlive: match[1] === '1' };
   }
 
   private frame(message: Message): void {
@@ -211,6 +252,7 @@
   504: 'Gateway Timeout',
 };
 
+/** A response to be written. */
 export interface Response {
   status: number;
   body: Buffer;
@@ -219,16 +261,18 @@
   allow?: string;
 }
 
-export function formatResponse(r: Response, close: boolean): Buffer {
-  let head = `HTTP/1.1 ${r.status} ${reasons[r.status] ?? 'Status'}\r\nContent-Length: ${r.body.length}\r\n`;
-  if (r.body.length > 0) head += `Content-Type: ${r.type ?? 'application/cbor'}\r\n`;
-  if (r.retryAfterS !== undefined)
-    head += `Retry-After: ${Math.max(1, Math.ceil(r.retryAfterS))}\r\n`;
-  if (r.allow !== undefined) head += `Allow: ${r.allow}\r\n`;
+/** The bytes of a response; `close`: the connection ends after it. */
+export function formatResponse(response: Response, close: boolean): Buffer {
+  const { status, body, type, retryAfterS, allow } = response;
+  let head = `HTTP/1.1 ${status} ${reasons[status] ?? 'Status'}\r\nContent-Length: ${body.length}\r\n`;
+  if (body.length > 0) head += `Content-Type: ${type ?? 'application/cbor'}\r\n`;
+  if (retryAfterS !== undefined) head += `Retry-After: ${Math.max(1, Math.ceil(retryAfterS))}\r\n`;
+  if (allow !== undefined) head += `Allow: ${allow}\r\n`;
   if (close) head += 'Connection: close\r\n';
-  return Buffer.concat([Buffer.from(`${head}\r\n`, 'latin1'), r.body]);
+  return Buffer.concat([Buffer.from(`${head}\r\n`, 'latin1'), body]);
 }
 
+/** The bytes of a request; the body, if there is one, is CBOR. */
 export function formatRequest(
   method: string,
   host: string,
--- a/src/controller/http/server.ts
+++ b/src/controller/http/server.ts
@@ -1,14 +1,12 @@
+/** The HTTP server of the API. */
 import net from 'node:net';
-import {
-  formatResponse,
-  HttpError,
-  Parser,
-  type Limits,
-  type Message,
-  type Response,
-} from './parser.js';
+import type { Limits } from './parser.js';
+import { ServerConnection, type Handler } from './server-connection.js';
 import type { Sockets } from './sockets.js';
 
+export type { Handler } from './server-connection.js';
+
+/** Address and limits of a server. */
 export interface ServerOptions {
   host: string;
   port: number;
@@ -23,10 +21,6 @@
   idleMs: (path: string) => number;
 }
 
-export type Handler = (request: Message, respond: (r: Response) => void) => void;
-
-const NONE = Buffer.alloc(0);
-
 /** Serves HTTP/1.1 on `net`: one request at a time a connection, answered in order. */
 export class HttpServer {
   private readonly server: net.Server;
@@ -51,95 +45,34 @@
     return false;
   }
 
+  /** Starts to listen. */
   listen(done: () => void, failed: (err: Error) => void): void {
     this.server.on('error', failed);
     this.server.listen(this.options.port, this.options.host, done);
   }
 
+  /** Takes no more connections. */
   close(): void {
     this.server.close();
   }
 
   private accept(socket: net.Socket): void {
-    const { sockets, idleMs } = this.options;
+    const { sockets, limits, readMs, idleMs } = this.options;
     sockets.add();
     this.idle.add(socket);
-    let patience = idleMs('');
-    const parser = new Parser('request', this.options.limits);
-    let busy = false;
-    let ended = false;
-
-    const finish = (): void => {
-      ended = true;
-      socket.setTimeout(this.options.readMs, () => socket.destroy());
-      socket.end();
-    };
-    const refuse = (err: unknown): void => {
-      if (ended) return;
-      const status = err instanceof HttpError ? err.status : 400;
-      socket.write(formatResponse({ status, body: NONE }, true));
-      finish();
-    };
-    // Deadlines: a request that has begun must arrive whole; idle connections go in the end.
-    let deadline: NodeJS.Timeout | null = null;
-    const watch = (): void => {
-      const waiting = !busy && !parser.idle;
-      if (waiting && deadline === null)
-        deadline = setTimeout(() => socket.destroy(), this.options.readMs);
-      if (!waiting && deadline !== null) {
-        clearTimeout(deadline);
-        deadline = null;
-      }
-    };
-    const pump = (): void => {
-      if (busy || ended) return;
-      let request: Message | null;
-      try {
-        request = parser.next();
-      } catch (err) {
-        refuse(err);
-        return;
-      }
-      watch();
-      if (request === null) return;
-      const { keepAlive } = request;
-      busy = true;
-      this.idle.delete(socket);
-      watch();
-      if (idleMs(request.path) !== patience) {
-        patience = idleMs(request.path);
-        socket.setTimeout(patience);
-      }
-      let answered = false;
-      this.handler(request, (r) => {
-        if (answered) return;
-        answered = true;
-        busy = false;
-        if (ended || socket.destroyed) return;
-        socket.write(formatResponse(r, !keepAlive));
-        if (!keepAlive) finish();
-        else {
-          this.idle.add(socket);
-          socket.resume();
-          pump();
-        }
-      });
-    };
-
-    socket.setTimeout(patience, () => socket.destroy());
-    socket.on('data', (bytes) => {
-      if (ended) return;
-      parser.push(bytes);
-      // No pipelining in this protocol: a client that sends on without reading is made to wait.
-      if (busy) socket.pause();
-      else pump();
-    });
-    socket.on('error', () => socket.destroy());
-    socket.on('close', () => {
-      ended = true;
-      sockets.remove();
-      this.idle.delete(socket);
-      if (deadline !== null) clearTimeout(deadline);
+    new ServerConnection(socket, {
+      limits,
+      readMs,
+      idleMs,
+      handler: this.handler,
+      onIdle: (idle) => {
+        if (idle) this.idle.add(socket);
+        else this.idle.delete(socket);
+      },
+      onClose: () => {
+        sockets.remove();
+        this.idle.delete(socket);
+      },
     });
   }
 }
--- a/src/controller/operators/view.ts
+++ b/src/controller/operators/view.ts
@@ -1,14 +1,18 @@
+/** The cluster as its leader sees it, for a person. */
 import type { Fleet } from '../fleet/fleet.js';
+import type { Job } from '../jobs/job.js';
 import type { JobTable } from '../jobs/table.js';
 import type { Placement } from '../placement/placement.js';
 import { times } from '../placement/room.js';
 import type { Settings } from '../settings/settings.js';
+import type { Machine } from '../workers/machine.js';
 import type { Workers } from '../workers/workers.js';
 import type { MachineType } from '../wire/cloud.js';
 
-/** Machines listed one by one in the view. */
+/** Most machines, services and lacking jobs that are listed one by one. */
 const LISTED = 200;
 
+/** What the view is made of. */
 export interface ViewSource {
   settings: Settings;
   term: number;
@@ -21,91 +25,109 @@
   fleet: Fleet;
 }
 
-/** The cluster as its leader sees it, for a person. */
-export function clusterView(s: ViewSource): unknown {
-  const machines = [...s.workers.machines.values()];
-  const seconds = (ms: number): number | null =>
-    Number.isFinite(ms) ? Math.round((ms - s.now) / 100) / 10 : null;
-  const jobs = [...s.table.jobs.values()];
+/** The body of the answer to `/cluster`. */
+export function clusterView(source: ViewSource): unknown {
+  const machines = [...source.workers.machines.values()];
+  const jobs = [...source.table.jobs.values()];
   return {
-    leader: s.settings.platform.host,
-    term: s.term,
-    acting: s.acting,
+    leader: source.settings.platform.host,
+    term: source.term,
+    acting: source.acting,
     jobs: jobs.length,
-    pending_tasks: jobs.reduce((n, j) => n + j.pending.length, 0),
-    assigned_tasks: s.workers.assigned,
-    booting: s.fleet.booting,
-    machines: machines.slice(0, LISTED).map((m) => ({
-      id: m.id,
-      type: m.typeName,
-      zone: m.zone,
-      spot: m.spot,
-      tasks: m.assignments.size,
-      cpus: m.cpus,
-      gpus: m.gpus,
-      memory_gb: m.memoryGb,
-      state: m.leaving
-        ? 'leaving'
-        : m.noticeAt !== null
-          ? 'recalled'
-          : !s.workers.alive(m)
-            ? 'silent'
-            : m.noPlacingBefore > s.now
-              ? 'quarantined'
-              : 'up',
-    })),
-    teams: s.workers.teams.state().map((t) => ({
-      name: t.name,
-      cpus: t.cpus,
-      gpus: t.gpus,
-      guaranteed_cpus: t.team.cpus,
-      guaranteed_gpus: t.team.gpus,
-      most_cpus: t.team.cpusMax,
-      most_gpus: t.team.gpusMax,
-    })),
-    holds: jobs
-      .filter((j) => j.reservation !== null)
-      .map((j) => ({
-        job: j.spec.id,
-        class: j.spec.class,
-        machines: j.reservation?.machines ?? [],
-        held_s: -(seconds(j.reservation?.since ?? s.now) ?? 0),
-        fills_in_s: seconds(j.reservation?.fillAt ?? Infinity),
-        blocked: j.blocked,
-      })),
-    services: jobs
-      .filter((j) => j.standing)
-      .sort((a, b) => b.missing - a.missing)
-      .slice(0, LISTED)
-      .map((j) => ({
-        job: j.spec.id,
-        class: j.spec.class,
-        replicas: j.spec.tasks,
-        missing: j.missing,
-        machines: [...j.assigned.values()].map((a) => a.machine.id),
-        exits: j.exits,
-      })),
-    lacking: s.placement.lacking
+    pending_tasks: jobs.reduce((sum, job) => sum + job.pending.length, 0),
+    assigned_tasks: source.workers.assigned,
+    booting: source.fleet.booting,
+    machines: machines.slice(0, LISTED).map((machine) => machineView(source, machine)),
+    teams: teamsView(source),
+    holds: holdsView(source, jobs),
+    services: servicesView(jobs),
+    lacking: source.placement.lacking
       .slice(0, LISTED)
       .map(({ job, tasks }) => ({ job: job.spec.id, class: job.spec.class, tasks })),
-    largest_placeable: s.types.map((t) => {
-      const mine = machines.filter(
-        (m) => m.typeName === t.name && s.workers.alive(m) && !m.leaving,
-      );
-      const whole = mine.filter((m) => !m.busy).length;
-      const gpus = mine.map((m) => t.gpus - m.gpus);
-      const cpus = mine.map((m) => t.cpus - m.cpus);
-      return {
-        type: t.name,
-        whole_machines: whole,
-        gpus_on_one: Math.max(0, ...gpus),
-        cpus_on_one: Math.max(0, ...cpus),
-        // What a gang of one-GPU tasks (or one-CPU tasks, on machines without GPUs) could have.
-        single_tasks: (t.gpus > 0 ? gpus : cpus).reduce(
-          (n, free) => n + times(Math.max(0, free), 1),
-          0,
-        ),
-      };
-    }),
+    largest_placeable: source.types.map((type) => placeableView(source, machines, type)),
+  };
+}
+
+function machineView(source: ViewSource, machine: Machine): unknown {
+  return {
+    id: machine.id,
+    type: machine.typeName,
+    zone: machine.zone,
+    spot: machine.spot,
+    tasks: machine.assignments.size,
+    cpus: machine.cpus,
+    gpus: machine.gpus,
+    memory_gb: machine.memoryGb,
+    state: machineState(source, machine),
+  };
+}
+
+function machineState(source: ViewSource, machine: Machine): string {
+  if (machine.leaving) return 'leaving';
+  if (machine.noticeAt !== null) return 'recalled';
+  if (!source.workers.alive(machine)) return 'silent';
+  return machine.noPlacingBefore > source.now ? 'quarantined' : 'up';
+}
+
+function teamsView(source: ViewSource): unknown {
+  return source.workers.teams.state().map(({ name, cpus, gpus, team }) => ({
+    name,
+    cpus,
+    gpus,
+    guaranteed_cpus: team.cpus,
+    guaranteed_gpus: team.gpus,
+    most_cpus: team.cpusMax,
+    most_gpus: team.gpusMax,
+  }));
+}
+
+function holdsView(source: ViewSource, jobs: Job[]): unknown {
+  // To a tenth of a second; null: never.
+  const seconds = (ms: number): number | null =>
+    Number.isFinite(ms) ? Math.round((ms - source.now) / 100) / 10 : null;
+  return jobs
+    .filter((job) => job.reservation !== null)
+    .map((job) => ({
+      job: job.spec.id,
+      class: job.spec.class,
+      machines: job.reservation?.machines ?? [],
+      held_s: -(seconds(job.reservation?.since ?? source.now) ?? 0),
+      fills_in_s: seconds(job.reservation?.fillAt ?? Infinity),
+      blocked: job.blocked,
+    }));
+}
+
+function servicesView(jobs: Job[]): unknown {
+  return jobs
+    .filter((job) => job.standing)
+    .sort((one, other) => other.missing - one.missing)
+    .slice(0, LISTED)
+    .map((job) => ({
+      job: job.spec.id,
+      class: job.spec.class,
+      replicas: job.spec.tasks,
+      missing: job.missing,
+      machines: [...job.assigned.values()].map((assignment) => assignment.machine.id),
+      exits: job.exits,
+    }));
+}
+
+function placeableView(source: ViewSource, machines: Machine[], type: MachineType): unknown {
+  const usable = machines.filter(
+    (machine) =>
+      machine.typeName === type.name && source.workers.alive(machine) && !machine.leaving,
+  );
+  const gpus = usable.map((machine) => type.gpus - machine.gpus);
+  const cpus = usable.map((machine) => type.cpus - machine.cpus);
+  return {
+    type: type.name,
+    whole_machines: usable.filter((machine) => !machine.busy).length,
+    gpus_on_one: Math.max(0, ...gpus),
+    cpus_on_one: Math.max(0, ...cpus),
+    // What a gang of one-GPU tasks (or one-CPU tasks, on machines without GPUs) could have.
+    single_tasks: (type.gpus > 0 ? gpus : cpus).reduce(
+      (sum, free) => sum + times(Math.max(0, free), 1),
+      0,
+    ),
   };
 }
--- a/src/controller/routes.ts
+++ b/src/controller/routes.ts
@@ -1,3 +1,4 @@
+/** The paths of the API, and which node answers. */
 import type { Core } from './core/core.js';
 import type { Answer, Frontend } from './jobs/frontend.js';
 import type { Leadership } from './leadership/leadership.js';
@@ -7,16 +8,31 @@
 import type { StateClient } from './store/client.js';
 import { decodeBody, WireError } from './wire/cbor.js';
 
+/** Where workers send their reports. */
 export const REPORT_PATH = '/v1/report';
 
-type Respond = (a: Answer) => void;
+/** Path of a job, or of its cancellation. */
+const JOB_PATH = /^\/submissions\/([^/]+)(\/abort)?$/;
+
+type Respond = (answer: Answer) => void;
+
+/** What answers requests with one method for one path. */
+interface Endpoint {
+  method: 'GET' | 'POST';
+  serve: (body: Buffer, respond: Respond) => void;
+}
 
 /** What the routes need beside users' jobs. */
 export interface RouteSource {
+  /** This node leads. */
   leads(): boolean;
+  /** This node serves users and can reach what it needs. */
   ready(): boolean;
+  /** Answers a worker's report. */
   report(body: unknown, respond: Respond): void;
+  /** Answers with the view of the cluster. */
   cluster(respond: Respond): void;
+  /** Answers with the metrics. */
   scrape(respond: Respond): void;
   /** A request has been answered. */
   counted(route: string, status: number, tookMs: number): void;
@@ -32,6 +48,8 @@
 
 /** The API's paths, and which node answers. */
 export class Routes {
+  private readonly endpoints: ReadonlyMap<string, Endpoint>;
+
   constructor(
     private readonly core: Core,
     private readonly settings: Settings,
@@ -40,9 +58,12 @@
     private readonly leadership: Leadership,
     private readonly frontend: Frontend,
     private readonly source: RouteSource,
-  ) {}
+  ) {
+    this.endpoints = this.createEndpoints();
+  }
 
-  request(method: string, path: string, body: Buffer, respond: (a: Answer) => void): void {
+  /** Answers a request here, or has the node answer that can. */
+  request(method: string, path: string, body: Buffer, respond: Respond): void {
     this.core.post('request', () => {
       const from = this.core.now();
       const route = path.split('/', 2)[1]?.split('?', 1)[0] ?? '';
@@ -62,7 +83,7 @@
    * Answers a user, with a peer's help where the state service serves the peer and not this node.
    * The peer is asked when this node has failed, or is late, so that a cut costs the user little.
    */
-  private withHelp(method: string, path: string, body: Buffer, respond: (a: Answer) => void): void {
+  private withHelp(method: string, path: string, body: Buffer, respond: Respond): void {
     let answered = false;
     let own: Answer | null = null;
     let helping = false;
@@ -96,12 +117,7 @@
     });
   }
 
-  private askLeader(
-    method: string,
-    path: string,
-    body: Buffer,
-    respond: (a: Answer) => void,
-  ): void {
+  private askLeader(method: string, path: string, body: Buffer, respond: Respond): void {
     const leader = this.leadership.leader?.host;
     if (leader === undefined || leader === this.settings.platform.host)
       return this.handle(method, path, body, respond);
@@ -113,7 +129,7 @@
   }
 
   /** Answers here, whoever asks. */
-  handle(method: string, path: string, body: Buffer, respond: (a: Answer) => void): void {
+  handle(method: string, path: string, body: Buffer, respond: Respond): void {
     try {
       this.route(method, path, body, respond);
     } catch (err) {
@@ -133,41 +149,42 @@
     }
   }
 
-  private route(method: string, target: string, body: Buffer, respond: (a: Answer) => void): void {
+  private route(method: string, target: string, body: Buffer, respond: Respond): void {
     const path = target.split('?', 1)[0] ?? '';
-    const wrong = (allow: string): void =>
-      respond({ status: 405, body: { error: 'method not allowed' }, allow });
-    if (path === REPORT_PATH) {
-      if (method !== 'POST') return wrong('POST');
-      return this.source.report(this.decode(body), respond);
-    }
-    if (path === '/ready') {
-      if (method !== 'GET') return wrong('GET');
-      return respond(
-        this.source.ready()
-          ? { status: 200, body: { ready: true } }
-          : { status: 503, body: { ready: false } },
-      );
-    }
-    if (path === '/cluster') {
-      if (method !== 'GET') return wrong('GET');
-      return this.source.cluster(respond);
-    }
-    if (path === '/metrics') {
-      if (method !== 'GET') return wrong('GET');
-      return this.source.scrape(respond);
-    }
-    if (path === '/submissions') {
-      if (method !== 'POST') return wrong('POST');
-      return this.frontend.submit(this.decode(body), respond);
-    }
-    const job = /^\/submissions\/([^/]+)(\/abort)?$/.exec(path);
-    if (job !== null) {
-      const id = job[1] ?? '';
-      if (job[2] !== undefined)
-        return method === 'POST' ? this.frontend.cancel(id, respond) : wrong('POST');
-      return method === 'GET' ? this.frontend.poll(id, respond) : wrong('GET');
-    }
-    respond({ status: 404, body: { error: 'no such path' } });
+    const endpoint = this.endpoint(path);
+    if (endpoint === null) respond({ status: 404, body: { error: 'no such path' } });
+    else if (method !== endpoint.method)
+      respond({ status: 405, body: { error: 'method not allowed' }, allow: endpoint.method });
+    else endpoint.serve(body, respond);
+  }
+
+  private endpoint(path: string): Endpoint | null {
+    const fixed = this.endpoints.get(path);
+    if (fixed !== undefined) return fixed;
+    const job = JOB_PATH.exec(path);
+    if (job === null) return null;
+    const id = job[1] ?? '';
+    if (job[2] !== undefined)
+      return { method: 'POST', serve: (_body, respond) => this.frontend.cancel(id, respond) };
+    return { method: 'GET', serve: (_body, respond) => this.frontend.poll(id, respond) };
+  }
+
+  /** Paths without parameters. */
+  private createEndpoints(): Map<string, Endpoint> {
+    const { source, frontend } = this;
+    const ready = (): Answer =>
+      source.ready()
+        ? { status: 200, body: { ready: true } }
+        : { status: 503, body: { ready: false } };
+    const report: Endpoint['serve'] = (body, respond) => source.report(this.decode(body), respond);
+    const submit: Endpoint['serve'] = (body, respond) =>
+      frontend.submit(this.decode(body), respond);
+    return new Map<string, Endpoint>([
+      [REPORT_PATH, { method: 'POST', serve: report }],
+      ['/ready', { method: 'GET', serve: (_body, respond) => respond(ready()) }],
+      ['/cluster', { method: 'GET', serve: (_body, respond) => source.cluster(respond) }],
+      ['/metrics', { method: 'GET', serve: (_body, respond) => source.scrape(respond) }],
+      ['/submissions', { method: 'POST', serve: submit }],
+    ]);
   }
 }
--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -1,29 +1,45 @@
+/** Puts a controller on the network and starts it. */
 import net from 'node:net';
 import { randomBytes } from 'node:crypto';
 import { Controller } from './controller.js';
+import type { Logger } from './core/env.js';
 import { makeLog, LOG_LEVELS } from './core/log.js';
 import { NodeEnv } from './core/node-env.js';
 import { uniform } from './core/random.js';
-import { HttpServer } from './http/server.js';
+import type { Response } from './http/parser.js';
+import { HttpServer, type Handler } from './http/server.js';
 import { Sockets } from './http/sockets.js';
+import type { Answer } from './jobs/frontend.js';
 import { readPeer } from './peers/listener.js';
 import { REPORT_PATH } from './routes.js';
 import type { Settings } from './settings/settings.js';
 import { encodeBody } from './wire/cbor.js';
 
+const HEAD_BYTES = 16 * 1024;
 const BODY_BYTES = 64 * 1024;
-const NONE = Buffer.alloc(0);
+const EMPTY_BODY = Buffer.alloc(0);
+const REQUEST_READ_MS = 10_000;
+const USER_IDLE_MS = 60_000;
+/** Workers that are well report often: of one long silent only the connection is left. */
+const WORKER_IDLE_REPORTS = 2.5;
+/** Share of the sockets that peers may open, and the least number of them. */
+const PEER_SOCKETS_RATIO = 0.02;
+const MIN_PEER_SOCKETS = 8;
 
-function split(addr: string): { host: string; port: number } {
-  const colon = addr.lastIndexOf(':');
-  return { host: addr.slice(0, colon), port: Number(addr.slice(colon + 1)) };
+function splitAddress(address: string): { host: string; port: number } {
+  const colon = address.lastIndexOf(':');
+  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
+
+function openLog(host: string): Logger {
+  const wanted = process.env['LOG_LEVEL'] ?? 'info';
+  return makeLog(LOG_LEVELS.includes(wanted) ? wanted : 'info', host);
 }
 
 /** Starts a controller on this machine; it runs until the process is killed. */
 export function run(settings: Settings): void {
   const { platform } = settings;
-  const wanted = process.env['LOG_LEVEL'] ?? 'info';
-  const log = makeLog(LOG_LEVELS.includes(wanted) ? wanted : 'info', platform.host);
+  const log = openLog(platform.host);
   const seed = randomBytes(8);
   const identity = `${platform.host}-${seed.toString('hex')}`;
   const sockets = new Sockets(
@@ -36,7 +52,6 @@
     peerRetryMs: settings.reportMs / 3,
   });
   const controller = new Controller(env, log, settings, identity);
-
   const fail = (err: Error): void => {
     log.error({ err }, 'cannot listen');
     process.exit(1);
@@ -44,38 +59,63 @@
   // The error handlers below keep one connection's trouble from ending the process.
   process.on('uncaughtException', (err) => log.error({ err }, 'uncaught'));
   process.on('unhandledRejection', (err) => log.error({ err }, 'unhandled'));
-
-  const api = new HttpServer(
-    {
-      ...split(platform.api),
-      limits: { headBytes: 16 * 1024, bodyBytes: BODY_BYTES },
-      sockets,
-      maxSockets: platform.quota.sockets,
-      readMs: 10_000,
-      // Workers that are well report often: of one long silent only the connection is left.
-      idleMs: (path) => (path === REPORT_PATH ? settings.reportMs * 2.5 : 60_000),
-    },
-    (request, respond) => {
-      controller.request(request.method, request.path, request.body, (a) => {
-        respond({
-          status: a.status,
-          body: a.raw ?? (a.body === undefined ? NONE : encodeBody(a.body)),
-          ...(a.type === undefined ? {} : { type: a.type }),
-          ...(a.retryAfterS === undefined ? {} : { retryAfterS: a.retryAfterS }),
-          ...(a.allow === undefined ? {} : { allow: a.allow }),
-        });
-      });
-    },
+  createApi(settings, sockets, controller).listen(
+    () => log.info({ addr: platform.api, identity }, 'listening'),
+    fail,
   );
-  api.listen(() => log.info({ addr: platform.api, identity }, 'listening'), fail);
+  listenToPeers(settings, controller, fail);
+  controller.start();
+  loadMetrics(settings, controller);
+}
 
-  const internal = net.createServer((socket) => readPeer(socket, controller));
-  internal.maxConnections = Math.max(8, Math.floor(platform.quota.sockets * 0.02));
-  internal.on('error', fail);
-  const at = split(platform.internal);
-  internal.listen(at.port, at.host);
+function createApi(settings: Settings, sockets: Sockets, controller: Controller): HttpServer {
+  const { platform } = settings;
+  const options = {
+    ...splitAddress(platform.api),
+    limits: { headBytes: HEAD_BYTES, bodyBytes: BODY_BYTES },
+    sockets,
+    maxSockets: platform.quota.sockets,
+    readMs: REQUEST_READ_MS,
+    idleMs: (path: string) =>
+      path === REPORT_PATH ? settings.reportMs * WORKER_IDLE_REPORTS : USER_IDLE_MS,
+  };
+  return new HttpServer(options, apiHandler(controller));
+}
 
-  controller.start();
+function apiHandler(controller: Controller): Handler {
+  return (request, respond) => {
+    const { method, path, body } = request;
+    controller.request(method, path, body, (answer) => respond(encodeAnswer(answer)));
+  };
+}
+
+function encodeAnswer(answer: Answer): Response {
+  const { status, body, raw, type, retryAfterS, allow } = answer;
+  return {
+    status,
+    body: raw ?? (body === undefined ? EMPTY_BODY : encodeBody(body)),
+    ...(type === undefined ? {} : { type }),
+    ...(retryAfterS === undefined ? {} : { retryAfterS }),
+    ...(allow === undefined ? {} : { allow }),
+  };
+}
+
+function listenToPeers(
+  settings: Settings,
+  controller: Controller,
+  fail: (err: Error) => void,
+): void {
+  const { quota, internal } = settings.platform;
+  const server = net.createServer((socket) => readPeer(socket, controller));
+  const share = Math.floor(quota.sockets * PEER_SOCKETS_RATIO);
+  server.maxConnections = Math.max(MIN_PEER_SOCKETS, share);
+  server.on('error', fail);
+  const { host, port } = splitAddress(internal);
+  server.listen(port, host);
+}
+
+/** The metrics' library is loaded once the controller has had time to start. */
+function loadMetrics(settings: Settings, controller: Controller): void {
   setTimeout(() => {
     void import('./operators/metrics.js').then(({ Metrics }) => {
       controller.metrics = new Metrics();
--- a/src/controller/settings/platform.ts
+++ b/src/controller/settings/platform.ts
@@ -1,3 +1,4 @@
+/** The settings that the platform hands to each controller, as TOML. */
 import { parse } from 'smol-toml';
 
 /** The settings that the platform hands over, checked. Unknown fields are ignored. */
@@ -26,6 +27,7 @@
   quota: { cores: number; ramMb: number; sockets: number };
 }
 
+/** What the state service takes: calls and writes a second, and the size of what is written. */
 export interface StateLimits {
   rps: number;
   writeRps: number;
@@ -42,6 +44,7 @@
   times: number;
 }
 
+/** A team's guaranteed share of the cluster, and its caps. */
 export interface Team {
   name: string;
   /** Guaranteed amounts. */
@@ -52,6 +55,7 @@
   gpusMax: number;
 }
 
+/** Settings that can't be used; the message names the field. */
 export class SettingsError extends Error {}
 
 type Table = Record<string, unknown>;
@@ -101,21 +105,66 @@
   };
 }
 
-export function readPlatform(source: string): Platform {
-  let root: Table;
+function parseToml(source: string): Table {
   try {
-    root = parse(source);
-  } catch (err) {
-    const first = (err instanceof Error ? err.message : String(err)).split('\n', 1)[0] ?? '';
-    throw new SettingsError(`not TOML: ${first}`);
+    return parse(source);
+  } catch (error) {
+    const message = error instanceof Error ? error.message : String(error);
+    throw new SettingsError(`not TOML: ${message.split('\n', 1)[0] ?? ''}`);
   }
+}
+
+function readTeam(from: Table, path: string): Team {
+  return {
+    name: str(from, 'name', path),
+    cpus: num(from, 'cpus', path, 0, 0),
+    gpus: num(from, 'gpus', path, 0, 0),
+    cpusMax: num(from, 'cpus_max', path, 0, 0),
+    gpusMax: num(from, 'gpus_max', path, 0, 0),
+  };
+}
+
+function readObjective(from: Table, path: string): Objective {
+  const { class: className, within_s: withinS, times } = from;
+  return {
+    kind: str(from, 'kind', path),
+    class: typeof className === 'string' ? className : null,
+    withinS: typeof withinS === 'number' ? withinS : null,
+    times: typeof times === 'number' ? times : 1,
+  };
+}
+
+function readWorkers(from: Table, path: string): Platform['workers'] {
+  return {
+    reportS: num(from, 'report_s', path, 0.1),
+    leaseS: num(from, 'lease_s', path, 1),
+    gangWaitS: num(from, 'gang_wait_s', path, 1),
+    gangPeerS: num(from, 'gang_peer_s', path, 0.1),
+    cancelS: num(from, 'cancel_s', path, 1),
+  };
+}
+
+function readCloudLimits(from: Table, path: string): Platform['cloudLimits'] {
+  return { rps: num(from, 'rps', path, 0.1), listLagS: num(from, 'list_lag_s', path, 0, 0) };
+}
+
+function readQuota(from: Table, path: string): Platform['quota'] {
+  return {
+    cores: num(from, 'cores', path, 0.01, 1),
+    ramMb: num(from, 'ram_mb', path, 32, 256),
+    sockets: num(from, 'fd_limit', path, 16, 1024),
+  };
+}
+
+/** Reads the platform's settings; throws a SettingsError that names the field at fault. */
+export function readPlatform(source: string): Platform {
+  const root = parseToml(source);
   const services = table(root, 'services', '');
   const params = table(root, 'params', '');
   const workers = table(params, 'workers', 'params.');
   const state = table(params, 'state', 'params.');
   const cloud = table(params, 'cloud', 'params.');
   const quota = table(params, 'quota', 'params.');
-  const w = 'params.workers.';
   const stateLimits = readStateLimits(state, 'params.state.');
   const next = state['next'] === undefined ? {} : table(state, 'next', 'params.state.');
   return {
@@ -123,43 +172,23 @@
     zone: str(root, 'site', ''),
     api: addr(root, 'api_addr', ''),
     internal: addr(root, 'internal_addr', ''),
-    peers: tables(root, 'peers', '').map((p, i) => ({
-      host: str(p, 'host_name', `peers.${i}.`),
-      addr: addr(p, 'addr', `peers.${i}.`),
+    peers: tables(root, 'peers', '').map((peer, index) => ({
+      host: str(peer, 'host_name', `peers.${index}.`),
+      addr: addr(peer, 'addr', `peers.${index}.`),
     })),
     cloud: addr(services, 'cloud', 'services.'),
     state: addr(services, 'state', 'services.'),
     clockBoundMs: num(params, 'time_bound_ms', 'params.', 0, 1000),
-    teams: tables(params, 'teams', 'params.').map((t, i) => ({
-      name: str(t, 'name', `params.teams.${i}.`),
-      cpus: num(t, 'cpus', `params.teams.${i}.`, 0, 0),
-      gpus: num(t, 'gpus', `params.teams.${i}.`, 0, 0),
-      cpusMax: num(t, 'cpus_max', `params.teams.${i}.`, 0, 0),
-      gpusMax: num(t, 'gpus_max', `params.teams.${i}.`, 0, 0),
-    })),
-    objectives: tables(params, 'objectives', 'params.').map((o, i) => ({
-      kind: str(o, 'kind', `params.objectives.${i}.`),
-      class: typeof o['class'] === 'string' ? o['class'] : null,
-      withinS: typeof o['within_s'] === 'number' ? o['within_s'] : null,
-      times: typeof o['times'] === 'number' ? o['times'] : 1,
-    })),
-    workers: {
-      reportS: num(workers, 'report_s', w, 0.1),
-      leaseS: num(workers, 'lease_s', w, 1),
-      gangWaitS: num(workers, 'gang_wait_s', w, 1),
-      gangPeerS: num(workers, 'gang_peer_s', w, 0.1),
-      cancelS: num(workers, 'cancel_s', w, 1),
-    },
+    teams: tables(params, 'teams', 'params.').map((team, index) =>
+      readTeam(team, `params.teams.${index}.`),
+    ),
+    objectives: tables(params, 'objectives', 'params.').map((objective, index) =>
+      readObjective(objective, `params.objectives.${index}.`),
+    ),
+    workers: readWorkers(workers, 'params.workers.'),
     stateLimits,
     stateNext: readStateLimits(next, 'params.state.next.', stateLimits),
-    cloudLimits: {
-      rps: num(cloud, 'rps', 'params.cloud.', 0.1),
-      listLagS: num(cloud, 'list_lag_s', 'params.cloud.', 0, 0),
-    },
-    quota: {
-      cores: num(quota, 'cores', 'params.quota.', 0.01, 1),
-      ramMb: num(quota, 'ram_mb', 'params.quota.', 32, 256),
-      sockets: num(quota, 'fd_limit', 'params.quota.', 16, 1024),
-    },
+    cloudLimits: readCloudLimits(cloud, 'params.cloud.'),
+    quota: readQuota(quota, 'params.quota.'),
   };
 }
--- a/src/controller/store/batcher.ts
+++ b/src/controller/store/batcher.ts
@@ -1,21 +1,15 @@
+/** Group commit of the writes and comparisons that a node makes for its users. */
 import type { Core } from '../core/core.js';
-import type { Condition, Write } from '../wire/state.js';
+import { Batch, type BatchEntry } from './batch.js';
 import type { StateClient, TxnResult } from './client.js';
 import { sizeOf } from './pages.js';
 
-export interface Entry {
-  conditions: Condition[];
-  writes: Write[];
-  /** The entry is on its way: whoever asks from now on must ask anew. */
-  sent?: () => void;
-  done: (r: TxnResult) => void;
-}
-
-interface Queued extends Entry {
+interface Queued extends BatchEntry {
   /** Nobody waits for the outcome any more from then on. */
   until: number;
 }
 
+/** How a batcher shares the tokens, and for how long it waits. */
 export interface BatcherOptions {
   /** Share of the tokens that is left to calls of higher priority. */
   reserve: number;
@@ -26,8 +20,6 @@
   everyMs: number;
 }
 
-const TXN_BYTES = 60 * 1024;
-
 /**
  * Group commit: entries of many callers go into one transaction, at most one in flight. When it
  * fails on a condition, the entries concerned learn so and the rest go again without them.
@@ -38,7 +30,10 @@
   private writes = 0;
   private nextAt = 0;
   private inFlight = false;
+  /** Entries go one by one: it has to be found out whose fault a failure was. */
   private single = false;
+  /** A timer that leads to the next flush is running. */
+  private waiting = false;
 
   constructor(
     private readonly core: Core,
@@ -49,7 +44,7 @@
   }
 
   /** False: it could not be sent in time; nothing was queued. */
-  add(entry: Entry): boolean {
+  add(entry: BatchEntry): boolean {
     const { queueMs } = this.options;
     if (this.waitMs(entry.writes.length) > queueMs) return false;
     this.queue.push({ ...entry, until: this.core.now() + queueMs });
@@ -76,60 +71,59 @@
     if (this.inFlight || this.queue.length === 0) return;
     const now = this.core.now();
     if (now < this.nextAt) return this.later(this.nextAt - now);
-    const { reserve } = this.options;
-    const { txnOps } = this.client.limits.inForce;
-    const wait = this.client.tokens.waitMs(1, reserve);
-    if (wait > 0) return this.later(wait);
+    const waitMs = this.client.tokens.waitMs(1, this.options.reserve);
+    if (waitMs > 0) return this.later(waitMs);
     this.nextAt = now + this.options.everyMs;
     this.dropLate(now);
+    const batch = this.takeBatch();
+    if (batch.entries.length > 0) this.send(batch);
+  }
 
-    const batch: Queued[] = [];
-    const conditions: Condition[] = [];
-    const writes: Write[] = [];
-    const keys = new Set<string>();
-    let bytes = 0;
-    while (this.queue.length > 0) {
+  /** The first of the queue, as many as limits and write tokens allow. */
+  private takeBatch(): Batch<Queued> {
+    const batch = new Batch<Queued>(this.client.limits.inForce.txnOps);
+    for (;;) {
       const next = this.queue[0];
-      if (next === undefined) break;
-      const size = sizeOf([next.conditions, next.writes]);
-      const fits =
-        conditions.length + next.conditions.length <= 4 * txnOps &&
-        writes.length + next.writes.length <= txnOps &&
-        bytes + size <= TXN_BYTES &&
-        // Two entries on one key would share their fate: the second waits for the next batch.
-        !next.conditions.some((c) => keys.has(c.key));
-      if (batch.length > 0 && (!fits || this.single)) break;
-      if (next.writes.length > 0 && !this.client.writeTokens.take(next.writes.length, reserve)) {
-        if (batch.length === 0)
-          return this.later(this.client.writeTokens.waitMs(next.writes.length, reserve));
-        break;
+      if (next === undefined) return batch;
+      const bytes = sizeOf([next.conditions, next.writes]);
+      if (!batch.empty && (this.single || !batch.fits(next, bytes))) return batch;
+      if (!this.takeWriteTokens(next)) {
+        if (batch.empty) this.later(this.writeWaitMs(next));
+        return batch;
       }
       this.queue.shift();
       this.count(-next.writes.length);
-      batch.push(next);
-      conditions.push(...next.conditions);
-      writes.push(...next.writes);
-      for (const c of next.conditions) keys.add(c.key);
-      bytes += size;
+      batch.add(next, bytes);
     }
-    if (batch.length === 0) return;
+  }
+
+  private takeWriteTokens({ writes }: Queued): boolean {
+    const { writeTokens } = this.client;
+    return writes.length === 0 || writeTokens.take(writes.length, this.options.reserve);
+  }
+
+  private writeWaitMs({ writes }: Queued): number {
+    return this.client.writeTokens.waitMs(writes.length, this.options.reserve);
+  }
+
+  private send({ entries, conditions, writes }: Batch<Queued>): void {
     this.client.tokens.take(1, 0);
     this.inFlight = true;
-    for (const e of batch) e.sent?.();
+    for (const entry of entries) entry.sent?.();
     this.client.multi(conditions, writes, this.options.timeoutMs, (result) => {
       this.inFlight = false;
-      this.settle(batch, result);
+      this.settle(entries, result);
     });
   }
 
   /** Whoever asked has given up: carrying it out now would only delay those who still wait. */
   private dropLate(now: number): void {
-    const late = this.queue.filter((e) => e.until < now);
+    const late = this.queue.filter((entry) => entry.until < now);
     if (late.length === 0) return;
-    this.queue = this.queue.filter((e) => e.until >= now);
-    for (const e of late) {
-      this.count(-e.writes.length);
-      e.done({ kind: 'refused' });
+    this.queue = this.queue.filter((entry) => entry.until >= now);
+    for (const entry of late) {
+      this.count(-entry.writes.length);
+      entry.done({ kind: 'refused' });
     }
   }
 
@@ -142,14 +136,14 @@
     }
     if (result.kind !== 'conflict' || batch.length === 1) {
       this.single = false;
-      for (const e of batch) e.done(result);
+      for (const entry of batch) entry.done(result);
       return;
     }
     const failed = new Set(result.failed);
     const rest: Queued[] = [];
-    for (const e of batch) {
-      if (e.conditions.some((c) => failed.has(c.key))) e.done(result);
-      else rest.push(e);
+    for (const entry of batch) {
+      if (entry.conditions.some(({ key }) => failed.has(key))) entry.done(result);
+      else rest.push(entry);
     }
     // Nobody named: find out one by one.
     this.single = rest.length === batch.length;
@@ -158,11 +152,10 @@
 
   private again(entries: Queued[]): void {
     this.queue.unshift(...entries);
-    for (const e of entries) this.count(e.writes.length);
+    for (const entry of entries) this.count(entry.writes.length);
     this.nextAt = 0;
   }
 
-  private waiting = false;
   private later(ms: number): void {
     if (this.waiting) return;
     this.waiting = true;
--- a/src/controller/store/commit-builder.ts
+++ b/src/controller/store/commit-builder.ts
@@ -1,5 +1,6 @@
 /** Gathers one transaction of the leader, within the limits of the state service. */
 import type { Condition } from '../wire/state.js';
+import { CONDITIONS_PER_WRITE } from './batch.js';
 import { reserve } from './client.js';
 import type { Entry, Page } from './page.js';
 import { sizeOf } from './pages.js';
@@ -12,9 +13,6 @@
 /** Bytes of the leader's fence and of what surrounds the lists. */
 const FRAME_BYTES = 512;
 
-/** The service takes this many conditions for each write of the largest transaction. */
-const CONDITIONS_PER_WRITE = 4;
-
 /** What is written in one transaction. */
 export interface Commit {
   conditions: Condition[];
