--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,6 +16,19 @@
       '@typescript-eslint/prefer-promise-reject-errors': 'off',
     },
   },
+  {
+    files: ['src/**/*.ts'],
+    // The lowest that all of src passes.
+    rules: { complexity: ['error', 14] },
+  },
+  {
+    files: ['src/**/*.ts'],
+    ignores: ['**/*.test.ts'],
+    rules: {
+      'max-lines': ['error', { max: 300 }],
+      'max-lines-per-function': ['error', { max: 40 }],
+    },
+  },
   {
     files: ['**/*.test.ts', 'test/**/*.ts'],
     rules: {
--- a/src/controller/core/core.ts
+++ b/src/controller/core/core.ts
@@ -1,3 +1,4 @@
+/** The command queue of a controller. */
 import type { Env, Logger, Timer } from './env.js';
 
 type Command = () => void;
@@ -18,19 +19,23 @@
     private readonly batchLimit = 64,
   ) {}
 
+  /** Steady clock in milliseconds. */
   now(): number {
     return this.env.now();
   }
 
+  /** Runs a command after those that wait already. */
   post(name: string, run: Command): void {
     this.queue.push({ name, run });
     this.wake();
   }
 
+  /** Posts a command after a time. */
   after(ms: number, name: string, run: Command): Timer {
     return this.env.timer(ms, () => this.post(name, run));
   }
 
+  /** Posts a command again and again. */
   every(ms: number, name: string, run: Command): void {
     const again = (): void => {
       this.after(ms, name, () => {
@@ -41,6 +46,7 @@
     again();
   }
 
+  /** Runs after each batch of commands. */
   onBatchEnd(run: Command): void {
     this.afterBatch.push(run);
   }
--- a/src/controller/core/env.ts
+++ b/src/controller/core/env.ts
@@ -1,5 +1,6 @@
 /** What a controller needs of the world. The tests' simulated world implements the same. */
 
+/** A timer that has been started. */
 export interface Timer {
   cancel(): void;
 }
@@ -10,6 +11,7 @@
   body: unknown;
 }
 
+/** A request to another service. */
 export interface Call {
   /** `host:port` of the callee. */
   to: string;
@@ -19,6 +21,7 @@
   timeoutMs: number;
 }
 
+/** Clocks, timers, chance and I/O. */
 export interface Env {
   /** Steady clock in milliseconds. */
   now(): number;
@@ -28,7 +31,9 @@
   random(): number;
   /** Runs `fn` soon, after what is already waiting. */
   soon(fn: () => void): void;
+  /** Runs `fn` once after `ms`. */
   timer(ms: number, fn: () => void): Timer;
+  /** Sends a request; `done` is called once, at the time-out at the latest. */
   call(call: Call, done: (reply: Reply) => void): void;
   /** Sockets are not short: a call that could be spared may be made. */
   mayCall(to: string): boolean;
@@ -36,6 +41,7 @@
   sendPeer(host: string, frame: Buffer): void;
 }
 
+/** Structured log, by level. */
 export interface Logger {
   info(fields: object, text: string): void;
   debug(fields: object, text: string): void;
--- a/src/controller/core/log.ts
+++ b/src/controller/core/log.ts
@@ -1,3 +1,4 @@
+/** The log of a controller. */
 import pino from 'pino';
 import type { Logger } from './env.js';
 
@@ -9,4 +10,5 @@
   );
 }
 
+/** Values of the environment variable LOG_LEVEL. */
 export const LOG_LEVELS = ['error', 'info', 'debug'];
--- a/src/controller/core/node-env.ts
+++ b/src/controller/core/node-env.ts
@@ -1,3 +1,4 @@
+/** The environment of a controller in production: Node's clocks, timers and sockets. */
 import net from 'node:net';
 import { HttpClient } from '../http/client.js';
 import type { Sockets } from '../http/sockets.js';
@@ -5,6 +6,7 @@
 import { decodeBody, encodeBody } from '../wire/cbor.js';
 import type { Call, Env, Reply, Timer } from './env.js';
 
+/** What the environment is given at start. */
 export interface NodeEnvOptions {
   sockets: Sockets;
   random: () => number;
--- a/src/controller/core/random.ts
+++ b/src/controller/core/random.ts
@@ -1,3 +1,4 @@
+/** Random numbers that a seed determines. */
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
 /** Numbers in [0, 1) from a seed. */
--- a/src/controller/core/tokens.ts
+++ b/src/controller/core/tokens.ts
@@ -17,6 +17,7 @@
     this.at = now();
   }
 
+  /** Changes rate and burst; what the bucket holds stays, up to the burst. */
   setRate(ratePerS: number, burst: number): void {
     this.refill();
     this.ratePerS = ratePerS;
@@ -24,6 +25,7 @@
     this.level = Math.min(this.level, burst);
   }
 
+  /** The rate at which tokens come. */
   get perSecond(): number {
     return this.ratePerS;
   }
--- a/src/controller/http/client.ts
+++ b/src/controller/http/client.ts
@@ -1,7 +1,9 @@
+/** The HTTP client for calls to services, workers and the cloud. */
 import net from 'node:net';
 import { formatRequest, Parser, type Message } from './parser.js';
 import type { Sockets } from './sockets.js';
 
+/** Limits of the client. */
 export interface ClientOptions {
   /** Shared with all else that opens sockets. */
   sockets: Sockets;
@@ -14,7 +16,7 @@
 
 interface Pending {
   bytes: Buffer;
-  done: (m: Message | null) => void;
+  done: (response: Message | null) => void;
   timer: NodeJS.Timeout;
   connection: Connection | null;
   settled: boolean;
@@ -43,9 +45,9 @@
   }
 
   private shed(): boolean {
-    for (const c of this.unused) {
-      this.unused.delete(c);
-      c.socket.destroy();
+    for (const connection of this.unused) {
+      this.unused.delete(connection);
+      connection.socket.destroy();
       return true;
     }
     return false;
@@ -56,13 +58,14 @@
     return (this.hosts.get(to)?.idle.length ?? 0) > 0;
   }
 
+  /** Sends a request once a connection is free; without response in time `done` gets null. */
   request(
     to: string,
     method: string,
     path: string,
     body: Buffer | null,
     timeoutMs: number,
-    done: (m: Message | null) => void,
+    done: (response: Message | null) => void,
   ): void {
     let host = this.hosts.get(to);
     if (host === undefined) {
@@ -80,12 +83,12 @@
     this.advance(to, host);
   }
 
-  private settle(p: Pending, m: Message | null, drop: boolean): void {
-    if (p.settled) return;
-    p.settled = true;
-    clearTimeout(p.timer);
-    if (drop) p.connection?.socket.destroy();
-    p.done(m);
+  private settle(pending: Pending, response: Message | null, drop: boolean): void {
+    if (pending.settled) return;
+    pending.settled = true;
+    clearTimeout(pending.timer);
+    if (drop) pending.connection?.socket.destroy();
+    pending.done(response);
   }
 
   private advance(to: string, host: Host): void {
@@ -95,22 +98,22 @@
         host.waiting.shift();
         continue;
       }
-      const c = this.takeIdle(host) ?? this.open(to, host);
-      if (c === null) return;
+      const connection = this.takeIdle(host) ?? this.open(to, host);
+      if (connection === null) return;
       host.waiting.shift();
-      this.unused.delete(c);
-      c.current = first;
-      first.connection = c;
-      c.socket.setTimeout(0);
-      c.socket.write(first.bytes);
+      this.unused.delete(connection);
+      connection.current = first;
+      first.connection = connection;
+      connection.socket.setTimeout(0);
+      connection.socket.write(first.bytes);
     }
     if (host.connections.size === 0) this.hosts.delete(to);
   }
 
   private takeIdle(host: Host): Connection | undefined {
     for (;;) {
-      const c = host.idle.pop();
-      if (c?.socket.destroyed !== true) return c;
+      const connection = host.idle.pop();
+      if (connection?.socket.destroyed !== true) return connection;
     }
   }
 
@@ -122,7 +125,7 @@
       port: Number(to.slice(colon + 1)),
       noDelay: true,
     });
-    const c: Connection = {
+    const connection: Connection = {
       socket,
       parser: new Parser('response', {
         headBytes: 16 * 1024,
@@ -130,44 +133,45 @@
       }),
       current: null,
     };
-    host.connections.add(c);
+    host.connections.add(connection);
     this.options.sockets.add();
-    socket.on('data', (bytes) => this.receive(to, host, c, bytes));
+    socket.on('data', (bytes) => this.receive(to, host, connection, bytes));
     socket.on('error', () => socket.destroy());
     socket.on('timeout', () => socket.destroy());
     socket.on('close', () => {
       this.options.sockets.remove();
-      this.unused.delete(c);
-      host.connections.delete(c);
-      host.idle = host.idle.filter((x) => x !== c);
-      const p = c.current;
-      c.current = null;
-      if (p !== null) this.settle(p, null, false);
+      this.unused.delete(connection);
+      host.connections.delete(connection);
+      host.idle = host.idle.filter((other) => other !== connection);
+      const pending = connection.current;
+      connection.current = null;
+      if (pending !== null) this.settle(pending, null, false);
       this.advance(to, host);
     });
-    return c;
+    return connection;
   }
 
-  private receive(to: string, host: Host, c: Connection, bytes: Buffer): void {
-    let m: Message | null;
+  private receive(to: string, host: Host, connection: Connection, bytes: Buffer): void {
+    let response: Message | null;
     try {
-      c.parser.push(bytes);
-      m = c.parser.next();
+      connection.parser.push(bytes);
+      response = connection.parser.next();
     } catch {
-      c.socket.destroy();
+      connection.socket.destroy();
       return;
     }
-    if (m === null) return;
-    const p = c.current;
-    c.current = null;
+    if (response === null) return;
+    const pending = connection.current;
+    connection.current = null;
     // An answer nobody asked for would be taken for that of the next request.
-    if (p === null || !c.parser.idle || !m.keepAlive) c.socket.destroy();
+    if (pending === null || !connection.parser.idle || !response.keepAlive)
+      connection.socket.destroy();
     else {
-      host.idle.push(c);
-      this.unused.add(c);
-      c.socket.setTimeout(this.options.idleMs);
+      host.idle.push(connection);
+      this.unused.add(connection);
+      connection.socket.setTimeout(this.options.idleMs);
     }
-    if (p !== null) this.settle(p, m, false);
+    if (pending !== null) this.settle(pending, response, false);
     this.advance(to, host);
   }
 }
--- a/src/controller/http/sockets.ts
+++ b/src/controller/http/sockets.ts
@@ -9,6 +9,7 @@
 
   constructor(private readonly limit: number) {}
 
+  /** Sockets that are open now. */
   get open(): number {
     return this.count;
   }
@@ -23,11 +24,13 @@
     this.shedders.push(shed);
   }
 
+  /** A socket has been opened. */
   add(): void {
     this.count++;
     if (this.count > this.limit) this.shedders.some((shed) => shed());
   }
 
+  /** A socket has been closed. */
   remove(): void {
     this.count--;
   }
--- a/src/controller/jobs/admission.ts
+++ b/src/controller/jobs/admission.ts
@@ -1,3 +1,4 @@
+/** Whether a submitted job can ever run. */
 import { Settings } from '../settings/settings.js';
 import type { Team } from '../settings/platform.js';
 import type { MachineType } from '../wire/cloud.js';
@@ -13,6 +14,7 @@
   );
 }
 
+/** `unknown-types`: the machine types of the cloud are not known yet. */
 export type Verdict = 'accept' | 'unknown-types' | { refuse: string };
 
 /** Whether the job can ever run. What only waits for room is accepted. */
--- a/src/controller/jobs/cancellations.ts
+++ b/src/controller/jobs/cancellations.ts
@@ -1,5 +1,6 @@
 /** Users' cancellations: a job ends by one transaction on its live and its final record. */
-import { reserve, type Read, type TxnResult } from '../store/client.js';
+import { tokenReserve } from '../store/client.js';
+import type { ReadResult, TransactionResult } from '../store/results.js';
 import { isJobId } from '../wire/jobs.js';
 import type { Item } from '../wire/state.js';
 import {
@@ -53,11 +54,11 @@
   private readVersion(cancellation: Cancellation): void {
     const { id, respond } = cancellation;
     const { client } = this.context;
-    if (!client.tokens.take(1, reserve.submissions)) return retryLater(this.context, respond);
+    if (!client.tokens.take(1, tokenReserve.submissions)) return retryLater(this.context, respond);
     client.get(liveKey(id), CALL_TIMEOUT_MS, (got) => this.versionRead(cancellation, got));
   }
 
-  private versionRead(cancellation: Cancellation, got: Read<Item | null>): void {
+  private versionRead(cancellation: Cancellation, got: ReadResult<Item | null>): void {
     const { id, respond } = cancellation;
     if (got.kind === 'failed') return retryLater(this.context, respond);
     if (got.value !== null) {
@@ -89,7 +90,7 @@
     if (!added) retryLater(this.context, respond);
   }
 
-  private settle(cancellation: Cancellation, result: TxnResult): void {
+  private settle(cancellation: Cancellation, result: TransactionResult): void {
     const { id, respond } = cancellation;
     const { known, hooks } = this.context;
     if (result.kind === 'ok') {
--- a/src/controller/jobs/frontend.ts
+++ b/src/controller/jobs/frontend.ts
@@ -2,7 +2,7 @@
 import type { Core } from '../core/core.js';
 import type { Settings } from '../settings/settings.js';
 import { Batcher } from '../store/batcher.js';
-import { reserve, type StateClient } from '../store/client.js';
+import { tokenReserve, type StateClient } from '../store/client.js';
 import type { FinalState } from '../wire/jobs.js';
 import { Cancellations } from './cancellations.js';
 import { CALL_TIMEOUT_MS, type FrontendHooks, type Respond } from './frontend-context.js';
@@ -28,7 +28,7 @@
     const writes = new Batcher(core, client, {
       timeoutMs: CALL_TIMEOUT_MS,
       queueMs: CALL_TIMEOUT_MS,
-      reserve: reserve.submissions,
+      reserve: tokenReserve.submissions,
       everyMs: 0,
     });
     const context = { core, settings, client, hooks, known: this.known, writes };
--- a/src/controller/jobs/known-jobs.ts
+++ b/src/controller/jobs/known-jobs.ts
@@ -70,6 +70,7 @@
     this.live.delete(id);
   }
 
+  /** The job has ended. */
   learnFinal(id: string, state: FinalState): void {
     if (this.finals.get(id) !== undefined) return;
     this.finals.set(id, state);
--- a/src/controller/jobs/status-queries.ts
+++ b/src/controller/jobs/status-queries.ts
@@ -1,6 +1,7 @@
 /** Users' questions about jobs: what is current, confirmed by the state service. */
 import { Batcher } from '../store/batcher.js';
-import { reserve, type TxnResult } from '../store/client.js';
+import { tokenReserve } from '../store/client.js';
+import type { TransactionResult } from '../store/results.js';
 import { isJobId, writeAnswer, type FinalState } from '../wire/jobs.js';
 import type { Condition } from '../wire/state.js';
 import {
@@ -35,7 +36,7 @@
     const options = {
       timeoutMs: CALL_TIMEOUT_MS,
       queueMs: CALL_TIMEOUT_MS,
-      reserve: reserve.polls,
+      reserve: tokenReserve.polls,
       everyMs: settings.reportMs / QUERIES_PER_REPORT,
     };
     this.knownQueries = new Batcher(core, client, options);
@@ -93,7 +94,12 @@
     else done('unsure');
   }
 
-  private answered(id: string, known: boolean, result: TxnResult, settle: StandingCallback): void {
+  private answered(
+    id: string,
+    known: boolean,
+    result: TransactionResult,
+    settle: StandingCallback,
+  ): void {
     if (result.kind === 'ok') settle(known ? 'live' : 'absent');
     else if (result.kind === 'conflict') this.readStanding(id, result.failed, settle);
     else settle('unsure');
@@ -112,7 +118,7 @@
 
   private readEnd(id: string, done: (state: FinalState | null) => void): void {
     const { client, known } = this.context;
-    if (!client.tokens.take(1, reserve.reads)) return done(null);
+    if (!client.tokens.take(1, tokenReserve.reads)) return done(null);
     client.get(finalKey(id), CALL_TIMEOUT_MS, (got) => {
       const state = got.kind === 'ok' && got.value !== null ? readFinal(got.value.value) : null;
       if (state !== null) known.learnFinal(id, state);
--- a/src/controller/jobs/submissions.ts
+++ b/src/controller/jobs/submissions.ts
@@ -1,5 +1,5 @@
 /** Users' submissions: judged, and put on record once however often they are repeated. */
-import type { TxnResult } from '../store/client.js';
+import type { TransactionResult } from '../store/results.js';
 import { sizeOf } from '../store/pages.js';
 import { WireError } from '../wire/cbor.js';
 import { readJob, readJobId, writeAnswer, writeJob, type JobSpec } from '../wire/jobs.js';
@@ -99,7 +99,7 @@
     else retryLater(this.context, respond);
   }
 
-  private settle(id: string, result: TxnResult, waiters: Waiters, close: () => void): void {
+  private settle(id: string, result: TransactionResult, waiters: Waiters, close: () => void): void {
     const answer = (each: (respond: Respond) => void): void => {
       close();
       for (const waiter of waiters) each(waiter);
--- a/src/controller/leadership/election.ts
+++ b/src/controller/leadership/election.ts
@@ -1,7 +1,8 @@
 /** An attempt to become leader: a lease is granted and the leader's key made under it. */
 import type { Core } from '../core/core.js';
 import type { Settings } from '../settings/settings.js';
-import type { StateClient, TxnResult } from '../store/client.js';
+import type { StateClient } from '../store/client.js';
+import type { TransactionResult } from '../store/results.js';
 import { LEADER_KEY, readLeader } from './leader-record.js';
 
 /** A lease that was granted for an election. */
@@ -66,7 +67,11 @@
     );
   }
 
-  private keyMade(candidacy: Candidacy, result: TxnResult, decided: ElectionCallback): void {
+  private keyMade(
+    candidacy: Candidacy,
+    result: TransactionResult,
+    decided: ElectionCallback,
+  ): void {
     if (result.kind === 'ok') decided({ ...candidacy, term: result.revision });
     // Perhaps it was made: only reading tells.
     else if (result.kind === 'unknown') this.readKey(candidacy, decided);
--- a/src/controller/leadership/leadership.ts
+++ b/src/controller/leadership/leadership.ts
@@ -1,7 +1,8 @@
 /** Election, renewal and hand-over of the lead among the controllers. */
 import type { Core } from '../core/core.js';
 import type { Settings } from '../settings/settings.js';
-import type { Read, StateClient } from '../store/client.js';
+import type { StateClient } from '../store/client.js';
+import type { ReadResult } from '../store/results.js';
 import type { Event, Item } from '../wire/state.js';
 import { Election, type WonElection } from './election.js';
 import { LEADER_KEY, readLeader, type LeaderInfo } from './leader-record.js';
@@ -157,7 +158,7 @@
     });
   }
 
-  private observed(got: Read<Item | null>): void {
+  private observed(got: ReadResult<Item | null>): void {
     if (got.kind === 'failed') return this.retry();
     const item = got.value;
     if (item === null) return this.contend();
--- a/src/controller/operators/client.ts
+++ b/src/controller/operators/client.ts
@@ -1,9 +1,11 @@
+/** The operators' command line as a client of the API. */
 import { HttpClient } from '../http/client.js';
 import { Sockets } from '../http/sockets.js';
 import { decodeBody, encodeBody, isMap } from '../wire/cbor.js';
 
 const TIMEOUT_MS = 5000;
 
+/** A response of a controller. */
 export interface Outcome {
   ok: boolean;
   text: string;
--- a/src/controller/operators/metrics.ts
+++ b/src/controller/operators/metrics.ts
@@ -1,3 +1,4 @@
+/** The metrics of a controller in the text format of Prometheus. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 /** Figures of one controller in the text form that scrapers read. */
@@ -34,15 +35,18 @@
   });
   private readonly gauges = new Map<string, Gauge>();
 
+  /** A request has been answered. */
   request(route: string, status: number, ms: number): void {
     this.requests.inc({ route, status: String(status) });
     this.seconds.observe({ route }, ms / 1000);
   }
 
+  /** A placement pass has ended. */
   pass(ms: number): void {
     this.passes.observe(ms / 1000);
   }
 
+  /** Tasks stopped so far to make room. */
   preemptions(total: number): void {
     this.preempted.reset();
     this.preempted.inc(total);
@@ -54,6 +58,7 @@
     this.unreadableMessages.inc(total);
   }
 
+  /** Sets a gauge, which is made with the first value. */
   gauge(name: string, help: string, value: number): void {
     let g = this.gauges.get(name);
     if (g === undefined) {
@@ -63,6 +68,7 @@
     g.set(value);
   }
 
+  /** All metrics as they are scraped. */
   text(): Promise<string> {
     return this.registry.metrics();
   }
--- a/src/controller/settings/properties.ts
+++ b/src/controller/settings/properties.ts
@@ -1,3 +1,4 @@
+/** The properties that operators may tune: defaults, bounds, reading and writing. */
 import { parse } from 'dot-properties';
 import { SettingsError } from './platform.js';
 
@@ -237,19 +238,24 @@
   },
 } satisfies Record<string, Key>;
 
+/** Name of a property. */
 export type PropertyName = keyof typeof keys;
+/** Values of all properties. */
 export type Properties = Readonly<Record<PropertyName, number>>;
 
+/** Default and bounds of each property. */
 export const propertyKeys: Readonly<Record<PropertyName, Key>> = keys;
 
 function names(): PropertyName[] {
   return Object.keys(keys) as PropertyName[];
 }
 
+/** The values that hold where the operators say nothing. */
 export function defaultProperties(): Properties {
-  return Object.fromEntries(names().map((n) => [n, keys[n].value])) as Properties;
+  return Object.fromEntries(names().map((name) => [name, keys[name].value])) as Properties;
 }
 
+/** Reads the operators' file; throws a SettingsError that names the property at fault. */
 export function readProperties(source: string): Properties {
   const given = parse(source) as Record<string, unknown>;
   const result = { ...defaultProperties() } as Record<string, number>;
@@ -275,7 +281,8 @@
     head +
     names()
       .map(
-        (n) => `\n# ${keys[n].text} (${keys[n].min} to ${keys[n].max})\n${n} = ${keys[n].value}\n`,
+        (name) =>
+          `\n# ${keys[name].text} (${keys[name].min} to ${keys[name].max})\n${name} = ${keys[name].value}\n`,
       )
       .join('')
   );
--- a/src/controller/settings/settings.ts
+++ b/src/controller/settings/settings.ts
@@ -1,3 +1,4 @@
+/** The settings of a controller, and the durations that follow from them. */
 import { SettingsError, type Platform } from './platform.js';
 import type { Properties, PropertyName } from './properties.js';
 
@@ -43,16 +44,18 @@
           `${platform.workers.leaseS}, leadership.lease.ratio ${this.get('leadership.lease.ratio')} ` +
           `and workers.view.ratio ${this.get('workers.view.ratio')}: cancelled tasks could outlast it`,
       );
-    for (const o of platform.objectives) {
-      if (o.class === null) continue;
-      const of = this.objectives.get(o.class) ?? { starts: [], ends: [], deadlines: [] };
-      this.objectives.set(o.class, of);
-      if (o.kind === 'wait' && o.withinS !== null) of.starts.push(o.withinS * 1000);
-      if (o.kind === 'finished' && o.withinS !== null) of.ends.push(o.withinS * 1000);
-      if (o.kind === 'deadline') of.deadlines.push(o.times);
+    for (const objective of platform.objectives) {
+      const { kind, class: className, withinS, times } = objective;
+      if (className === null) continue;
+      const aims = this.objectives.get(className) ?? { starts: [], ends: [], deadlines: [] };
+      this.objectives.set(className, aims);
+      if (kind === 'wait' && withinS !== null) aims.starts.push(withinS * 1000);
+      if (kind === 'finished' && withinS !== null) aims.ends.push(withinS * 1000);
+      if (kind === 'deadline') aims.deadlines.push(times);
     }
   }
 
+  /** The value of a property. */
   get(name: PropertyName): number {
     return this.properties[name];
   }
@@ -74,26 +77,28 @@
   }
 
   /** Wait within which tasks of a class should start; null: nothing is said of it. */
-  startWithinMs(cls: string): number | null {
-    const o = this.platform.objectives.find((x) => x.kind === 'wait' && x.class === cls);
-    return o?.withinS == null ? null : o.withinS * 1000;
+  startWithinMs(className: string): number | null {
+    const objective = this.platform.objectives.find(
+      (candidate) => candidate.kind === 'wait' && candidate.class === className,
+    );
+    return objective?.withinS == null ? null : objective.withinS * 1000;
   }
 
   /** Wait within which work inside a team's guarantee should start. */
   get guaranteeWithinMs(): number | null {
-    const o = this.platform.objectives.find((x) => x.kind === 'guarantee');
-    return o?.withinS == null ? null : o.withinS * 1000;
+    const objective = this.platform.objectives.find(({ kind }) => kind === 'guarantee');
+    return objective?.withinS == null ? null : objective.withinS * 1000;
   }
 
   /** What is expected of a job of the class, in milliseconds since its submission. */
-  aims(cls: string, deadlineS: number | null): { starts: readonly number[]; ends: number[] } {
-    const of = this.objectives.get(cls);
-    const ends = of === undefined ? [] : of.ends.slice();
+  aims(className: string, deadlineS: number | null): { starts: readonly number[]; ends: number[] } {
+    const aims = this.objectives.get(className);
+    const ends = aims === undefined ? [] : aims.ends.slice();
     if (deadlineS !== null) {
-      for (const times of of?.deadlines ?? []) ends.push(deadlineS * times * 1000);
+      for (const times of aims?.deadlines ?? []) ends.push(deadlineS * times * 1000);
       if (ends.length === 0) ends.push(deadlineS * 1000);
     }
-    return { starts: of?.starts ?? [], ends };
+    return { starts: aims?.starts ?? [], ends };
   }
 
   /** Cap of a team, where 0 in the settings means none. */
--- a/src/controller/store/batch.ts
+++ b/src/controller/store/batch.ts
@@ -1,6 +1,6 @@
 /** Entries of several callers that share one transaction. */
 import type { Condition, Write } from '../wire/state.js';
-import type { TxnResult } from './client.js';
+import type { TransactionResult } from './results.js';
 
 /** Writes of one caller, all or none, if the conditions hold. */
 export interface BatchEntry {
@@ -8,7 +8,7 @@
   writes: Write[];
   /** The entry is on its way: whoever asks from now on must ask anew. */
   sent?: () => void;
-  done: (r: TxnResult) => void;
+  done: (r: TransactionResult) => void;
 }
 
 /** Bytes of a transaction, with room for its frame below the service's 64 KiB. */
@@ -45,6 +45,7 @@
     );
   }
 
+  /** Adds an entry that fits, or the first. */
   add(entry: Entry, bytes: number): void {
     this.entries.push(entry);
     this.conditions.push(...entry.conditions);
--- a/src/controller/store/batcher.ts
+++ b/src/controller/store/batcher.ts
@@ -1,7 +1,8 @@
 /** Group commit of the writes and comparisons that a node makes for its users. */
 import type { Core } from '../core/core.js';
 import { Batch, type BatchEntry } from './batch.js';
-import type { StateClient, TxnResult } from './client.js';
+import type { StateClient } from './client.js';
+import type { TransactionResult } from './results.js';
 import { sizeOf } from './pages.js';
 
 interface Queued extends BatchEntry {
@@ -127,7 +128,7 @@
     }
   }
 
-  private settle(batch: Queued[], result: TxnResult): void {
+  private settle(batch: Queued[], result: TransactionResult): void {
     if (result.kind === 'too-large' && batch.length > 1) {
       // Refused as malformed: one entry's fault must not be that of all in its batch.
       this.single = true;
--- a/src/controller/store/client.ts
+++ b/src/controller/store/client.ts
@@ -1,7 +1,9 @@
+/** Client of the state service. */
 import type { Core } from '../core/core.js';
 import type { Reply } from '../core/env.js';
 import { Tokens } from '../core/tokens.js';
 import { Limits } from './limits.js';
+import type { ReadResult, RenewalOutcome, TransactionResult } from './results.js';
 import { Rate, writeShare, type Part } from './shares.js';
 import type { Settings } from '../settings/settings.js';
 import {
@@ -23,26 +25,21 @@
  * Who goes without first when tokens run short: the share of the burst that a call leaves behind.
  * The lease pays in any case.
  */
-export const reserve = { records: 0.02, submissions: 0.12, reads: 0.2, polls: 0.3, watches: 0.25 };
+export const tokenReserve = {
+  /** The leader's records. */
+  records: 0.02,
+  /** Submissions and cancellations. */
+  submissions: 0.12,
+  /** Reads of how a job has ended. */
+  reads: 0.2,
+  /** Status queries. */
+  polls: 0.3,
+} as const;
 
 /** Over which time the wish for writes is counted, and in which what waits should go out. */
 const WANTED_MS = 3000;
 const QUEUE_S = 2;
 
-export type TxnResult =
-  | { kind: 'ok'; revision: number }
-  | { kind: 'conflict'; failed: string[] }
-  /** Surely not carried out: no tokens, 429 or 503. */
-  | { kind: 'refused' }
-  /** The lease named in a put has ended. Not carried out. */
-  | { kind: 'no-lease' }
-  /** A value or the whole is larger than the service takes, or it finds fault. Not carried out. */
-  | { kind: 'too-large' }
-  /** No response: carried out, or not, or later. */
-  | { kind: 'unknown' };
-
-export type Read<T> = { kind: 'ok'; value: T } | { kind: 'failed' };
-
 /** Calls to the state service, paid for with tokens, their answers read. */
 export class StateClient {
   readonly tokens: Tokens;
@@ -92,7 +89,7 @@
   shareWrites(heard: readonly Part[]): void {
     const { peers } = this.settings.platform;
     const limit = this.limits.inForce.writeRps * this.settings.get('state.headroom.ratio');
-    const parts = peers.map((_, i) => heard[i] ?? null);
+    const parts = peers.map((_, index) => heard[index] ?? null);
     const followers = this.settings.get('state.followers.writes.ratio');
     const rate = limit * writeShare(this.part, parts, followers, limit);
     // A transaction takes all its writes at once, so the burst must hold a useful one.
@@ -127,7 +124,7 @@
     body: unknown,
     timeoutMs: number,
     name: string,
-    done: (r: Reply) => void,
+    done: (reply: Reply) => void,
   ): void {
     const call = ++this.calls;
     if (name !== 'follow') this.open.set(call, this.core.now());
@@ -156,7 +153,7 @@
     );
   }
 
-  private parse<T>(reply: Reply, read: (body: unknown) => T): Read<T> {
+  private parse<Value>(reply: Reply, read: (body: unknown) => Value): ReadResult<Value> {
     if (reply.status !== 200) return { kind: 'failed' };
     try {
       return { kind: 'ok', value: read(reply.body) };
@@ -166,43 +163,44 @@
     }
   }
 
+  /** Carries out all writes if all conditions hold, and none otherwise. */
   multi(
     conditions: Condition[],
     writes: Write[],
     timeoutMs: number,
-    done: (r: TxnResult) => void,
+    done: (result: TransactionResult) => void,
   ): void {
     this.written.count(writes.length);
-    this.call('POST', '/multi', writeTransaction(conditions, writes), timeoutMs, 'txn', (r) => {
-      done(this.txnResult(r));
+    this.call('POST', '/multi', writeTransaction(conditions, writes), timeoutMs, 'txn', (reply) => {
+      done(this.transactionResult(reply));
     });
   }
 
-  private txnResult(r: Reply): TxnResult {
+  private transactionResult(reply: Reply): TransactionResult {
     try {
-      if (r.status === 200) return { kind: 'ok', revision: readRevision(r.body) };
-      if (r.status === 409) return { kind: 'conflict', failed: readFailed(r.body) };
+      if (reply.status === 200) return { kind: 'ok', revision: readRevision(reply.body) };
+      if (reply.status === 409) return { kind: 'conflict', failed: readFailed(reply.body) };
     } catch (err) {
       this.core.log.warn({ err }, 'broken answer from the state service');
       return { kind: 'unknown' };
     }
-    if (r.status === 400) {
-      if (isNoLease(r.body)) return { kind: 'no-lease' };
+    if (reply.status === 400) {
+      if (isNoLease(reply.body)) return { kind: 'no-lease' };
       this.core.log.warn(
-        { answer: r.body, ...this.limits.inForce },
+        { answer: reply.body, ...this.limits.inForce },
         'refused by the state service',
       );
       this.limits.tooLarge();
       return { kind: 'too-large' };
     }
-    return { kind: r.status === 429 || r.status === 503 ? 'refused' : 'unknown' };
+    return { kind: reply.status === 429 || reply.status === 503 ? 'refused' : 'unknown' };
   }
 
   /** null: the key does not exist. */
-  get(key: string, timeoutMs: number, done: (r: Read<Item | null>) => void): void {
-    this.call('GET', `/keys/${key}`, undefined, timeoutMs, 'get', (r) => {
-      if (r.status === 404) done({ kind: 'ok', value: null });
-      else done(this.parse(r, readItem));
+  get(key: string, timeoutMs: number, done: (result: ReadResult<Item | null>) => void): void {
+    this.call('GET', `/keys/${key}`, undefined, timeoutMs, 'get', (reply) => {
+      if (reply.status === 404) done({ kind: 'ok', value: null });
+      else done(this.parse(reply, readItem));
     });
   }
 
@@ -210,7 +208,7 @@
   range(
     prefix: string,
     timeoutMs: number,
-    done: (r: Read<{ items: Item[]; revision: number }>) => void,
+    done: (result: ReadResult<{ items: Item[]; revision: number }>) => void,
   ): void {
     const all: Item[] = [];
     let revision = -1;
@@ -223,8 +221,8 @@
         undefined,
         timeoutMs,
         'range',
-        (r) => {
-          const got = this.parse(r, readRange);
+        (reply) => {
+          const got = this.parse(reply, readRange);
           if (got.kind === 'failed') return done(got);
           for (const item of got.value.items) all.push(item);
           if (revision < 0) revision = got.value.revision;
@@ -237,20 +235,23 @@
     page(null);
   }
 
-  grant(ttlMs: number, timeoutMs: number, done: (r: Read<number>) => void): void {
+  /** Asks for a lease of `ttlMs`; gives its id. */
+  grant(ttlMs: number, timeoutMs: number, done: (result: ReadResult<number>) => void): void {
     this.tokens.force();
-    this.call('POST', '/holds', { life_ms: ttlMs }, timeoutMs, 'grant', (r) => {
-      done(this.parse(r, readLease));
+    this.call('POST', '/holds', { life_ms: ttlMs }, timeoutMs, 'grant', (reply) => {
+      done(this.parse(reply, readLease));
     });
   }
 
-  extend(lease: number, timeoutMs: number, done: (r: 'ok' | 'ended' | 'failed') => void): void {
+  /** Renews a lease. */
+  extend(lease: number, timeoutMs: number, done: (outcome: RenewalOutcome) => void): void {
     this.tokens.force();
-    this.call('POST', `/holds/${lease}/extend`, {}, timeoutMs, 'extend', (r) => {
-      done(r.status === 200 ? 'ok' : r.status === 404 ? 'ended' : 'failed');
+    this.call('POST', `/holds/${lease}/extend`, {}, timeoutMs, 'extend', (reply) => {
+      done(reply.status === 200 ? 'ok' : reply.status === 404 ? 'ended' : 'failed');
     });
   }
 
+  /** Ends a lease, and with it all keys that are bound to it. */
   revoke(lease: number, timeoutMs: number, done: () => void): void {
     this.tokens.force();
     this.call('DELETE', `/holds/${lease}`, undefined, timeoutMs, 'revoke', done);
@@ -261,13 +262,13 @@
     prefix: string,
     from: number,
     holdMs: number,
-    done: (r: Read<{ events: Event[]; revision: number }> | { kind: 'too-old' }) => void,
+    done: (result: ReadResult<{ events: Event[]; revision: number }> | { kind: 'too-old' }) => void,
   ): void {
     this.tokens.force();
     const path = `/follow?starts=${prefix}&from=${from}&hold_ms=${Math.round(holdMs)}`;
-    this.call('GET', path, undefined, holdMs + 2000, 'follow', (r) => {
-      if (r.status === 410) done({ kind: 'too-old' });
-      else done(this.parse(r, readEvents));
+    this.call('GET', path, undefined, holdMs + 2000, 'follow', (reply) => {
+      if (reply.status === 410) done({ kind: 'too-old' });
+      else done(this.parse(reply, readEvents));
     });
   }
 }
--- a/src/controller/store/commit-builder.ts
+++ b/src/controller/store/commit-builder.ts
@@ -1,7 +1,7 @@
 /** Gathers one transaction of the leader, within the limits of the state service. */
 import type { Condition } from '../wire/state.js';
 import { CONDITIONS_PER_WRITE } from './batch.js';
-import { reserve } from './client.js';
+import { tokenReserve } from './client.js';
 import type { Entry, Page } from './page.js';
 import { sizeOf } from './pages.js';
 import type { RecordsContext } from './records-context.js';
@@ -98,7 +98,7 @@
       this.writes + writes <= this.maxWrites &&
       this.conditions.length + conditions <= CONDITIONS_PER_WRITE * this.maxWrites &&
       this.bytes + bytes <= TRANSACTION_BYTES &&
-      this.context.client.writeTokens.waitMs(writes, reserve.records) === 0
+      this.context.client.writeTokens.waitMs(writes, tokenReserve.records) === 0
     );
   }
 
--- a/src/controller/store/commit-sender.ts
+++ b/src/controller/store/commit-sender.ts
@@ -1,6 +1,6 @@
 /** Sends the leader's commits, one at a time, and acts on their outcomes. */
 import type { Write } from '../wire/state.js';
-import type { TxnResult } from './client.js';
+import type { TransactionResult } from './results.js';
 import type { Commit } from './commit-builder.js';
 import type { Page } from './page.js';
 import type { Waiters } from './pending-writes.js';
@@ -77,7 +77,7 @@
     });
   }
 
-  private settle(sent: SentCommit, result: TxnResult): void {
+  private settle(sent: SentCommit, result: TransactionResult): void {
     for (const entry of sent.entries) entry.inFlight = false;
     if (result.kind === 'ok') this.committed(sent, result.revision);
     else if (result.kind === 'conflict' && result.failed.includes(this.fenceKey))
@@ -91,7 +91,7 @@
     for (const transaction of sent.transactions) transaction.done('ok');
   }
 
-  private failed(sent: SentCommit, result: TxnResult): void {
+  private failed(sent: SentCommit, result: TransactionResult): void {
     const failedKeys = new Set(result.kind === 'conflict' ? result.failed : []);
     for (const { page, keys } of sent.sentPages) {
       // After no response the same condition goes out again: of the two copies only one can win,
--- a/src/controller/store/limits.ts
+++ b/src/controller/store/limits.ts
@@ -1,3 +1,4 @@
+/** The limits of the state service, and how a process learns that they have changed. */
 import type { Platform, StateLimits } from '../settings/platform.js';
 
 /** Refusals by rate within `WITHIN_MS` that show that the limits to come are in force. */
@@ -35,6 +36,7 @@
     return Math.max(0, this.halved - Math.floor((this.now() - this.halvedAt) / this.retryMs));
   }
 
+  /** The limits to keep to now. */
   get inForce(): StateLimits {
     const { stateLimits: today, stateNext: next } = this.platform;
     const part = 2 ** this.halvings;
@@ -47,6 +49,7 @@
     };
   }
 
+  /** The largest value that may be written now. */
   get valueBytes(): number {
     return this.inForce.valueKb * 1024;
   }
--- a/src/controller/store/records.test.ts
+++ b/src/controller/store/records.test.ts
@@ -9,7 +9,8 @@
 import type { StateLimits } from '../settings/platform.js';
 import { Settings } from '../settings/settings.js';
 import type { Condition, Item, Write } from '../wire/state.js';
-import type { StateClient, TxnResult } from './client.js';
+import type { StateClient } from './client.js';
+import type { TransactionResult } from './results.js';
 import { Limits } from './limits.js';
 import { PAGES, sizeOf } from './pages.js';
 import { Records } from './records.js';
@@ -90,7 +91,7 @@
       writeTokens: new Tokens(now, 30, 30),
       queued: 0,
       limits: this.limits,
-      multi: (c: Condition[], w: Write[], _ms: number, done: (r: TxnResult) => void) =>
+      multi: (c: Condition[], w: Write[], _ms: number, done: (r: TransactionResult) => void) =>
         this.multi(c, w, done),
       get: (key: string, _ms: number, done: (r: unknown) => void) =>
         this.after(5, () => this.answer(() => done({ kind: 'ok', value: this.entries.get(key) }))),
@@ -109,7 +110,11 @@
     this.core.post('answer', done);
   }
 
-  private multi(conditions: Condition[], writes: Write[], done: (r: TxnResult) => void): void {
+  private multi(
+    conditions: Condition[],
+    writes: Write[],
+    done: (r: TransactionResult) => void,
+  ): void {
     const known = this.limits.inForce;
     assert.ok(writes.length <= known.txnOps);
     assert.ok(conditions.length <= 4 * known.txnOps);
@@ -142,7 +147,7 @@
     });
   }
 
-  private apply(conditions: Condition[], writes: Write[]): TxnResult {
+  private apply(conditions: Condition[], writes: Write[]): TransactionResult {
     const failed = conditions.filter((c) => (this.entries.get(c.key)?.version ?? 0) !== c.version);
     if (failed.length > 0) return { kind: 'conflict', failed: failed.map((c) => c.key) };
     const version = ++this.ledger;
--- a/src/controller/store/records.ts
+++ b/src/controller/store/records.ts
@@ -2,7 +2,7 @@
 import type { Core } from '../core/core.js';
 import type { Settings } from '../settings/settings.js';
 import type { Condition, Item, Write } from '../wire/state.js';
-import { reserve, type StateClient } from './client.js';
+import { tokenReserve, type StateClient } from './client.js';
 import { CommitPlanner } from './commit-planner.js';
 import { CommitSender } from './commit-sender.js';
 import type { Page } from './page.js';
@@ -132,7 +132,10 @@
 
   private get tokensWaitMs(): number {
     const { tokens, writeTokens } = this.client;
-    return Math.max(tokens.waitMs(1, reserve.records), writeTokens.waitMs(1, reserve.records));
+    return Math.max(
+      tokens.waitMs(1, tokenReserve.records),
+      writeTokens.waitMs(1, tokenReserve.records),
+    );
   }
 
   private unsurePage(): Page | null {
--- a/src/controller/store/shares.ts
+++ b/src/controller/store/shares.ts
@@ -1,3 +1,4 @@
+/** How the controllers share the puts of the state service. */
 /** A controller's part in the state service's puts, as far as it is known. */
 export interface Part {
   leads: boolean;
@@ -6,7 +7,7 @@
 }
 
 /** Part of its even share that a controller counts for when it wants nothing: it may at any time. */
-const IDLE = 0.15;
+const IDLE_RATIO = 0.15;
 
 /**
  * Which share of the state service's puts a controller may use. By its role each has a fixed share;
@@ -19,17 +20,17 @@
   followers: number,
   limit: number,
 ): number {
-  const fixed = (p: Part): number => {
+  const fixed = (part: Part): number => {
     if (peers.length === 0) return 1;
-    return p.leads ? 1 - followers : followers / peers.length;
+    return part.leads ? 1 - followers : followers / peers.length;
   };
-  const weight = (p: Part): number => p.wanted + IDLE * fixed(p) * limit;
+  const weight = (part: Part): number => part.wanted + IDLE_RATIO * fixed(part) * limit;
   let pool = fixed(own);
   let weights = weight(own);
-  for (const p of peers) {
-    if (p === null) continue;
-    pool += fixed(p);
-    weights += weight(p);
+  for (const peer of peers) {
+    if (peer === null) continue;
+    pool += fixed(peer);
+    weights += weight(peer);
   }
   return (Math.min(1, pool) * weight(own)) / weights;
 }
@@ -46,11 +47,13 @@
     this.at = now();
   }
 
-  count(n: number): void {
+  /** Adds to what is counted. */
+  count(amount: number): void {
     this.decay();
-    this.value += n;
+    this.value += amount;
   }
 
+  /** The rate now. */
   get perSecond(): number {
     this.decay();
     return (this.value / this.memoryMs) * 1000;
--- a/src/controller/wire/cloud.ts
+++ b/src/controller/wire/cloud.ts
@@ -1,3 +1,4 @@
+/** The cloud's protocol: machine types, the list of machines, renting and releasing. */
 import {
   amount,
   amountOrNull,
@@ -9,6 +10,7 @@
   type Fields,
 } from './cbor.js';
 
+/** A type of machine that can be rented. */
 export interface MachineType {
   name: string;
   cpus: number;
@@ -22,6 +24,7 @@
   zones: string[];
 }
 
+/** A rented machine as the cloud lists it. */
 export interface ListedMachine {
   id: string;
   addr: string;
@@ -32,23 +35,24 @@
   ageS: number;
 }
 
+/** Reads the machine types. */
 export function readCatalogue(body: unknown): MachineType[] {
   if (!isMap(body)) throw new WireError('catalogue: expected a map');
-  return list(body, 'models').map((m) => {
-    if (!isMap(m)) throw new WireError('models: expected maps');
+  return list(body, 'models').map((item) => {
+    if (!isMap(item)) throw new WireError('models: expected maps');
     return {
-      name: text(m, 'name'),
-      cpus: amount(m, 'cores'),
-      gpus: amountOrNull(m, 'cards') ?? 0,
-      memoryGb: amount(m, 'mem_gb'),
-      cacheGb: amountOrNull(m, 'local_gb') ?? 0,
-      fetchGbPerS: amountOrNull(m, 'fetch_gb_per_s') ?? 0,
-      price: amountOrNull(m, 'hourly') ?? 0,
-      spotPrice: amountOrNull(m, 'market_price') ?? 0,
-      bootS: amountOrNull(m, 'boot_s') ?? 0,
-      zones: list(m, 'halls').map((z) => {
-        if (typeof z !== 'string') throw new WireError('halls: expected texts');
-        return z;
+      name: text(item, 'name'),
+      cpus: amount(item, 'cores'),
+      gpus: amountOrNull(item, 'cards') ?? 0,
+      memoryGb: amount(item, 'mem_gb'),
+      cacheGb: amountOrNull(item, 'local_gb') ?? 0,
+      fetchGbPerS: amountOrNull(item, 'fetch_gb_per_s') ?? 0,
+      price: amountOrNull(item, 'hourly') ?? 0,
+      spotPrice: amountOrNull(item, 'market_price') ?? 0,
+      bootS: amountOrNull(item, 'boot_s') ?? 0,
+      zones: list(item, 'halls').map((zone) => {
+        if (typeof zone !== 'string') throw new WireError('halls: expected texts');
+        return zone;
       }),
     };
   });
@@ -57,41 +61,43 @@
 /** The catalogue as the controllers keep it at the state service: the cloud's own form. */
 export function writeCatalogue(types: MachineType[]): unknown {
   return {
-    models: types.map((t) => ({
-      name: t.name,
-      cores: t.cpus,
-      cards: t.gpus,
-      mem_gb: t.memoryGb,
-      local_gb: t.cacheGb,
-      fetch_gb_per_s: t.fetchGbPerS,
-      hourly: t.price,
-      market_price: t.spotPrice,
-      boot_s: t.bootS,
-      halls: t.zones,
+    models: types.map((type) => ({
+      name: type.name,
+      cores: type.cpus,
+      cards: type.gpus,
+      mem_gb: type.memoryGb,
+      local_gb: type.cacheGb,
+      fetch_gb_per_s: type.fetchGbPerS,
+      hourly: type.price,
+      market_price: type.spotPrice,
+      boot_s: type.bootS,
+      halls: type.zones,
     })),
   };
 }
 
+/** Reads one page of the list of machines. */
 export function readMachines(body: unknown): { machines: ListedMachine[]; more: boolean } {
   if (!isMap(body)) throw new WireError('machines: expected a map');
-  const machines = list(body, 'kilns').map((m): ListedMachine => {
-    if (!isMap(m)) throw new WireError('kilns: expected maps');
-    const state = text(m, 'status');
+  const machines = list(body, 'kilns').map((item): ListedMachine => {
+    if (!isMap(item)) throw new WireError('kilns: expected maps');
+    const state = text(item, 'status');
     if (state !== 'booting' && state !== 'running' && state !== 'failed')
       throw new WireError('status: unknown machine state');
     return {
-      id: text(m, 'id'),
-      addr: text(m, 'address'),
-      type: text(m, 'model'),
-      zone: text(m, 'hall'),
-      spot: flagOrFalse(m, 'loaners'),
+      id: text(item, 'id'),
+      addr: text(item, 'address'),
+      type: text(item, 'model'),
+      zone: text(item, 'hall'),
+      spot: flagOrFalse(item, 'loaners'),
       state,
-      ageS: amount(m, 'age_s'),
+      ageS: amount(item, 'age_s'),
     };
   });
   return { machines, more: flagOrFalse(body, 'has_next') };
 }
 
+/** Reads the ids of the machines that were rented. */
 export function readRented(body: unknown): string[] {
   if (!isMap(body)) throw new WireError('rented: expected a map');
   return list(body, 'kilns').map((id) => {
@@ -100,6 +106,7 @@
   });
 }
 
+/** The request to rent machines; `name` makes its repeats harmless. */
 export function writeRent(
   name: string,
   type: string,
@@ -110,6 +117,7 @@
   return { hire: name, model: type, hall: zone, loaners: spot, how_many: count };
 }
 
+/** The request to release machines. */
 export function writeRelease(machines: string[]): Fields {
   return { kilns: machines };
 }
--- a/src/controller/wire/jobs.ts
+++ b/src/controller/wire/jobs.ts
@@ -1,3 +1,4 @@
+/** The users' protocol: submissions and answers about jobs. */
 import {
   amount,
   amountOrNull,
@@ -12,8 +13,11 @@
 
 /** `service`: tasks that run until their job is cancelled; each is replaced when it is lost. */
 export type Kind = 'array' | 'gang' | 'service';
+/** How urgent a job is, the most urgent first. */
 export type Priority = 'production' | 'high' | 'normal' | 'low';
+/** What a user is told of a job. */
 export type JobState = 'queued' | 'running' | 'done' | 'cancelled';
+/** How a job has ended. */
 export type FinalState = 'done' | 'cancelled';
 
 /** What a user asks for, in the field's terms. */
@@ -40,6 +44,7 @@
   deadlineS: number | null;
 }
 
+/** Most tasks of a job. */
 export const MAX_TASKS = 100_000;
 const ID = /^req-[0-9A-Za-z._-]{1,64}$/;
 const NAME_MAX = 200;
@@ -65,11 +70,12 @@
   cancelled: 'aborted',
 };
 
+/** Whether a text is a job's id. */
 export function isJobId(id: string): boolean {
   return ID.test(id);
 }
 
-function oneOf<T>(table: Record<string, T>, map: Fields, name: string): T {
+function oneOf<Value>(table: Record<string, Value>, map: Fields, name: string): Value {
   const word = text(map, name);
   const found = Object.hasOwn(table, word) ? table[word] : undefined;
   if (found === undefined) throw new WireError(`${name}: unknown value`);
@@ -77,9 +83,10 @@
 }
 
 function name(map: Fields, field: string): string {
-  const v = text(map, field);
-  if (v.length === 0 || v.length > NAME_MAX) throw new WireError(`${field}: length out of range`);
-  return v;
+  const value = text(map, field);
+  if (value.length === 0 || value.length > NAME_MAX)
+    throw new WireError(`${field}: length out of range`);
+  return value;
 }
 
 /** Bounds that keep a job's record well below the size of a value at the state service. */
@@ -88,7 +95,10 @@
 
 function typeNames(map: Fields): string[] | null {
   const names = textsOrNull(map, 'models');
-  if (names !== null && (names.length > TYPES_MAX || names.some((n) => n.length > TYPE_NAME_MAX)))
+  if (
+    names !== null &&
+    (names.length > TYPES_MAX || names.some(({ length }) => length > TYPE_NAME_MAX))
+  )
     throw new WireError('models: too many or too long');
   return names;
 }
@@ -99,6 +109,7 @@
   return typeof id === 'string' && isJobId(id) ? id : null;
 }
 
+/** Reads a submission; throws a WireError that names the field at fault. */
 export function readJob(body: unknown): JobSpec {
   if (!isMap(body)) throw new WireError('body: expected a map');
   const id = text(body, 'id');
@@ -130,31 +141,33 @@
   };
 }
 
-export function writeJob(s: JobSpec): Fields {
+/** A job in the form of a submission. */
+export function writeJob(spec: JobSpec): Fields {
   return {
-    id: s.id,
-    shift: s.class,
-    crew: s.team,
-    shape: kindNames[s.kind],
-    urgency: priorityNames[s.priority],
-    duties: s.tasks,
-    cores: s.cpus,
-    cards: s.gpus,
-    mem_gb: s.memoryGb,
-    recipe: s.image,
-    pull_gb: s.imageGb,
-    models: s.types,
-    hall: s.zone,
-    same_place: s.oneZone,
-    scatter: s.spread,
-    loaners: s.spot,
-    expect_s: s.estimateS,
-    bookmark_s: s.checkpointS,
-    stow_s: s.saveS,
-    due_s: s.deadlineS,
+    id: spec.id,
+    shift: spec.class,
+    crew: spec.team,
+    shape: kindNames[spec.kind],
+    urgency: priorityNames[spec.priority],
+    duties: spec.tasks,
+    cores: spec.cpus,
+    cards: spec.gpus,
+    mem_gb: spec.memoryGb,
+    recipe: spec.image,
+    pull_gb: spec.imageGb,
+    models: spec.types,
+    hall: spec.zone,
+    same_place: spec.oneZone,
+    scatter: spec.spread,
+    loaners: spec.spot,
+    expect_s: spec.estimateS,
+    bookmark_s: spec.checkpointS,
+    stow_s: spec.saveS,
+    due_s: spec.deadlineS,
   };
 }
 
+/** What is told of a job. */
 export interface JobAnswer {
   id: string;
   state: JobState;
@@ -166,11 +179,13 @@
   blocked?: string;
 }
 
-export function writeAnswer(a: JobAnswer): Fields {
-  const out: Fields = { id: a.id, status: stateNames[a.state] };
-  if (a.done !== undefined) out['done'] = a.done;
-  if (a.running !== undefined) out['running'] = a.running;
-  if (a.exits !== undefined && Object.keys(a.exits).length > 0) out['exits'] = a.exits;
-  if (a.blocked !== undefined) out['blocked'] = a.blocked;
+/** The body of an answer about a job. */
+export function writeAnswer(answer: JobAnswer): Fields {
+  const out: Fields = { id: answer.id, status: stateNames[answer.state] };
+  if (answer.done !== undefined) out['done'] = answer.done;
+  if (answer.running !== undefined) out['running'] = answer.running;
+  if (answer.exits !== undefined && Object.keys(answer.exits).length > 0)
+    out['exits'] = answer.exits;
+  if (answer.blocked !== undefined) out['blocked'] = answer.blocked;
   return out;
 }
--- a/src/controller/wire/state.ts
+++ b/src/controller/wire/state.ts
@@ -1,22 +1,27 @@
+/** The protocol of the state service: keys, transactions, leases and watches. */
 import { isMap, list, smallInt, text, flagOrFalse, WireError, type Fields } from './cbor.js';
 
+/** A key has this version; 0: it does not exist. */
 export interface Condition {
   key: string;
   version: number;
 }
 
+/** A change of one key; a put may bind it to a lease. */
 export type Write = { put: string; value: unknown; lease?: number } | { delete: string };
 
+/** A key with its value. */
 export interface Item {
   key: string;
   value: unknown;
   version: number;
 }
 
+/** A change that a watch tells of. */
 export type Event =
   { kind: 'put'; key: string; value: unknown; version: number } | { kind: 'delete'; key: string };
 
-const MAX = Number.MAX_SAFE_INTEGER;
+const MAX_INTEGER = Number.MAX_SAFE_INTEGER;
 
 function fields(body: unknown): Fields {
   if (!isMap(body)) throw new WireError('state: expected a map');
@@ -25,27 +30,34 @@
 
 /** Revisions of the state service; far below 2^53 in any life of a deployment. */
 export function readRevision(body: unknown): number {
-  return smallInt(fields(body), 'ledger', 0, MAX);
+  return smallInt(fields(body), 'ledger', 0, MAX_INTEGER);
 }
 
+/** Reads one key. */
 export function readItem(body: unknown): Item {
-  const m = fields(body);
-  return { key: text(m, 'k'), value: m['value'], version: smallInt(m, 'stamp', 0, MAX) };
+  const map = fields(body);
+  return {
+    key: text(map, 'k'),
+    value: map['value'],
+    version: smallInt(map, 'stamp', 0, MAX_INTEGER),
+  };
 }
 
+/** Reads one page of keys. */
 export function readRange(body: unknown): { items: Item[]; more: boolean; revision: number } {
-  const m = fields(body);
+  const map = fields(body);
   return {
-    items: list(m, 'entries').map(readItem),
-    more: flagOrFalse(m, 'has_next'),
-    revision: smallInt(m, 'ledger', 0, MAX),
+    items: list(map, 'entries').map(readItem),
+    more: flagOrFalse(map, 'has_next'),
+    revision: smallInt(map, 'ledger', 0, MAX_INTEGER),
   };
 }
 
+/** Reads the keys whose conditions failed. */
 export function readFailed(body: unknown): string[] {
-  return list(fields(body), 'failed').map((k) => {
-    if (typeof k !== 'string') throw new WireError('failed: expected texts');
-    return k;
+  return list(fields(body), 'failed').map((key) => {
+    if (typeof key !== 'string') throw new WireError('failed: expected texts');
+    return key;
   });
 }
 
@@ -54,32 +66,35 @@
   return isMap(body) && body['error'] === 'no such lease';
 }
 
+/** Reads the id of a lease. */
 export function readLease(body: unknown): number {
-  return smallInt(fields(body), 'permit', 0, MAX);
+  return smallInt(fields(body), 'permit', 0, MAX_INTEGER);
 }
 
+/** Reads the changes that a watch tells of. */
 export function readEvents(body: unknown): { events: Event[]; revision: number } {
-  const m = fields(body);
-  const events = list(m, 'log').map((e): Event => {
-    const f = fields(e);
-    if (typeof f['delete'] === 'string') return { kind: 'delete', key: f['delete'] };
+  const map = fields(body);
+  const events = list(map, 'log').map((item): Event => {
+    const event = fields(item);
+    if (typeof event['delete'] === 'string') return { kind: 'delete', key: event['delete'] };
     return {
       kind: 'put',
-      key: text(f, 'set'),
-      value: f['value'],
-      version: smallInt(f, 'stamp', 0, MAX),
+      key: text(event, 'set'),
+      value: event['value'],
+      version: smallInt(event, 'stamp', 0, MAX_INTEGER),
     };
   });
-  return { events, revision: smallInt(m, 'ledger', 0, MAX) };
+  return { events, revision: smallInt(map, 'ledger', 0, MAX_INTEGER) };
 }
 
+/** The body of a transaction. */
 export function writeTransaction(conditions: Condition[], writes: Write[]): Fields {
   return {
-    if: conditions.map((c) => ({ k: c.key, stamp: c.version })),
-    writes: writes.map((w) => {
-      if ('delete' in w) return { delete: w.delete };
-      const put: Fields = { set: w.put, value: w.value };
-      if (w.lease !== undefined) put['permit'] = w.lease;
+    if: conditions.map(({ key, version }) => ({ k: key, stamp: version })),
+    writes: writes.map((write) => {
+      if ('delete' in write) return { delete: write.delete };
+      const put: Fields = { set: write.put, value: write.value };
+      if (write.lease !== undefined) put['permit'] = write.lease;
       return put;
     }),
   };
--- a/src/controller/wire/workers.ts
+++ b/src/controller/wire/workers.ts
@@ -1,3 +1,4 @@
+/** The workers' protocol: reports, orders and direct commands. */
 import {
   amountOrNull,
   flagOrFalse,
@@ -12,7 +13,9 @@
 } from './cbor.js';
 import { MAX_TASKS } from './jobs.js';
 
+/** State of a task on its machine. */
 export type TaskState = 'fetching' | 'waiting' | 'running' | 'saving' | 'exited';
+/** Why a task has exited. */
 export type Cause =
   | 'done'
   | 'stopped'
@@ -25,6 +28,7 @@
   /** A cause of a later version of the protocol; treated like an unexplained exit. */
   | 'other';
 
+/** What a worker tells of one task. */
 export interface TaskReport {
   /** `job/number`, as `splitTask` takes it apart. */
   name: string;
@@ -34,6 +38,7 @@
   saved: boolean;
 }
 
+/** What a worker tells of itself and its tasks. */
 export interface Report {
   machine: string;
   addr: string;
@@ -47,6 +52,7 @@
   tasks: TaskReport[];
 }
 
+/** What a worker is to do with a task. */
 export type Order =
   | { op: 'start' | 'forget'; name: string; attempt: Int }
   | { op: 'stop'; name: string; attempt: Int; graceS: number };
@@ -70,6 +76,7 @@
 ]);
 const verbs = { start: 'run', stop: 'stop', forget: 'clear' } as const;
 
+/** The name of a task among the workers. */
 export function taskName(job: string, task: number): string {
   return `${job}/${task}`;
 }
@@ -84,6 +91,7 @@
   return { job: name.slice(0, slash), task };
 }
 
+/** Reads a worker's report. */
 export function readReport(body: unknown): Report {
   if (!isMap(body)) throw new WireError('report: expected a map');
   return {
@@ -113,16 +121,18 @@
   };
 }
 
-function writeOrder(o: Order): Fields {
-  const out: Fields = { verb: verbs[o.op], duty: o.name, try: o.attempt };
-  if (o.op === 'stop') out['leeway_s'] = o.graceS;
-  return out;
+function writeOrder(order: Order): Fields {
+  const fields: Fields = { verb: verbs[order.op], duty: order.name, try: order.attempt };
+  if (order.op === 'stop') fields['leeway_s'] = order.graceS;
+  return fields;
 }
 
+/** The answer to a report. */
 export function writeOrders(token: number, orders: Order[]): Fields {
   return { baton: token, orders: orders.map(writeOrder) };
 }
 
+/** A command that is sent to a worker without a report. */
 export function writeDirect(token: number, session: number, orders: Order[]): Fields {
   return { baton: token, tenure: session, orders: orders.map(writeOrder) };
 }
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,3 +1,4 @@
+/** The command line. */
 import { readFileSync } from 'node:fs';
 import { Command } from 'commander';
 import { ask } from './controller/operators/client.js';
