--- a/eslint.config.js
+++ b/eslint.config.js
@@ -19,7 +19,7 @@
   {
     files: ['src/**/*.ts'],
     // The lowest that all of src passes.
-    rules: { complexity: ['error', 14] },
+    rules: { complexity: ['error', 12] },
   },
   {
     files: ['src/**/*.ts'],
--- a/src/controller/placement/room-filling.ts
+++ b/src/controller/placement/room-filling.ts
@@ -67,19 +67,10 @@
     free.start(room, job.spec, taken);
     if (free.enough(job.spec)) return fillWithoutVictims(now);
     const outlook = this.outlook(room, now);
-    let natural = Infinity;
-    let stopping = false;
-    for (const { a, at } of outlook.ends) {
-      free.add(a.need);
-      if (a.stop !== null) stopping = true;
-      if (free.enough(job.spec)) {
-        natural = at;
-        break;
-      }
-    }
-    if (natural === Infinity) return null;
+    const byItself = this.fillByItself(outlook, job.spec);
     // Soon free, by itself or because it was stopped: nothing more needs stopping.
-    if (natural - now < reportMs) return fillWithoutVictims(natural, stopping);
+    if (byItself === null || byItself.fillAt - now < reportMs) return byItself;
+    const natural = byItself.fillAt;
     const mightStop = this.rules.mightStop(job, outlook);
     if (!outlook.stopping && used.size === 0 && !mightStop) return fillWithoutVictims(natural);
     free.start(room, job.spec, taken);
@@ -89,6 +80,18 @@
     return this.fillByStopping(search, outlook, used, coming, natural);
   }
 
+  /** Room once enough tasks have ended, with nothing more stopped; `null`: there is never enough. */
+  private fillByItself(outlook: Outlook, need: Need): Fill | null {
+    let stopping = false;
+    for (const { a, at } of outlook.ends) {
+      this.free.add(a.need);
+      if (a.stop !== null) stopping = true;
+      if (!this.free.enough(need)) continue;
+      return at === Infinity ? null : fillWithoutVictims(at, stopping);
+    }
+    return null;
+  }
+
   /** A room's tasks in the order in which they should end by themselves, and what may be stopped. */
   outlook(room: Room, now: number): Outlook {
     if (room.outlook !== null) return room.outlook;
@@ -140,12 +143,7 @@
     natural: number,
   ): Fill {
     const { now, job } = search;
-    const choice: Outlook['ends'] = [];
-    const others: Outlook['ends'] = [];
-    for (const end of outlook.ends) {
-      if (end.a.stop !== null || used.has(end.a)) continue;
-      (this.rules.mayStop(job, now, end.a) ? choice : others).push(end);
-    }
+    const { choice, others } = this.stoppable(search, outlook, used);
     if (choice.length === 0) return fillWithoutVictims(natural);
     this.rules.sort(choice);
     let coming = stoppedAt;
@@ -164,6 +162,21 @@
     return fillWithoutVictims(natural);
   }
 
+  /** What goes on in the room: what may be stopped for the job, and the rest. */
+  private stoppable(
+    { now, job }: FillSearch,
+    outlook: Outlook,
+    used: Set<Assignment>,
+  ): { choice: Outlook['ends']; others: Outlook['ends'] } {
+    const choice: Outlook['ends'] = [];
+    const others: Outlook['ends'] = [];
+    for (const end of outlook.ends) {
+      if (end.a.stop !== null || used.has(end.a)) continue;
+      (this.rules.mayStop(job, now, end.a) ? choice : others).push(end);
+    }
+    return { choice, others };
+  }
+
   /** What is to be stopped, of what has not ended by itself by then, for room that lacks only that. */
   private stop(need: Need, choice: Outlook['ends'], coming: number, now: number): Fill | null {
     const { free } = this;
