--- a/test/peer-messages.test.ts
+++ b/test/peer-messages.test.ts
@@ -8,7 +8,9 @@
 import { Settings } from '../src/controller/settings/settings.js';
 import { oneOf } from './platform.js';
 import { small } from './world/scenario.js';
-import { Network, ProcessEnv, Sim } from './world/sim.js';
+import { Network } from './world/network.js';
+import { ProcessEnv } from './world/process-env.js';
+import { Sim } from './world/sim.js';
 
 const HOST = 'kiln-0';
 
--- a/test/world/machines.ts
+++ b/test/world/machines.ts
@@ -3,7 +3,8 @@
 import type { JobSpec } from '../../src/controller/wire/jobs.js';
 import type { Happenings } from './happenings.js';
 import type { FreeRoom, Rules } from './rules.js';
-import type { Arrival, Network, Respond, Sim } from './sim.js';
+import type { Arrival, Network, Respond } from './network.js';
+import type { Sim } from './sim.js';
 
 export interface WorkerSettings {
   reportMs: number;
--- /dev/null
+++ b/test/world/network.ts
@@ -0,0 +1,212 @@
+/** The network between the hosts of a simulation. */
+import type { Call, Reply } from '../../src/controller/core/env.js';
+import { decodeBody, encodeBody } from '../../src/controller/wire/cbor.js';
+import type { Sim } from './sim.js';
+
+/** Sends the answer to a request. */
+export type Respond = (reply: Reply) => void;
+
+/** A request as it arrives. */
+export interface Arrival {
+  method: string;
+  path: string;
+  bytes: Buffer;
+  /** The network delivers it once more, much later than it was sent. */
+  copy: boolean;
+  /** What the bytes say; undefined if there are none. */
+  body(): unknown;
+}
+
+/** What listens at an address. */
+export type Service = (from: string, request: Arrival, respond: Respond) => void;
+
+/** Messages on a cut way are held back until it heals, or lost. */
+export type Cut = 'hold' | 'reset';
+
+const NO_BYTES = Buffer.alloc(0);
+
+/** What the caller gets where no reply comes. */
+const NO_REPLY: Reply = { status: 0, body: null };
+
+function arrivalOf(call: Call): Arrival {
+  const bytes = call.body === undefined ? NO_BYTES : encodeBody(call.body);
+  return {
+    ...{ method: call.method, path: call.path, bytes, copy: false },
+    body: () => (bytes.length === 0 ? undefined : decodeBody(bytes)),
+  };
+}
+
+/** Delays, cuts, late and doubled messages between named hosts. */
+export class Network {
+  private readonly services = new Map<string, { host: string; serve: Service }>();
+  private readonly cuts = new Map<string, Cut>();
+  private held: { from: string; to: string; run: () => void }[] = [];
+  /** Chance that a request arrives a second time, much later. */
+  doubled = 0;
+  /** How late such a copy may be. */
+  latestMs = 40_000;
+  /** Share of the workers' reports of which a copy arrives again, and how many have. */
+  copiedReports = 0;
+  copies = 0;
+  /** Share of the direct commands that are held up on their way, and how many arrived late. */
+  lateCommands = 0;
+  commandsLate = 0;
+  /** Share of the workers' reports of which a copy is kept for the next leader. */
+  keptReports = 0;
+  private kept: { from: string; arrival: Arrival }[] = [];
+  /** Messages take up to this long; milliseconds. */
+  latencyMs = 2;
+
+  constructor(private readonly sim: Sim) {}
+
+  /** `serve` answers requests to the address, which is on `host`. */
+  listen(address: string, host: string, serve: Service): void {
+    this.services.set(address, { host, serve });
+  }
+
+  /** Nothing listens at the address any more. */
+  remove(address: string): void {
+    this.services.delete(address);
+  }
+
+  /** Nothing goes from either host to the other. */
+  cut(a: string, b: string, mode: Cut): void {
+    this.cutWay(a, b, mode);
+    this.cutWay(b, a, mode);
+  }
+
+  /** Nothing goes from one to the other; the other way is open. */
+  cutWay(from: string, to: string, mode: Cut): void {
+    this.cuts.set(`${from} ${to}`, mode);
+  }
+
+  /** Messages go both ways again, those held back first. */
+  heal(a: string, b: string): void {
+    this.cuts.delete(`${a} ${b}`);
+    this.cuts.delete(`${b} ${a}`);
+    if (this.held.length === 0) return;
+    const released = this.held.filter((h) => !this.cuts.has(`${h.from} ${h.to}`));
+    this.held = this.held.filter((h) => this.cuts.has(`${h.from} ${h.to}`));
+    for (const h of released) this.sim.after(this.sim.between(0.2, 3), h.run);
+  }
+
+  private cutOf(from: string, to: string): Cut | undefined {
+    return this.cuts.size === 0 ? undefined : this.cuts.get(`${from} ${to}`);
+  }
+
+  /** Delivers, holds back or loses. `lost` is called if the sender would notice. */
+  send(from: string, to: string, run: () => void, lost: () => void): void {
+    const cut = this.cutOf(from, to);
+    if (cut === 'reset') this.sim.after(1, lost);
+    else if (cut === 'hold') this.held.push({ from, to, run });
+    else {
+      this.sim.after(this.sim.between(0.2, this.latencyMs), () => {
+        // A cut may have come while the message was under way.
+        const now = this.cutOf(from, to);
+        if (now === undefined) run();
+        else if (now === 'hold') this.held.push({ from, to, run });
+        else lost();
+      });
+    }
+  }
+
+  /** The copies kept so far arrive at all the addresses given, within a moment after the time given. */
+  deliverKept(addresses: readonly string[], afterMs: number): void {
+    const { kept } = this;
+    this.kept = [];
+    for (const { from, arrival } of kept)
+      for (const address of addresses)
+        this.sim.after(afterMs + this.sim.between(0, 50), () => {
+          const service = this.services.get(address);
+          if (service === undefined) return;
+          this.copies++;
+          service.serve(from, arrival, () => undefined);
+        });
+  }
+
+  /** Whether the command is held up; it then arrives once, 2 to 16 s late, and is not answered. */
+  private holdsUp(call: Call, deliver: (respond: Respond) => void): boolean {
+    if (call.path !== '/do' || this.lateCommands === 0) return false;
+    if (this.sim.random() >= this.lateCommands) return false;
+    this.sim.after(this.sim.between(2000, 16_000), () => {
+      this.commandsLate++;
+      deliver(() => undefined);
+    });
+    return true;
+  }
+
+  /** Makes a call; `done` gets the reply, or status 0 where none comes in time, while `alive`. */
+  call(from: string, call: Call, alive: () => boolean, done: (reply: Reply) => void): void {
+    const finish = this.settleOnce(call.timeoutMs, alive, done);
+    const target = this.services.get(call.to);
+    if (target === undefined) {
+      this.sim.after(1, () => finish(NO_REPLY));
+      return;
+    }
+    const arrival = arrivalOf(call);
+    const deliver = (request: Arrival, respond: Respond): void =>
+      this.deliver(from, call.to, request, respond);
+    if (this.holdsUp(call, (respond) => deliver(arrival, respond))) return;
+    const respond = (reply: Reply): void => this.sendReply(target.host, from, reply, finish);
+    this.send(
+      from,
+      target.host,
+      () => deliver(arrival, respond),
+      () => finish(NO_REPLY),
+    );
+    this.copyRequest(from, call, arrival, deliver);
+  }
+
+  /** Passes on the first reply, or none once the time is up. */
+  private settleOnce(
+    timeoutMs: number,
+    alive: () => boolean,
+    done: (reply: Reply) => void,
+  ): (reply: Reply) => void {
+    let settled = false;
+    const finish = (reply: Reply): void => {
+      if (settled) return;
+      settled = true;
+      timer.cancel();
+      if (alive()) done(reply);
+    };
+    const timer = this.sim.after(timeoutMs, () => finish(NO_REPLY));
+    return finish;
+  }
+
+  private deliver(from: string, address: string, request: Arrival, respond: Respond): void {
+    const service = this.services.get(address);
+    if (service === undefined) respond(NO_REPLY);
+    else service.serve(from, request, respond);
+  }
+
+  private sendReply(from: string, to: string, reply: Reply, finish: (reply: Reply) => void): void {
+    const body = reply.body === null ? null : decodeBody(encodeBody(reply.body));
+    this.send(
+      from,
+      to,
+      () => finish({ status: reply.status, body }),
+      () => finish(NO_REPLY),
+    );
+  }
+
+  /** Draws whether copies of the request arrive later, or are kept for the next leader. */
+  private copyRequest(
+    from: string,
+    call: Call,
+    arrival: Arrival,
+    deliver: (request: Arrival, respond: Respond) => void,
+  ): void {
+    const copy = (fromMs: number): void => {
+      this.sim.after(this.sim.between(fromMs, this.latestMs), () => {
+        this.copies++;
+        deliver({ ...arrival, copy: true }, () => undefined);
+      });
+    };
+    if (call.method === 'POST' && this.doubled > 0 && this.sim.random() < this.doubled) copy(5);
+    if (this.copiedReports > 0 && call.path === '/v1/report')
+      if (this.sim.random() < this.copiedReports) copy(2000);
+    if (this.keptReports > 0 && call.path === '/v1/report')
+      if (this.sim.random() < this.keptReports) this.kept.push({ from, arrival });
+  }
+}
--- /dev/null
+++ b/test/world/process-env.ts
@@ -0,0 +1,76 @@
+/** Clock, timers and network as one controller process sees them. */
+import type { Call, Env, Reply, Timer } from '../../src/controller/core/env.js';
+import type { Network } from './network.js';
+import type { Sim } from './sim.js';
+
+/** What a controller process runs on; everything stops when the process is killed. */
+export class ProcessEnv implements Env {
+  alive = true;
+  /** Stands still until then, while its clocks run on; what comes meanwhile is taken afterwards. */
+  private frozenUntil = 0;
+  private readonly drift: number;
+  private readonly offset: number;
+
+  constructor(
+    private readonly sim: Sim,
+    private readonly net: Network,
+    private readonly host: string,
+    private readonly peers: Map<string, (bytes: Buffer) => void>,
+  ) {
+    this.drift = 1 + sim.between(0, 0.0005);
+    this.offset = sim.between(0, 1e6);
+  }
+
+  now(): number {
+    return this.offset + this.sim.now * this.drift;
+  }
+
+  wall(): number {
+    return 1.7e12 + this.sim.now;
+  }
+
+  random(): number {
+    return this.sim.random();
+  }
+
+  soon(fn: () => void): void {
+    this.timer(0, fn);
+  }
+
+  timer(ms: number, fn: () => void): Timer {
+    return this.sim.after(ms / this.drift, () => this.whenAwake(fn));
+  }
+
+  /** The process stands still for a time. */
+  freeze(ms: number): void {
+    this.frozenUntil = Math.max(this.frozenUntil, this.sim.now + ms);
+  }
+
+  /** Runs the function now, or once the process no longer stands still; never after its end. */
+  whenAwake(fn: () => void): void {
+    if (!this.alive) return;
+    if (this.sim.now >= this.frozenUntil) fn();
+    else this.sim.after(this.frozenUntil - this.sim.now, () => this.whenAwake(fn));
+  }
+
+  call(call: Call, done: (reply: Reply) => void): void {
+    if (!this.alive) return;
+    const later = (r: Reply): void => this.whenAwake(() => done(r));
+    this.net.call(this.host, call, () => this.alive, later);
+  }
+
+  /** Now and then sockets are short. */
+  mayCall(): boolean {
+    return this.sim.random() < 0.95;
+  }
+
+  sendPeer(host: string, frame: Buffer): void {
+    if (!this.alive) return;
+    this.net.send(
+      this.host,
+      host,
+      () => this.peers.get(host)?.(frame),
+      () => undefined,
+    );
+  }
+}
--- a/test/world/state-service.ts
+++ b/test/world/state-service.ts
@@ -1,6 +1,7 @@
 import { Tokens } from '../../src/controller/core/tokens.js';
 import type { StateLimits } from '../../src/controller/settings/platform.js';
-import type { Arrival, Network, Respond, Sim } from './sim.js';
+import type { Arrival, Network, Respond } from './network.js';
+import type { Sim } from './sim.js';
 
 interface Entry {
   value: unknown;
