--- /dev/null
+++ b/test/world/cloud.ts
@@ -0,0 +1,191 @@
+/** The simulated cloud: catalogue, renting, lists that lag, returning. */
+import type { MachineType } from '../../src/controller/wire/cloud.js';
+import type { MachineContext } from './machine-context.js';
+import type { Arrival, Respond } from './network.js';
+import { Worker } from './worker.js';
+
+/** Machines that one request gets, or one page lists, at most. */
+const RENTED_AT_ONCE = 50;
+const LISTED_AT_ONCE = 500;
+const SNAPSHOT_MS = 500;
+/** Snapshots are kept for this long beyond four times the lag. */
+const SNAPSHOTS_KEPT_MS = 2000;
+/** Shares of its type's boot time within which a machine is up. */
+const BOOT_SHARES = { least: 0.6, most: 1.5 };
+/** Times within which a machine is up while machines boot quickly. */
+const QUICK_BOOT_MS = { least: 200, most: 2000 };
+
+interface RentedMachine {
+  worker: Worker | null;
+  type: MachineType;
+  zone: string;
+  spot: boolean;
+  rentedAt: number;
+  id: string;
+}
+
+/** The machines as they were at a moment. */
+interface Snapshot {
+  at: number;
+  body: { id: string }[];
+}
+
+/** A request for machines, as on the wire. */
+interface RentRequest {
+  hire: string;
+  model: string;
+  hall: string;
+  loaners: boolean;
+  how_many: number;
+}
+
+/** Stand-in for the cloud, after PROTOCOL. */
+export class Cloud {
+  readonly machines = new Map<string, RentedMachine>();
+  /** Ids that were rented, by the request's key. */
+  private readonly answers = new Map<string, string[]>();
+  private snapshots: Snapshot[] = [];
+  private count = 0;
+  /** Machines rented before then are up within two seconds. */
+  private quickUntil = 0;
+  /** Called when a rented machine is up. */
+  readonly onUp: ((id: string) => void)[] = [];
+
+  constructor(
+    private readonly context: MachineContext,
+    address: string,
+    private readonly types: MachineType[],
+    private readonly capacity: number,
+    private readonly lagMs: number,
+    /** Chance that a machine never comes up. */
+    private readonly bootFails: number,
+  ) {
+    context.net.listen(address, 'cloud', (_, request, respond) => this.serve(request, respond));
+    this.snapshot();
+  }
+
+  /** Rents a machine that is up after `bootMs`; null: never. */
+  add(type: MachineType, zone: string, spot: boolean, bootMs: number | null): string {
+    const index = this.count++;
+    const id = `n-${String(index).padStart(6, '0')}`;
+    const { sim } = this.context;
+    const machine: RentedMachine = { worker: null, type, zone, spot, rentedAt: sim.now, id };
+    this.machines.set(id, machine);
+    if (bootMs !== null)
+      sim.after(bootMs, () => {
+        if (this.machines.get(id) !== machine) return;
+        const address = `10.1.${index >> 8}.${index & 255}:9000`;
+        machine.worker = new Worker(id, address, type, zone, spot, this.context);
+        for (const up of this.onUp) up(id);
+      });
+    return id;
+  }
+
+  /** Workers of the machines that have come up, ended or not. */
+  get up(): Worker[] {
+    return [...this.machines.values()].flatMap((machine) =>
+      machine.worker === null ? [] : [machine.worker],
+    );
+  }
+
+  /** For a time machines are up within two seconds. */
+  bootQuickly(ms: number): void {
+    this.quickUntil = this.context.sim.now + ms;
+  }
+
+  /** How long ago the machine was rented. */
+  ageMs(id: string): number {
+    const machine = this.machines.get(id);
+    return machine === undefined ? Infinity : this.context.sim.now - machine.rentedAt;
+  }
+
+  /** Takes a machine back. */
+  take(id: string): void {
+    this.machines.get(id)?.worker?.die();
+    this.machines.delete(id);
+  }
+
+  private bootMs(type: MachineType): number | null {
+    const { sim } = this.context;
+    if (sim.now < this.quickUntil) return sim.between(QUICK_BOOT_MS.least, QUICK_BOOT_MS.most);
+    if (sim.random() < this.bootFails) return null;
+    return type.bootS * 1000 * sim.between(BOOT_SHARES.least, BOOT_SHARES.most);
+  }
+
+  private snapshot(): void {
+    const { sim } = this.context;
+    sim.after(SNAPSHOT_MS, () => this.snapshot());
+    const body = [...this.machines.values()].map((machine) => listed(machine, sim.now));
+    this.snapshots.push({ at: sim.now, body });
+    const oldest = sim.now - 4 * this.lagMs - SNAPSHOTS_KEPT_MS;
+    this.snapshots = this.snapshots.filter((snapshot) => snapshot.at > oldest);
+  }
+
+  private serve(request: Arrival, respond: Respond): void {
+    const path = request.path.split('?', 1)[0];
+    if (path === '/catalog') respond({ status: 200, body: { models: this.types.map(catalogued) } });
+    else if (path === '/machines/release') this.release(request, respond);
+    else if (path === '/machines' && request.method === 'GET') this.list(request, respond);
+    else this.rent(request.body() as RentRequest, respond);
+  }
+
+  private release(request: Arrival, respond: Respond): void {
+    for (const id of (request.body() as { kilns: string[] }).kilns) this.take(id);
+    respond({ status: 200, body: {} });
+  }
+
+  private list(request: Arrival, respond: Respond): void {
+    const { sim } = this.context;
+    const lag = this.lagMs * sim.between(1, 2);
+    const snapshot = this.snapshots.filter(({ at }) => at <= sim.now - lag).at(-1);
+    const query = new URL(request.path, 'http://cloud').searchParams;
+    const from = query.get('from') ?? '';
+    const limit = Math.min(LISTED_AT_ONCE, Number(query.get('limit') ?? LISTED_AT_ONCE));
+    const machines = (snapshot?.body ?? []).filter((machine) => machine.id > from);
+    const page = machines.slice(0, limit);
+    respond({ status: 200, body: { kilns: page, has_next: page.length < machines.length } });
+  }
+
+  private rent(request: RentRequest, respond: Respond): void {
+    const before = this.answers.get(request.hire);
+    if (before !== undefined) return respond({ status: 200, body: { kilns: before } });
+    const type = this.types.find(({ name }) => name === request.model);
+    const room = this.capacity - this.machines.size;
+    const count = Math.min(request.how_many, RENTED_AT_ONCE, room);
+    if (type === undefined || count <= 0)
+      return respond({ status: 503, body: { error: 'no capacity' } });
+    const ids: string[] = [];
+    for (let i = 0; i < count; i++)
+      ids.push(this.add(type, request.hall, request.loaners, this.bootMs(type)));
+    this.answers.set(request.hire, ids);
+    respond({ status: 200, body: { kilns: ids } });
+  }
+}
+
+function listed(machine: RentedMachine, now: number): { id: string } & Record<string, unknown> {
+  const { worker } = machine;
+  return {
+    id: machine.id,
+    address: worker?.address ?? '10.1.255.255:9000',
+    model: machine.type.name,
+    hall: machine.zone,
+    loaners: machine.spot,
+    status: worker === null ? 'booting' : worker.gone ? 'failed' : 'running',
+    age_s: (now - machine.rentedAt) / 1000,
+  };
+}
+
+function catalogued(type: MachineType): Record<string, unknown> {
+  return {
+    name: type.name,
+    cores: type.cpus,
+    cards: type.gpus,
+    mem_gb: type.memoryGb,
+    local_gb: type.cacheGb,
+    fetch_gb_per_s: type.fetchGbPerS,
+    hourly: type.price,
+    market_price: type.spotPrice,
+    boot_s: type.bootS,
+    halls: type.zones,
+  };
+}
--- /dev/null
+++ b/test/world/gangs.ts
@@ -0,0 +1,53 @@
+/** Gangs whose members are on machines. */
+import type { Sim } from './sim.js';
+import type { Task } from './task.js';
+
+/** Runs one member of a gang. */
+export interface GangMemberRunner {
+  gangStarts(task: Task): void;
+  finish(task: Task, cause: string): void;
+}
+
+interface Member {
+  runner: GangMemberRunner;
+  task: Task;
+}
+
+/** Gangs find each other by attempt; they start and complete together. */
+export class Gangs {
+  private readonly members = new Map<string, Set<Member>>();
+  constructor(private readonly sim: Sim) {}
+
+  /** The task waits for its gang; the last of its `size` members starts all of them. */
+  join(runner: GangMemberRunner, task: Task, size: number, runMs: number): void {
+    const key = keyOf(task);
+    const gang = this.members.get(key) ?? new Set();
+    this.members.set(key, gang);
+    gang.add({ runner, task });
+    const waiting = [...gang].filter((member) => member.task.status === 'waiting');
+    if (waiting.length < size) return;
+    for (const member of waiting) member.runner.gangStarts(member.task);
+    this.sim.after(runMs, () => {
+      const running = [...gang].filter((member) => member.task.status === 'running');
+      if (running.length === size && gang.size === size)
+        for (const member of running) member.runner.finish(member.task, 'done');
+    });
+  }
+
+  /** The task has ended; unless it is done, the members that run end soon after. */
+  leave(task: Task, peerMs: number): void {
+    const gang = this.members.get(keyOf(task));
+    if (gang === undefined) return;
+    for (const member of gang) if (member.task === task) gang.delete(member);
+    if (task.cause === 'done') return;
+    for (const member of gang)
+      if (member.task.status === 'running')
+        this.sim.after(peerMs, () => {
+          if (member.task.status === 'running') member.runner.finish(member.task, 'peers');
+        });
+  }
+}
+
+function keyOf(task: Task): string {
+  return `${task.id}@${task.attempt}`;
+}
--- /dev/null
+++ b/test/world/task-runner.ts
@@ -0,0 +1,206 @@
+/** The tasks of one simulated machine: images, room, run times, saving and ends. */
+import type { MachineType } from '../../src/controller/wire/cloud.js';
+import type { JobSpec } from '../../src/controller/wire/jobs.js';
+import type { GangMemberRunner } from './gangs.js';
+import type { MachineContext } from './machine-context.js';
+import type { Place } from './rules.js';
+import { orderedTask, reportedTask, type Order, type Task } from './task.js';
+
+/** Room that rounding may hide. */
+const ROUNDING = 1e-6;
+/** Share of its run time after which a task that fails ends. */
+const FAILURE_SHARE = 0.3;
+/** Shares of its run time between which a replica ends by itself. */
+const REPLICA_SHARES = { least: 0.5, most: 2 };
+
+/** The machine that tasks run on, as its task runner sees it. */
+export interface TaskHost {
+  readonly place: Place;
+  readonly type: MachineType;
+  /** Runs the function once the machine does not hang; never after its end. */
+  whenAwake(run: () => void): void;
+  /** There is something new to report. */
+  changed(): void;
+}
+
+/** CPUs, GPUs and memory that no task takes. */
+interface Room {
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+/** Runs the tasks of one machine as its controllers order. */
+export class TaskRunner implements GangMemberRunner {
+  private readonly tasks = new Map<string, Task>();
+  private readonly images = new Set<string>();
+
+  constructor(
+    private readonly host: TaskHost,
+    private readonly context: MachineContext,
+  ) {}
+
+  /** All tasks end at once, without a report of it. */
+  killAll(): void {
+    for (const task of this.tasks.values()) {
+      if (task.status === 'exited') continue;
+      task.timer?.cancel();
+      task.status = 'exited';
+      task.cause = 'killed';
+      this.off(task);
+    }
+  }
+
+  /** Forgets all tasks. */
+  clear(): void {
+    this.tasks.clear();
+  }
+
+  /** What the machine reports of its tasks. */
+  reported(): Record<string, unknown>[] {
+    return [...this.tasks.values()].map(reportedTask);
+  }
+
+  /** What no task takes, `except` the one given. */
+  freeRoom(except?: Task): Room {
+    const { cpus, gpus, memoryGb } = this.host.type;
+    const room = { cpus, gpus, memoryGb };
+    for (const task of this.tasks.values()) {
+      const spec = this.context.job(task.id);
+      if (task === except || task.status === 'exited' || spec === undefined) continue;
+      room.cpus -= spec.cpus;
+      room.gpus -= spec.gpus;
+      room.memoryGb -= spec.memoryGb;
+    }
+    return room;
+  }
+
+  /** Carries out an order. */
+  execute(order: Order): void {
+    const existing = this.tasks.get(order.duty);
+    this.host.changed();
+    if (order.verb === 'run') this.start(order, existing);
+    else if (existing?.attempt !== order.try) return;
+    else if (order.verb === 'clear') {
+      if (existing.status === 'exited') this.tasks.delete(order.duty);
+    } else if (order.verb === 'stop') this.stop(existing, order.leeway_s ?? 0);
+  }
+
+  private start(order: Order, existing: Task | undefined): void {
+    if (existing?.attempt === order.try) return;
+    if (existing !== undefined && existing.status !== 'exited') return;
+    const task = orderedTask(order);
+    this.tasks.set(order.duty, task);
+    const spec = this.context.job(task.id);
+    if (spec === undefined) return reject(task, 'unknown');
+    if (!this.hasRoom(spec, task)) return reject(task, 'no_room');
+    const { fetchGbPerS } = this.host.type;
+    const fetchMs = this.images.has(spec.image) ? 0 : (spec.imageGb / fetchGbPerS) * 1000;
+    task.timer = this.context.sim.after(fetchMs, () =>
+      this.host.whenAwake(() => this.begin(task, spec)),
+    );
+  }
+
+  private hasRoom(spec: JobSpec, task: Task): boolean {
+    const { cpus, gpus, memoryGb } = this.freeRoom(task);
+    return (
+      spec.cpus <= cpus + ROUNDING &&
+      spec.gpus <= gpus + ROUNDING &&
+      spec.memoryGb <= memoryGb + ROUNDING
+    );
+  }
+
+  /** The image is there. */
+  private begin(task: Task, spec: JobSpec): void {
+    if (task.status !== 'pulling') return;
+    this.images.add(spec.image);
+    task.on = true;
+    this.context.rules.taskOn(task.id, task.task, { ...this.host.place });
+    this.host.changed();
+    if (spec.kind === 'gang') this.waitForGang(task, spec);
+    else if (spec.kind === 'service') this.runReplica(task);
+    else this.runArrayTask(task);
+  }
+
+  private waitForGang(task: Task, spec: JobSpec): void {
+    const { gangs, settings, sim } = this.context;
+    task.status = 'waiting';
+    task.timer = sim.after(settings.gangWaitMs, () => {
+      if (task.status === 'waiting') this.finish(task, 'alone');
+    });
+    gangs.join(this, task, spec.tasks, this.context.runMs(task.id));
+  }
+
+  /** Replicas should not end; now and then one does. */
+  private runReplica(task: Task): void {
+    const { sim } = this.context;
+    task.status = 'running';
+    const { least, most } = REPLICA_SHARES;
+    const endsAfterMs = this.context.runMs(task.id) * sim.between(least, most);
+    const cause = sim.pick(['done', 'error', 'other']);
+    task.timer = sim.after(endsAfterMs, () =>
+      this.host.whenAwake(() => {
+        this.context.replicasEnded++;
+        this.finish(task, cause);
+      }),
+    );
+  }
+
+  private runArrayTask(task: Task): void {
+    const { sim } = this.context;
+    task.status = 'running';
+    const fails = sim.random() < this.context.errors;
+    const endsAfterMs = this.context.runMs(task.id) * (fails ? FAILURE_SHARE : 1);
+    task.timer = sim.after(endsAfterMs, () =>
+      this.host.whenAwake(() => this.finish(task, fails ? 'error' : 'done')),
+    );
+  }
+
+  /** The last member of the task's gang is there. */
+  gangStarts(task: Task): void {
+    task.timer?.cancel();
+    task.status = 'running';
+    this.host.changed();
+  }
+
+  /** The task ends, if it hasn't. */
+  finish(task: Task, cause: string): void {
+    if (task.status === 'exited') return;
+    task.timer?.cancel();
+    task.status = 'exited';
+    task.cause = cause;
+    if (cause === 'done') this.context.rules.taskDone(task.id, task.task);
+    this.off(task);
+    this.host.changed();
+  }
+
+  private off(task: Task): void {
+    const { rules, gangs, settings } = this.context;
+    if (task.on) rules.taskOff(task.id, task.task, this.host.place.machine);
+    task.on = false;
+    gangs.leave(task, settings.gangPeerMs);
+  }
+
+  private stop(task: Task, graceS: number): void {
+    if (task.status === 'exited') return;
+    const spec = this.context.job(task.id);
+    const saves =
+      spec !== undefined &&
+      spec.checkpointS > 0 &&
+      task.status === 'running' &&
+      graceS >= spec.saveS;
+    if (task.status === 'flushing' && graceS > 0) return;
+    if (!saves) return this.finish(task, 'stopped');
+    task.status = 'flushing';
+    task.timer?.cancel();
+    task.timer = this.context.sim.after(spec.saveS * 1000, () => {
+      task.saved = true;
+      this.finish(task, 'stopped');
+    });
+  }
+}
+
+function reject(task: Task, cause: string): void {
+  task.status = 'exited';
+  task.cause = cause;
+}
--- a/test/world/troubles.ts
+++ b/test/world/troubles.ts
@@ -104,7 +104,7 @@
   world.onLog.push((text) => {
     if (text === 'elected leader' && sim.now <= until)
       net.deliverKept(
-        world.hosts.map((host) => world.shared.apiOf(host)),
+        world.hosts.map((host) => world.context.apiOf(host)),
         afterMs,
       );
   });
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -5,7 +5,10 @@
 import { writeJob, type JobSpec } from '../../src/controller/wire/jobs.js';
 import { oneOf } from '../platform.js';
 import { Happenings, observe } from './happenings.js';
-import { Cloud, Gangs, type Shared, type Worker } from './machines.js';
+import { Cloud } from './cloud.js';
+import { Gangs } from './gangs.js';
+import type { MachineContext } from './machine-context.js';
+import type { Worker } from './worker.js';
 import { Rules } from './rules.js';
 import type { Scenario } from './scenario.js';
 import { Network } from './network.js';
@@ -42,7 +45,7 @@
   readonly state: StateService;
   readonly cloud: Cloud;
   readonly rules: Rules;
-  readonly shared: Shared;
+  readonly context: MachineContext;
   readonly happenings = new Happenings();
   /** Called with each line that a controller logs as information. */
   readonly onLog: ((text: string, fields: object) => void)[] = [];
@@ -89,7 +92,7 @@
       platform.stateLimits,
       scenario.page,
     );
-    this.shared = {
+    this.context = {
       sim: this.sim,
       net: this.net,
       rules: this.rules,
@@ -110,7 +113,7 @@
       replicasEnded: 0,
     };
     this.cloud = new Cloud(
-      this.shared,
+      this.context,
       platform.cloud,
       types,
       scenario.capacity,
@@ -157,7 +160,7 @@
     const controller = new version.Controller(env, log, settings, `${host}-${this.starts++}`);
     this.processes.set(host, { controller, env });
     this.peers.set(host, (bytes) => env.whenAwake(() => controller.peerFrame(bytes)));
-    this.net.listen(this.shared.apiOf(host), host, (_, request, respond) => {
+    this.net.listen(this.context.apiOf(host), host, (_, request, respond) => {
       env.whenAwake(() => {
         controller.request(request.method, request.path, request.bytes, (a) => {
           if (env.alive) respond({ status: a.status, body: a.body ?? null });
@@ -175,7 +178,7 @@
     p.env.alive = false;
     this.processes.delete(host);
     this.peers.delete(host);
-    this.net.remove(this.shared.apiOf(host));
+    this.net.remove(this.context.apiOf(host));
     this.sim.after(restartMs, () => this.startProcess(host));
   }
 
@@ -372,12 +375,12 @@
 
   /** Replicas of services that ended by themselves. */
   get replicasEnded(): number {
-    return this.shared.replicasEnded;
+    return this.context.replicasEnded;
   }
 
   /** How often a worker's lease has run out. */
   get leasesLost(): number {
-    return this.shared.leasesLost;
+    return this.context.leasesLost;
   }
 
   /** The leader ends, and so do those who follow, each in the midst of its election; all are soon back. */
@@ -470,7 +473,7 @@
     this.net.call(
       'user',
       {
-        to: this.shared.apiOf(host),
+        to: this.context.apiOf(host),
         method,
         path,
         timeoutMs: method === 'GET' ? 2000 : 5000,
