--- a/test/world/state-service.ts
+++ b/test/world/state-service.ts
@@ -1,42 +1,27 @@
+/** The simulated state service: its paths, its limits and its faults. */
 import { Tokens } from '../../src/controller/core/tokens.js';
+import type { Reply } from '../../src/controller/core/env.js';
 import type { StateLimits } from '../../src/controller/settings/platform.js';
 import type { Arrival, Network, Respond } from './network.js';
 import type { Sim } from './sim.js';
+import { fits, StateStore, type Transaction, type Watch } from './state-store.js';
+import { UnansweredWrites } from './unanswered-writes.js';
 
-interface Entry {
-  value: unknown;
-  stamp: number;
-  permit: number | null;
-}
-
-interface Change {
-  stamp: number;
-  key: string;
-  value: unknown;
-  deleted: boolean;
-}
+const EXPIRE_EVERY_MS = 50;
+/** Share of the answers that are late while the service is slow, and by how much. */
+const SLOW_SHARE = 0.3;
+const SLOW_MS = { least: 50, most: 2000 };
+/** When a transaction that gets no answer is carried out. */
+const LATE_WRITE_MS = { least: 2000, most: 12_000 };
 
-interface Watch {
-  by: string;
-  prefix: string;
-  from: number;
-  respond: Respond;
-  open: boolean;
-}
-
-interface Multi {
-  if?: { k: string; stamp: number }[];
-  writes?: { set?: string; delete?: string; value?: unknown; permit?: number }[];
-}
+const UNAVAILABLE: Reply = { status: 503, body: null };
+const NOT_FOUND: Reply = { status: 404, body: null };
+const GONE: Reply = { status: 410, body: null };
+const TOO_MANY: Reply = { status: 429, body: null };
 
 /** Stand-in for the state service, after PROTOCOL. */
 export class StateService {
-  readonly entries = new Map<string, Entry>();
-  private readonly leases = new Map<number, { life: number; ends: number }>();
-  private log: Change[] = [];
-  private watches: Watch[] = [];
-  private ledger = 0;
-  private permits = 0;
+  private readonly store: StateStore;
   private down = false;
   private slowUntil = 0;
   private readonly refused = new Set<string>();
@@ -51,14 +36,11 @@
   /** Requests that came in an outage. */
   missed = 0;
   /** Share of the transactions that get no answer and are carried out later, and how many were. */
-  lateWrites = 0;
-  late = { applied: 0, refused: 0 };
+  private lateWrites = 0;
+  readonly late = { applied: 0, refused: 0 };
   /** Share of the transactions that are carried out at once and whose answer alone is lost. */
   private lostAnswers = 0;
-  /** Keys that such a transaction wrote, with the node that got no answer. */
-  private readonly unanswered = new Map<string, string>();
-  /** How often another node has read what a node without an answer wrote. */
-  readUnanswered = 0;
+  private readonly unanswered = new UnansweredWrites();
   /** Nodes whose watches are refused, and nothing else of theirs. */
   private readonly unwatched = new Set<string>();
   /** Told of each transaction as it arrives, before it is looked at: its writes' keys. */
@@ -67,27 +49,39 @@
   constructor(
     private readonly sim: Sim,
     net: Network,
-    addr: string,
+    address: string,
     private limits: StateLimits,
     private readonly pageSize: number,
   ) {
     const now = (): number => sim.now;
+    this.store = new StateStore(now, (by, key) => this.unanswered.wasRead(by, key));
     this.requestTokens = new Tokens(now, limits.rps, limits.rps);
     this.putTokens = new Tokens(now, limits.writeRps, limits.writeRps);
-    net.listen(addr, 'state', (from, request, respond) => this.serve(from, request, respond));
+    net.listen(address, 'state', (from, request, respond) => this.serve(from, request, respond));
     this.expire();
   }
 
+  /** What is stored, by key. */
+  get entries(): StateStore['entries'] {
+    return this.store.entries;
+  }
+
+  /** How often another node has read what a node without an answer wrote. */
+  get readUnanswered(): number {
+    return this.unanswered.readByOthers;
+  }
+
   /** Whether it answers nobody just now. */
   get inOutage(): boolean {
     return this.down;
   }
 
+  /** Answers nobody for a time; afterwards all leases run anew. */
   outage(ms: number): void {
     this.down = true;
     this.sim.after(ms, () => {
       this.down = false;
-      for (const l of this.leases.values()) l.ends = this.sim.now + l.life;
+      this.store.renewAll();
     });
   }
 
@@ -136,190 +130,115 @@
     return !this.down && this.refused.has(host);
   }
 
-  private writtenUnanswered(from: string, m: Multi): void {
-    for (const w of m.writes ?? []) if (w.set !== undefined) this.unanswered.set(w.set, from);
-  }
-
-  private wasRead(by: string, key: string): void {
-    const writer = this.unanswered.get(key);
-    if (writer !== undefined && writer !== by) this.readUnanswered++;
-  }
-
-  private later(m: Multi): void {
-    if (this.down) return;
-    if (this.multi(m).status === 200) this.late.applied++;
-    else this.late.refused++;
-  }
-
   private expire(): void {
-    this.sim.after(50, () => this.expire());
-    if (this.down) return;
-    for (const [id, l] of this.leases) if (this.sim.now > l.ends) this.end(id);
-  }
-
-  private end(id: number): void {
-    this.leases.delete(id);
-    const keys = [...this.entries].filter(([, e]) => e.permit === id).map(([k]) => k);
-    if (keys.length === 0) return;
-    this.ledger++;
-    for (const k of keys) this.change(k, undefined, null, true);
-    this.notify();
+    this.sim.after(EXPIRE_EVERY_MS, () => this.expire());
+    if (!this.down) this.store.expire();
   }
 
-  private change(key: string, value: unknown, permit: number | null, deleted: boolean): void {
-    if (deleted) this.entries.delete(key);
-    else this.entries.set(key, { value, stamp: this.ledger, permit });
-    this.log.push({ stamp: this.ledger, key, value, deleted });
-    if (this.log.length > 20_000) this.log = this.log.slice(-10_000);
+  private serve(from: string, request: Arrival, answer: Respond): void {
+    const respond = this.delayed(answer);
+    if (this.down) this.missed++;
+    if (this.down || this.refused.has(from)) return respond(UNAVAILABLE);
+    const transaction = request.path === '/multi' ? (request.body() as Transaction) : null;
+    const writes = transaction?.writes ?? [];
+    if (transaction !== null) this.arriving(writes.map((write) => write.set ?? write.delete ?? ''));
+    if (!this.takeTokens(writes.length)) return respond(TOO_MANY);
+    if (transaction !== null) this.serveTransaction(from, transaction, request.copy, respond);
+    else this.serveOther(from, request, respond);
   }
 
-  private notify(): void {
-    for (const w of this.watches) this.tryWatch(w);
-    this.watches = this.watches.filter((w) => w.open);
+  /** While the service is slow some answers are late. */
+  private delayed(answer: Respond): Respond {
+    const slow = this.sim.now < this.slowUntil && this.sim.random() < SLOW_SHARE;
+    if (!slow) return answer;
+    const lateMs = this.sim.between(SLOW_MS.least, SLOW_MS.most);
+    return (reply) => this.sim.after(lateMs, () => answer(reply));
   }
 
-  private tryWatch(w: Watch): void {
-    if (!w.open) return;
-    // Newest last: only what came after `from` is looked at.
-    let first = this.log.length;
-    while (first > 0 && (this.log[first - 1]?.stamp ?? 0) > w.from) first--;
-    const found = this.log.slice(first).filter((c) => c.key.startsWith(w.prefix));
-    if (found.length === 0) return;
-    for (const c of found) this.wasRead(w.by, c.key);
-    w.open = false;
-    w.respond({
-      status: 200,
-      body: {
-        ledger: this.ledger,
-        log: found.map((c) =>
-          c.deleted
-            ? { delete: c.key, stamp: c.stamp }
-            : { set: c.key, value: c.value, stamp: c.stamp },
-        ),
-      },
-    });
-  }
-
-  private serve(from: string, call: Arrival, answer: Respond): void {
-    const slow = this.sim.now < this.slowUntil && this.sim.random() < 0.3;
-    const lateMs = slow ? this.sim.between(50, 2000) : 0;
-    const respond: Respond = slow ? (r) => this.sim.after(lateMs, () => answer(r)) : answer;
-    if (this.down) this.missed++;
-    if (this.down || this.refused.has(from)) return respond({ status: 503, body: null });
-    const multi = call.path === '/multi' ? (call.body() as Multi) : null;
-    const puts = multi?.writes?.length ?? 0;
-    if (multi !== null) this.arriving((multi.writes ?? []).map((w) => w.set ?? w.delete ?? ''));
+  private takeTokens(puts: number): boolean {
     if (!this.requestTokens.take() || (puts > 0 && !this.putTokens.take(puts))) {
       this.tooMany++;
-      return respond({ status: 429, body: null });
+      return false;
     }
     this.requests++;
     this.puts += puts;
-    const url = new URL(call.path, 'http://state');
-    const path = url.pathname;
-    if (multi !== null && this.lateWrites > 0 && this.sim.random() < this.lateWrites) {
-      this.sim.after(this.sim.between(2000, 12_000), () => this.later(multi));
+    return true;
+  }
+
+  private serveTransaction(
+    from: string,
+    transaction: Transaction,
+    copy: boolean,
+    respond: Respond,
+  ): void {
+    const { sim } = this;
+    if (this.lateWrites > 0 && sim.random() < this.lateWrites) {
+      const lateMs = sim.between(LATE_WRITE_MS.least, LATE_WRITE_MS.most);
+      sim.after(lateMs, () => this.commitLate(transaction));
       return;
     }
-    if (multi !== null && this.lostAnswers > 0 && this.sim.random() < this.lostAnswers) {
-      if (this.multi(multi).status === 200) this.writtenUnanswered(from, multi);
+    if (this.lostAnswers > 0 && sim.random() < this.lostAnswers) {
+      if (this.commit(transaction).status === 200) this.unanswered.note(from, transaction);
       return;
     }
-    if (multi !== null) {
-      for (const c of multi.if ?? []) this.wasRead(from, c.k);
-      return respond(this.multi(multi, call.copy));
-    }
-    if (path === '/holds') {
-      const id = ++this.permits;
-      const life = (call.body() as { life_ms: number }).life_ms;
-      this.leases.set(id, { life, ends: this.sim.now + life });
-      return respond({ status: 200, body: { permit: id } });
-    }
-    const hold = /^\/holds\/(\d+)(\/extend)?$/.exec(path);
-    if (hold !== null) {
-      const id = Number(hold[1]);
-      const lease = this.leases.get(id);
-      if (lease === undefined) return respond({ status: 404, body: null });
-      if (call.method === 'DELETE') this.end(id);
-      else lease.ends = this.sim.now + lease.life;
-      return respond({ status: 200, body: { permit: id } });
-    }
-    if (path === '/follow') {
-      if (this.unwatched.has(from)) return respond({ status: 503, body: null });
-      const oldest = this.log[0]?.stamp ?? 0;
-      if (Number(url.searchParams.get('from')) < oldest - 1)
-        return respond({ status: 410, body: null });
-      const w: Watch = {
-        by: from,
-        prefix: url.searchParams.get('starts') ?? '',
-        from: Number(url.searchParams.get('from')),
-        respond,
-        open: true,
-      };
-      this.watches.push(w);
-      this.tryWatch(w);
-      this.sim.after(Number(url.searchParams.get('hold_ms')), () => {
-        if (!w.open || this.down) return;
-        w.open = false;
-        respond({ status: 200, body: { ledger: this.ledger, log: [] } });
-      });
-      return;
-    }
-    if (path === '/keys') return respond(this.range(url));
-    const key = path.slice('/keys/'.length);
-    this.wasRead(from, key);
-    const e = this.entries.get(key);
-    if (e === undefined) return respond({ status: 404, body: { ledger: this.ledger } });
-    respond({ status: 200, body: { k: key, value: e.value, stamp: e.stamp } });
+    for (const { k } of transaction.if ?? []) this.unanswered.wasRead(from, k);
+    respond(this.commit(transaction, copy));
   }
 
-  private range(url: URL): { status: number; body: unknown } {
-    const prefix = url.searchParams.get('starts') ?? '';
-    const after = url.searchParams.get('from') ?? '';
-    const limit = Number(url.searchParams.get('limit'));
-    const all = [...this.entries.keys()].filter((k) => k.startsWith(prefix) && k > after).sort();
-    const page = all.slice(0, Math.min(limit, this.pageSize));
-    return {
-      status: 200,
-      body: {
-        entries: page.map((k) => ({
-          k,
-          value: this.entries.get(k)?.value,
-          stamp: this.entries.get(k)?.stamp,
-        })),
-        has_next: all.length > page.length,
-        ledger: this.ledger,
-      },
-    };
+  private commitLate(transaction: Transaction): void {
+    if (this.down) return;
+    if (this.commit(transaction).status === 200) this.late.applied++;
+    else this.late.refused++;
   }
 
-  private multi(m: Multi, copy = false): { status: number; body: unknown } {
-    const writes = m.writes ?? [];
-    const size = writes.some(
-      (w) => JSON.stringify(w.value ?? null).length > this.limits.valueKb * 1024,
-    );
-    if (
-      writes.length > this.limits.txnOps ||
-      (m.if ?? []).length > 4 * this.limits.txnOps ||
-      size
-    ) {
-      if (!copy) this.tooLarge++;
-      return { status: 400, body: { error: 'limits' } };
-    }
-    for (const w of writes)
-      if (w.permit !== undefined && !this.leases.has(w.permit))
-        return { status: 400, body: { error: 'no such lease' } };
-    const failed = (m.if ?? [])
-      .filter((c) => (this.entries.get(c.k)?.stamp ?? 0) !== c.stamp)
-      .map((c) => c.k);
-    if (failed.length > 0) return { status: 409, body: { failed, ledger: this.ledger } };
-    if (writes.length > 0) this.ledger++;
-    for (const w of writes) {
-      if (w.set !== undefined) this.change(w.set, w.value, w.permit ?? null, false);
-      else if (w.delete !== undefined && this.entries.has(w.delete))
-        this.change(w.delete, undefined, null, true);
+  private commit(transaction: Transaction, copy = false): Reply {
+    if (fits(transaction, this.limits)) return this.store.commit(transaction);
+    if (!copy) this.tooLarge++;
+    return { status: 400, body: { error: 'limits' } };
+  }
+
+  private serveOther(from: string, request: Arrival, respond: Respond): void {
+    const url = new URL(request.path, 'http://state');
+    const path = url.pathname;
+    const lease = /^\/holds\/(\d+)(\/extend)?$/.exec(path);
+    if (path === '/holds') respond(this.grantLease(request));
+    else if (lease !== null) respond(this.serveLease(Number(lease[1]), request));
+    else if (path === '/follow') this.serveWatch(from, url.searchParams, respond);
+    else if (path === '/keys') respond(this.readPage(url.searchParams));
+    else {
+      const key = path.slice('/keys/'.length);
+      this.unanswered.wasRead(from, key);
+      respond(this.store.read(key));
     }
-    if (writes.length > 0) this.notify();
-    return { status: 200, body: { ledger: this.ledger } };
+  }
+
+  private grantLease(request: Arrival): Reply {
+    const { life_ms: lifeMs } = request.body() as { life_ms: number };
+    return { status: 200, body: { permit: this.store.grant(lifeMs) } };
+  }
+
+  private serveLease(id: number, request: Arrival): Reply {
+    const found = request.method === 'DELETE' ? this.store.revoke(id) : this.store.renew(id);
+    return found ? { status: 200, body: { permit: id } } : NOT_FOUND;
+  }
+
+  private readPage(query: URLSearchParams): Reply {
+    const limit = Math.min(Number(query.get('limit')), this.pageSize);
+    return this.store.readPage(query.get('starts') ?? '', query.get('from') ?? '', limit);
+  }
+
+  private serveWatch(from: string, query: URLSearchParams, respond: Respond): void {
+    if (this.unwatched.has(from)) return respond(UNAVAILABLE);
+    const watch: Watch = {
+      by: from,
+      prefix: query.get('starts') ?? '',
+      from: Number(query.get('from')),
+      respond,
+      open: true,
+    };
+    if (!this.store.watch(watch)) return respond(GONE);
+    this.sim.after(Number(query.get('hold_ms')), () => {
+      if (!this.down) this.store.closeWatch(watch);
+    });
   }
 }
--- /dev/null
+++ b/test/world/state-store.ts
@@ -0,0 +1,188 @@
+/** What the simulated state service stores: entries, leases, the log of changes, watches. */
+import type { Reply } from '../../src/controller/core/env.js';
+import type { StateLimits } from '../../src/controller/settings/platform.js';
+import type { Respond } from './network.js';
+
+/** Changes in the log at most, and how many of the newest are kept when it is cut. */
+const LOG_LENGTH = 20_000;
+const LOG_KEPT = 10_000;
+/** Conditions of a transaction at most, in multiples of its writes. */
+const CONDITIONS_PER_WRITE = 4;
+
+interface Entry {
+  value: unknown;
+  stamp: number;
+  permit: number | null;
+}
+
+interface Change {
+  stamp: number;
+  key: string;
+  value: unknown;
+  deleted: boolean;
+}
+
+interface Lease {
+  lifeMs: number;
+  endsAt: number;
+}
+
+/** A node that waits for changes of keys with a prefix. */
+export interface Watch {
+  by: string;
+  prefix: string;
+  /** Changes after this stamp count. */
+  from: number;
+  respond: Respond;
+  open: boolean;
+}
+
+/** A transaction, as on the wire. */
+export interface Transaction {
+  if?: { k: string; stamp: number }[];
+  writes?: { set?: string; delete?: string; value?: unknown; permit?: number }[];
+}
+
+/** Whether the service takes a transaction of this size. */
+export function fits(transaction: Transaction, limits: StateLimits): boolean {
+  const { writes = [], if: conditions = [] } = transaction;
+  const { txnOps, valueKb } = limits;
+  if (writes.length > txnOps || conditions.length > CONDITIONS_PER_WRITE * txnOps) return false;
+  return writes.every(({ value }) => JSON.stringify(value ?? null).length <= valueKb * 1024);
+}
+
+/** Entries under versions, leases that end them, and watches on them. */
+export class StateStore {
+  readonly entries = new Map<string, Entry>();
+  private readonly leases = new Map<number, Lease>();
+  private log: Change[] = [];
+  private watches: Watch[] = [];
+  private ledger = 0;
+  private lastPermit = 0;
+
+  /** `onRead` is told of each key that a watch shows to a node. */
+  constructor(
+    private readonly now: () => number,
+    private readonly onRead: (by: string, key: string) => void,
+  ) {}
+
+  /** A new lease; returns its id. */
+  grant(lifeMs: number): number {
+    const id = ++this.lastPermit;
+    this.leases.set(id, { lifeMs, endsAt: this.now() + lifeMs });
+    return id;
+  }
+
+  /** Whether the lease was there to be renewed. */
+  renew(id: number): boolean {
+    const lease = this.leases.get(id);
+    if (lease === undefined) return false;
+    lease.endsAt = this.now() + lease.lifeMs;
+    return true;
+  }
+
+  /** Renews every lease. */
+  renewAll(): void {
+    for (const id of this.leases.keys()) this.renew(id);
+  }
+
+  /** Ends the leases whose time is up. */
+  expire(): void {
+    for (const [id, lease] of this.leases) if (this.now() > lease.endsAt) this.revoke(id);
+  }
+
+  /** Ends a lease and deletes what was bound to it; false: there is none. */
+  revoke(id: number): boolean {
+    if (!this.leases.delete(id)) return false;
+    const keys = [...this.entries].filter(([, { permit }]) => permit === id).map(([key]) => key);
+    if (keys.length === 0) return true;
+    this.ledger++;
+    for (const key of keys) this.change(key, undefined, null, true);
+    this.notify();
+    return true;
+  }
+
+  /** The answer to a read of one key. */
+  read(key: string): Reply {
+    const entry = this.entries.get(key);
+    if (entry === undefined) return { status: 404, body: { ledger: this.ledger } };
+    return { status: 200, body: { k: key, value: entry.value, stamp: entry.stamp } };
+  }
+
+  /** The answer to a read of a page of the keys with a prefix, those after `after`. */
+  readPage(prefix: string, after: string, limit: number): Reply {
+    const keys = [...this.entries.keys()]
+      .filter((key) => key.startsWith(prefix) && key > after)
+      .sort();
+    const entries = keys.slice(0, limit).map((key) => {
+      const entry = this.entries.get(key);
+      return { k: key, value: entry?.value, stamp: entry?.stamp };
+    });
+    const body = { entries, has_next: keys.length > entries.length, ledger: this.ledger };
+    return { status: 200, body };
+  }
+
+  /** Carries out a transaction as a whole or not at all; returns the answer to it. */
+  commit(transaction: Transaction): Reply {
+    const { writes = [], if: conditions = [] } = transaction;
+    for (const { permit } of writes)
+      if (permit !== undefined && !this.leases.has(permit))
+        return { status: 400, body: { error: 'no such lease' } };
+    const failed = conditions
+      .filter(({ k, stamp }) => (this.entries.get(k)?.stamp ?? 0) !== stamp)
+      .map(({ k }) => k);
+    if (failed.length > 0) return { status: 409, body: { failed, ledger: this.ledger } };
+    if (writes.length > 0) this.ledger++;
+    for (const write of writes) {
+      if (write.set !== undefined) this.change(write.set, write.value, write.permit ?? null, false);
+      else if (write.delete !== undefined && this.entries.has(write.delete))
+        this.change(write.delete, undefined, null, true);
+    }
+    if (writes.length > 0) this.notify();
+    return { status: 200, body: { ledger: this.ledger } };
+  }
+
+  /** Answers the watch as soon as there are changes; false: the log no longer reaches back so far. */
+  watch(watch: Watch): boolean {
+    const oldest = this.log[0]?.stamp ?? 0;
+    if (watch.from < oldest - 1) return false;
+    this.watches.push(watch);
+    this.tryWatch(watch);
+    return true;
+  }
+
+  /** Answers a watch that nothing has happened to. */
+  closeWatch(watch: Watch): void {
+    if (!watch.open) return;
+    watch.open = false;
+    watch.respond({ status: 200, body: { ledger: this.ledger, log: [] } });
+  }
+
+  private change(key: string, value: unknown, permit: number | null, deleted: boolean): void {
+    if (deleted) this.entries.delete(key);
+    else this.entries.set(key, { value, stamp: this.ledger, permit });
+    this.log.push({ stamp: this.ledger, key, value, deleted });
+    if (this.log.length > LOG_LENGTH) this.log = this.log.slice(-LOG_KEPT);
+  }
+
+  private notify(): void {
+    for (const watch of this.watches) this.tryWatch(watch);
+    this.watches = this.watches.filter((watch) => watch.open);
+  }
+
+  private tryWatch(watch: Watch): void {
+    if (!watch.open) return;
+    // Newest last: only what came after `from` is looked at.
+    let first = this.log.length;
+    while (first > 0 && (this.log[first - 1]?.stamp ?? 0) > watch.from) first--;
+    const found = this.log.slice(first).filter(({ key }) => key.startsWith(watch.prefix));
+    if (found.length === 0) return;
+    for (const { key } of found) this.onRead(watch.by, key);
+    watch.open = false;
+    watch.respond({ status: 200, body: { ledger: this.ledger, log: found.map(logged) } });
+  }
+}
+
+function logged({ key, value, stamp, deleted }: Change): Record<string, unknown> {
+  return deleted ? { delete: key, stamp } : { set: key, value, stamp };
+}
