--- a/test/planted.test.ts
+++ b/test/planted.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import type { JobSpec } from '../src/controller/wire/jobs.js';
-import { Rules, type FreeRoom, type Place } from './world/rules.js';
+import type { FreeRoom, Place } from './world/place.js';
+import { Rules } from './world/rules.js';
 
 // The simulated world is worth what its checks catch: one planted violation of each rule.
 
--- a/test/world/rules.ts
+++ b/test/world/rules.ts
@@ -1,75 +1,39 @@
-import type { JobSpec } from '../../src/controller/wire/jobs.js';
+/** The Rules of PROTOCOL and of the operators, checked against what really happens. */
 import type { Team } from '../../src/controller/settings/platform.js';
-
-/** Where a task is. */
-export interface Place {
-  machine: string;
-  type: string;
-  zone: string;
-  spot: boolean;
-}
-
-/** What a machine has free. */
-export interface FreeRoom {
-  type: string;
-  zone: string;
-  spot: boolean;
-  recalled: boolean;
-  cpus: number;
-  gpus: number;
-  memoryGb: number;
-}
-
-/** What a job's user had been told at some moment. */
-export interface Standing {
-  accepted: boolean;
-  done: boolean;
-  cancelled: boolean;
-}
-
-/** What a user is told of a job for the first time. */
-export type News = keyof Standing;
-
-interface Known {
-  spec: JobSpec;
-  submittedAt: number;
-  accepted: boolean;
-  cancelAsked: boolean;
-  cancelledAt: number | null;
-  toldDone: boolean;
-  done: Set<number>;
-  /** When its user was last given an answer that says something, and first asked without one since. */
-  unansweredFrom: number | null;
-  /** Tasks on machines by zone, and how many in all. */
-  zones: Map<string, number>;
-  on: number;
-  /** When as many of its tasks were on machines at one time as a gang has, or the first of an array. */
-  begunAt: number | null;
-  /** Since when none of its tasks has been on a machine though there was room for them. */
-  couldRunFrom: number | null;
-}
+import type { JobSpec } from '../../src/controller/wire/jobs.js';
+import {
+  newRecord,
+  placeFaults,
+  standingOf,
+  type JobRecord,
+  type News,
+  type Standing,
+} from './job-record.js';
+import { neglectedJobs } from './neglected-jobs.js';
+import type { FreeRoom, Place } from './place.js';
+import { hasRoom, tasksToStart } from './room.js';
+import { TeamUsage } from './team-usage.js';
 
 /** Troubles over, no job may wait longer than this beside room for it. */
 const WAITING_MS = 90_000;
 /** And no service may lack a replica for longer. */
 const REPLICA_MS = 30_000;
-
 /** After this time without any answer a job counts as forgotten, once troubles are over. */
 const UNANSWERED_MS = 75_000;
-/** The largest jobs of a class have to begin within this time. */
-const LARGEST_MS = 240_000;
-/** Jobs of a class that count as its largest. */
-const LARGEST_SHARE = 0.1;
 
-/** The Rules of PROTOCOL and of the operators, checked against what really happens in the world. */
+/** Is told what happens to jobs and tasks, and notes each rule that it breaks. */
 export class Rules {
+  /** Rules that were broken, with the time and the detail. */
   readonly broken: string[] = [];
-  private readonly jobs = new Map<string, Known>();
+  private readonly jobs = new Map<string, JobRecord>();
+  /** By task: the places that it is on, by machine. */
   private readonly on = new Map<string, Map<string, Place>>();
-  private readonly use = new Map<string, { cpus: number; gpus: number }>();
-  private readonly leaving = new Set<Known>();
+  private readonly usage: TeamUsage;
+  /** Cancelled jobs of which tasks may still be on machines. */
+  private readonly leaving = new Set<JobRecord>();
   /** Set once the last trouble is over. */
   calmAt: number | null = null;
+  /** How many tasks have begun on a machine. */
   started = 0;
   /** Called when a user is first told something of a job. */
   readonly onNews: ((id: string, news: News) => void)[] = [];
@@ -81,37 +45,31 @@
   readonly cancelledRunning: number[] = [];
 
   constructor(
-    private readonly teams: Team[],
+    teams: readonly Team[],
     private readonly cancelMs: number,
     private readonly now: () => number,
-  ) {}
+  ) {
+    this.usage = new TeamUsage(teams);
+  }
 
   private fail(rule: string, detail: string): void {
     this.broken.push(`${(this.now() / 1000).toFixed(3)} s ${rule}: ${detail}`);
   }
 
+  /** A user is about to submit the job. */
   submitted(spec: JobSpec): void {
-    if (!this.jobs.has(spec.id))
-      this.jobs.set(spec.id, {
-        ...{ spec, submittedAt: this.now(), accepted: false, cancelAsked: false },
-        ...{ cancelledAt: null, toldDone: false, done: new Set(), unansweredFrom: null },
-        ...{ zones: new Map(), on: 0, begunAt: null, couldRunFrom: null },
-      });
+    if (!this.jobs.has(spec.id)) this.jobs.set(spec.id, newRecord(spec, this.now()));
   }
 
+  /** A user is about to ask for the job's cancellation. */
   cancelAsked(id: string): void {
-    const j = this.jobs.get(id);
-    if (j !== undefined) j.cancelAsked = true;
+    const job = this.jobs.get(id);
+    if (job !== undefined) job.cancelAsked = true;
   }
 
   /** What the job's user has been told so far. */
   standing(id: string): Standing {
-    const j = this.jobs.get(id);
-    return {
-      accepted: j?.accepted === true,
-      done: j?.toldDone === true,
-      cancelled: (j?.cancelledAt ?? null) !== null,
-    };
+    return standingOf(this.jobs.get(id));
   }
 
   /**
@@ -139,108 +97,108 @@
     submission: boolean,
     before: Standing,
   ): void {
-    const j = this.jobs.get(id);
-    if (j === undefined) {
+    const job = this.jobs.get(id);
+    if (job === undefined) {
       if (status === 200) this.fail('invented', id);
       return;
     }
     if (before.accepted && status === 404) this.fail('forgotten', `${id} 404`);
     if (before.accepted && submission && (status === 400 || status === 422))
       this.fail('forgotten', `${id} ${status}`);
-    if (status !== 200 && status !== 201) {
-      if (j.accepted) j.unansweredFrom ??= this.now();
-      this.unanswered(j);
-      return;
+    if (status === 200 || status === 201) this.judgeState(job, state, before);
+    else {
+      if (job.accepted) job.unansweredFrom ??= this.now();
+      this.checkAnswered(job);
     }
-    j.unansweredFrom = null;
-    j.accepted = true;
+  }
+
+  /** The user is told a state of the job. */
+  private judgeState(job: JobRecord, state: string, before: Standing): void {
+    const { id } = job.spec;
+    job.unansweredFrom = null;
+    job.accepted = true;
     if (state === 'done') {
-      if (j.done.size < j.spec.tasks) this.fail('not_done', id);
-      if (j.cancelledAt !== null) this.fail('went_back', `${id} cancelled, then done`);
-      j.toldDone = true;
-    } else if (before.done || (j.toldDone && state === 'aborted'))
+      if (job.done.size < job.spec.tasks) this.fail('not_done', id);
+      if (job.cancelledAt !== null) this.fail('went_back', `${id} cancelled, then done`);
+      job.toldDone = true;
+    } else if (before.done || (job.toldDone && state === 'aborted'))
       this.fail('went_back', `${id} done, then ${state}`);
     if (state === 'aborted') {
-      if (!j.cancelAsked) this.fail('went_back', `${id} cancelled by nobody`);
-      if (j.cancelledAt === null && j.on > 0) this.cancelledRunning.push(this.now());
-      j.cancelledAt ??= this.now();
-      this.leaving.add(j);
+      if (!job.cancelAsked) this.fail('went_back', `${id} cancelled by nobody`);
+      if (job.cancelledAt === null && job.on > 0) this.cancelledRunning.push(this.now());
+      job.cancelledAt ??= this.now();
+      this.leaving.add(job);
     } else if (before.cancelled && state !== 'done')
       this.fail('went_back', `${id} cancelled, then ${state}`);
   }
 
   /** The operators' rule: troubles over, no job may go unanswered for long, however others fare. */
-  private unanswered(j: Known): void {
-    if (this.calmAt === null || j.unansweredFrom === null) return;
-    const from = Math.max(this.calmAt, j.unansweredFrom);
-    if (this.now() - from > UNANSWERED_MS) this.fail('forgotten', `${j.spec.id} unanswered`);
+  private checkAnswered(job: JobRecord): void {
+    if (this.calmAt === null || job.unansweredFrom === null) return;
+    const from = Math.max(this.calmAt, job.unansweredFrom);
+    if (this.now() - from > UNANSWERED_MS) this.fail('forgotten', `${job.spec.id} unanswered`);
   }
 
   /** The task has its image and is on the machine from now on. */
   taskOn(id: string, task: number, place: Place): void {
     this.started++;
-    const j = this.jobs.get(id);
-    if (j === undefined) return this.fail('wrong_place', `${id} unknown`);
+    const job = this.jobs.get(id);
+    if (job === undefined) return this.fail('wrong_place', `${id} unknown`);
     const name = `${id}/${task}`;
     const places = this.on.get(name) ?? new Map<string, Place>();
     this.on.set(name, places);
     if (places.size > 0)
       this.fail('ran_twice', `${name} on ${place.machine}, is on ${[...places.keys()].join()}`);
     places.set(place.machine, place);
-    this.count(j, place, 1);
-    const { spec } = j;
-    if (j.on >= (spec.kind === 'gang' ? spec.tasks : 1)) j.begunAt ??= this.now();
-    if (spec.types !== null && !spec.types.includes(place.type))
-      this.fail('wrong_place', `${name} type`);
-    if (spec.zone !== null && spec.zone !== place.zone) this.fail('wrong_place', `${name} zone`);
-    if (place.spot && !spec.spot) this.fail('wrong_place', `${name} spot`);
-    if (spec.oneZone && j.zones.size > 1) this.fail('wrong_place', `${name} two zones`);
-    if (spec.spread && Math.max(...j.zones.values()) > Math.ceil(spec.tasks / 2))
-      this.fail('wrong_place', `${name} too many in a zone`);
-    this.quota(spec.team);
-    this.cancelled(j);
+    this.count(job, place, 1);
+    if (job.on >= tasksToStart(job.spec)) job.begunAt ??= this.now();
+    for (const fault of placeFaults(job, place)) this.fail('wrong_place', `${name} ${fault}`);
+    for (const limit of this.usage.exceeded(job.spec.team)) this.fail('quota', limit);
+    this.checkCancelled(job);
     for (const begun of this.onStart) begun(place);
   }
 
+  /** The task is no longer on the machine. */
   taskOff(id: string, task: number, machine: string): void {
     const places = this.on.get(`${id}/${task}`);
     const place = places?.get(machine);
     if (places === undefined || place === undefined) return;
     places.delete(machine);
     if (places.size === 0) this.on.delete(`${id}/${task}`);
-    const j = this.jobs.get(id);
-    if (j !== undefined) this.count(j, place, -1);
+    const job = this.jobs.get(id);
+    if (job !== undefined) this.count(job, place, -1);
   }
 
-  private count(j: Known, place: Place, by: number): void {
-    j.on += by;
-    const n = (j.zones.get(place.zone) ?? 0) + by;
-    if (n > 0) j.zones.set(place.zone, n);
-    else j.zones.delete(place.zone);
-    const use = this.use.get(j.spec.team) ?? { cpus: 0, gpus: 0 };
-    this.use.set(j.spec.team, use);
-    use.cpus += by * j.spec.cpus;
-    use.gpus += by * j.spec.gpus;
+  private count(job: JobRecord, place: Place, by: 1 | -1): void {
+    job.on += by;
+    const inZone = (job.zones.get(place.zone) ?? 0) + by;
+    if (inZone > 0) job.zones.set(place.zone, inZone);
+    else job.zones.delete(place.zone);
+    this.usage.count(job.spec, by);
   }
 
   /** Jobs with tasks on machines that nobody has asked to cancel. */
   running(): string[] {
-    return [...this.jobs.values()].filter((j) => j.on > 0 && !j.cancelAsked).map((j) => j.spec.id);
+    return [...this.jobs.values()]
+      .filter((job) => job.on > 0 && !job.cancelAsked)
+      .map((job) => job.spec.id);
   }
 
+  /** The task has done its work. */
   taskDone(id: string, task: number): void {
-    const j = this.jobs.get(id);
-    if (j === undefined || j.spec.kind === 'service') return;
-    j.done.add(task);
-    if (j.done.size === j.spec.tasks && j.accepted && !j.cancelAsked)
+    const job = this.jobs.get(id);
+    if (job === undefined || job.spec.kind === 'service') return;
+    job.done.add(task);
+    if (job.done.size === job.spec.tasks && job.accepted && !job.cancelAsked)
       for (const ended of this.onLastTask) ended(id);
   }
 
   /** Jobs that were accepted and not called off. */
   known(): string[] {
-    return this.counted().map((j) => j.spec.id);
+    return this.counted().map((job) => job.spec.id);
   }
 
+  /** Whether its user was told that the job is done. */
   toldDone(id: string): boolean {
     return this.jobs.get(id)?.toldDone === true;
   }
@@ -252,10 +210,10 @@
 
   /** Jobs that users were told have ended so. */
   endedAs(state: 'done' | 'cancelled'): number {
-    const told = (j: Known): boolean => (state === 'done' ? j.toldDone : j.cancelledAt !== null);
-    return [...this.jobs.values()].filter(told).length;
+    return [...this.jobs.values()].filter((job) => standingOf(job)[state]).length;
   }
 
+  /** Machines that tasks of the job are on. */
   machinesOf(id: string): string[] {
     const found: string[] = [];
     for (const [name, places] of this.on)
@@ -270,112 +228,54 @@
 
   /** The operators' rule: troubles over, no job waits for long beside room for it, within its limit. */
   waiting(free: readonly FreeRoom[]): void {
-    for (const j of this.jobs.values()) {
-      const open = j.accepted && !j.cancelAsked && j.done.size < j.spec.tasks;
-      const runs = j.on >= (j.spec.kind === 'service' ? j.spec.tasks : 1);
-      if (!open || runs || !this.couldRun(j, free)) j.couldRunFrom = null;
-      else j.couldRunFrom ??= this.now();
-      const most = j.spec.kind === 'service' ? REPLICA_MS : WAITING_MS;
-      if (j.couldRunFrom !== null && this.now() - j.couldRunFrom > most)
-        this.fail('left_waiting', `${j.spec.id} (${j.spec.kind} of ${j.spec.tasks})`);
+    for (const job of this.jobs.values()) {
+      const { spec } = job;
+      const open = job.accepted && !job.cancelAsked && job.done.size < spec.tasks;
+      const runs = job.on >= (spec.kind === 'service' ? spec.tasks : 1);
+      if (!open || runs || !this.couldRun(spec, free)) job.couldRunFrom = null;
+      else job.couldRunFrom ??= this.now();
+      const longest = spec.kind === 'service' ? REPLICA_MS : WAITING_MS;
+      if (job.couldRunFrom !== null && this.now() - job.couldRunFrom > longest)
+        this.fail('left_waiting', `${spec.id} (${spec.kind} of ${spec.tasks})`);
     }
   }
 
-  private couldRun(j: Known, free: readonly FreeRoom[]): boolean {
-    const { spec } = j;
-    const t = this.teams.find((x) => x.name === spec.team);
-    const use = this.use.get(spec.team) ?? { cpus: 0, gpus: 0 };
-    const most = (limit: number, used: number, need: number): number =>
-      limit > 0 && need > 0 ? Math.floor((limit - used + 1e-6) / need) : Infinity;
-    const wanted = spec.kind === 'gang' ? spec.tasks : 1;
-    if (t === undefined || most(t.cpusMax, use.cpus, spec.cpus) < wanted) return false;
-    if (most(t.gpusMax, use.gpus, spec.gpus) < wanted) return false;
-    const zones = new Map<string, number>();
-    for (const m of free) {
-      if (m.recalled || (m.spot && !spec.spot)) continue;
-      if (spec.types !== null && !spec.types.includes(m.type)) continue;
-      if (spec.zone !== null && spec.zone !== m.zone) continue;
-      const n = Math.min(
-        spec.cpus > 0 ? Math.floor((m.cpus + 1e-6) / spec.cpus) : Infinity,
-        spec.gpus > 0 ? Math.floor((m.gpus + 1e-6) / spec.gpus) : Infinity,
-        spec.memoryGb > 0 ? Math.floor((m.memoryGb + 1e-6) / spec.memoryGb) : Infinity,
-      );
-      zones.set(m.zone, (zones.get(m.zone) ?? 0) + Math.max(0, n));
-    }
-    const counts = [...zones.values()];
-    if (spec.oneZone) return Math.max(0, ...counts) >= wanted;
-    const perZone = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
-    return counts.reduce((sum, n) => sum + Math.min(n, perZone), 0) >= wanted;
+  private couldRun(spec: JobSpec, free: readonly FreeRoom[]): boolean {
+    return this.usage.allows(spec, tasksToStart(spec)) && hasRoom(spec, free);
   }
 
   /** Whether no team may use another GPU. */
   get everyTeamAtLimit(): boolean {
-    return this.teams.every(
-      (t) => t.gpusMax > 0 && (this.use.get(t.name)?.gpus ?? 0) + 1 > t.gpusMax,
-    );
-  }
-
-  private quota(team: string): void {
-    const t = this.teams.find((x) => x.name === team);
-    const use = this.use.get(team);
-    if (t === undefined || use === undefined) return;
-    if (t.cpusMax > 0 && use.cpus > t.cpusMax + 1e-6)
-      this.fail('quota', `${team} ${use.cpus} CPUs`);
-    if (t.gpusMax > 0 && use.gpus > t.gpusMax + 1e-6)
-      this.fail('quota', `${team} ${use.gpus} GPUs`);
+    return this.usage.everyTeamAtLimit;
   }
 
-  private cancelled(j: Known): void {
-    if (j.cancelledAt === null || this.now() <= j.cancelledAt + this.cancelMs) return;
-    if (j.on > 0) this.fail('ran_cancelled', j.spec.id);
-    else this.leaving.delete(j);
+  private checkCancelled(job: JobRecord): void {
+    if (job.cancelledAt === null || this.now() <= job.cancelledAt + this.cancelMs) return;
+    if (job.on > 0) this.fail('ran_cancelled', job.spec.id);
+    else this.leaving.delete(job);
   }
 
   /** To be called as time passes. */
   tick(): void {
-    for (const j of this.leaving) this.cancelled(j);
-    if (this.calmAt !== null) for (const j of this.jobs.values()) this.unanswered(j);
+    for (const job of this.leaving) this.checkCancelled(job);
+    if (this.calmAt !== null) for (const job of this.jobs.values()) this.checkAnswered(job);
   }
 
   /** Accepted jobs that are neither done nor cancelled; services never are, `waiting` watches them. */
   unfinished(): string[] {
     return this.counted()
-      .filter((j) => j.spec.kind !== 'service' && j.done.size < j.spec.tasks)
-      .map((j) => j.spec.id);
+      .filter((job) => job.spec.kind !== 'service' && job.done.size < job.spec.tasks)
+      .map((job) => job.spec.id);
   }
 
-  private counted(): Known[] {
+  private counted(): JobRecord[] {
     return [...this.jobs.values()].filter(
-      (j) => j.accepted && j.cancelledAt === null && !j.cancelAsked,
+      (job) => job.accepted && job.cancelledAt === null && !job.cancelAsked,
     );
   }
 
-  /**
-   * The operators' rule on a day as a whole: at least half of every class, of every team and of
-   * every class's largest jobs is served, and the largest begin within four minutes.
-   */
+  /** Where the operators' rule on a day as a whole does not hold. */
   neglected(): string[] {
-    const found: string[] = [];
-    const served = (name: string, jobs: Known[]): void => {
-      const done = jobs.filter((j) => j.done.size >= j.spec.tasks).length;
-      if (done < jobs.length / 2) found.push(`${name}: ${done} of ${jobs.length} served`);
-    };
-    const by = (key: (j: Known) => string): Map<string, Known[]> => {
-      const groups = new Map<string, Known[]>();
-      for (const j of this.counted()) groups.set(key(j), [...(groups.get(key(j)) ?? []), j]);
-      return groups;
-    };
-    for (const [team, jobs] of by((j) => j.spec.team)) served(`team ${team}`, jobs);
-    for (const [cls, jobs] of by((j) => j.spec.class)) {
-      served(`class ${cls}`, jobs);
-      const largest = [...jobs]
-        .sort((a, b) => b.spec.tasks - a.spec.tasks)
-        .slice(0, Math.max(1, Math.floor(jobs.length * LARGEST_SHARE)));
-      served(`largest of ${cls}`, largest);
-      for (const j of largest)
-        if ((j.begunAt ?? Infinity) - j.submittedAt > LARGEST_MS)
-          found.push(`largest of ${cls}: ${j.spec.id} with ${j.spec.tasks} tasks began too late`);
-    }
-    return found;
+    return neglectedJobs(this.counted());
   }
 }
--- a/test/world/task-runner.ts
+++ b/test/world/task-runner.ts
@@ -3,7 +3,7 @@
 import type { JobSpec } from '../../src/controller/wire/jobs.js';
 import type { GangMemberRunner } from './gangs.js';
 import type { MachineContext } from './machine-context.js';
-import type { Place } from './rules.js';
+import type { Place } from './place.js';
 import { orderedTask, reportedTask, type Order, type Task } from './task.js';
 
 /** Room that rounding may hide. */
--- a/test/world/worker.ts
+++ b/test/world/worker.ts
@@ -3,7 +3,7 @@
 import type { MachineContext } from './machine-context.js';
 import type { Arrival, Respond } from './network.js';
 import { ReportLoop, type ReportAnswer, type Reporter } from './report-loop.js';
-import type { FreeRoom, Place } from './rules.js';
+import type { FreeRoom, Place } from './place.js';
 import type { Order } from './task.js';
 import { TaskRunner, type TaskHost } from './task-runner.js';
 
