--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -62,11 +62,11 @@
   // What the operators expect of a fleet's day, one trouble after the other.
   it('lives through losses of controllers, and loses no lease of a machine that is well', () => {
     const world = day(2, 240_000, [
-      [30_000, (w) => w.cutFromWorkers(leader(w), 37_000)],
-      [80_000, (w) => w.freeze(leader(w), 28_000)],
-      [120_000, (w) => w.refusePeers(30_000)],
-      [130_000, (w) => w.isolate(leader(w), 42_000)],
-      [180_000, (w) => w.roll(9000)],
+      [30_000, (w) => w.connectionFaults.cutFromWorkers(leader(w), 37_000)],
+      [80_000, (w) => w.processes.freeze(leader(w), 28_000)],
+      [120_000, (w) => w.connectionFaults.refusePeers(30_000)],
+      [130_000, (w) => w.connectionFaults.isolate(leader(w), 42_000)],
+      [180_000, (w) => w.processes.roll(9000)],
     ]);
     assert.equal(world.leasesLost, 0);
     ends(world);
@@ -74,17 +74,17 @@
 
   it('lives through mass losses of machines, an outage, slow answers and crashes of all', () => {
     const world = day(3, 240_000, [
-      [30_000, (w) => w.cutMachines(0.2, 47_000)],
+      [30_000, (w) => w.machineFaults.cut(0.2, 47_000)],
       [33_000, (w) => w.kill(leader(w), 6000)],
-      [90_000, (w) => w.killMachines(0.07)],
-      [92_000, (w) => w.takeSpot(0.6, 8000)],
+      [90_000, (w) => w.machineFaults.kill(0.07)],
+      [92_000, (w) => w.machineFaults.takeSpot(0.6, 8000)],
       [110_000, (w) => w.state.slow(60_000)],
       [150_000, (w) => w.state.outage(10_000)],
       [
         156_000,
         (w) => ['kiln-0', 'kiln-1', 'kiln-2', 'kiln-3', 'kiln-4'].forEach((h) => w.kill(h, 6000)),
       ],
-      [200_000, (w) => w.killElected()],
+      [200_000, (w) => w.processes.killElected()],
     ]);
     ends(world);
   });
--- a/test/world.test.ts
+++ b/test/world.test.ts
@@ -1,15 +1,21 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { small, type Scenario } from './world/scenario.js';
-import { World, type Faults } from './world/world.js';
+import { World, type FaultRates } from './world/world.js';
 
-const quiet: Faults = { everyMs: Infinity, doubled: 0, errors: 0, bootFails: 0 };
-const rough: Faults = { everyMs: 9000, doubled: 0.02, errors: 0.03, bootFails: 0.1 };
+const quiet: FaultRates = { everyMs: Infinity, doubled: 0, errors: 0, bootFails: 0 };
+const rough: FaultRates = { everyMs: 9000, doubled: 0.02, errors: 0.03, bootFails: 0.1 };
 
 /** No trouble lasts longer than this. */
 const LONGEST_MS = 60_000;
 
-function day(scenario: Scenario, seed: number, faults: Faults, jobs: number, ms: number): World {
+function day(
+  scenario: Scenario,
+  seed: number,
+  faults: FaultRates,
+  jobs: number,
+  ms: number,
+): World {
   const world = new World(scenario, seed, faults);
   for (let i = 0; i < jobs; i++) {
     world.sim.after(world.sim.between(0, ms * 0.8), () => {
@@ -47,7 +53,7 @@
       world.play(15_000);
       const { leader } = world;
       assert.ok(leader !== null);
-      world.cutFromWorkers(leader, 40_000);
+      world.connectionFaults.cutFromWorkers(leader, 40_000);
       world.play(60_000);
       assert.notEqual(world.leader, leader);
       assert.equal(world.leasesLost, 0);
--- a/test/world/close-looks.ts
+++ b/test/world/close-looks.ts
@@ -10,7 +10,7 @@
 /** Asks one node about a job, by a poll or a repeated submission; the rules judge the answer. */
 function look(world: World, id: string, host: string): void {
   const { rules, sim } = world;
-  const spec = world.specOf(id);
+  const spec = world.users.specOf(id);
   if (spec === undefined) return;
   const repeated = sim.random() < REPEATED_SHARE;
   const before = rules.standing(id);
--- a/test/world/cloud.ts
+++ b/test/world/cloud.ts
@@ -81,10 +81,10 @@
     return id;
   }
 
-  /** Workers of the machines that have come up, ended or not. */
-  get up(): Worker[] {
-    return [...this.machines.values()].flatMap((machine) =>
-      machine.worker === null ? [] : [machine.worker],
+  /** Workers of the machines that are up. */
+  get workers(): Worker[] {
+    return [...this.machines.values()].flatMap(({ worker }) =>
+      worker === null || worker.gone ? [] : [worker],
     );
   }
 
--- /dev/null
+++ b/test/world/connection-faults.ts
@@ -0,0 +1,89 @@
+/** Faults of the network between controllers, machines, users, cloud and state service. */
+import type { Cut, Network } from './network.js';
+import type { Sim } from './sim.js';
+import type { Worker } from './worker.js';
+
+/** Cuts connections of a simulation for a time. */
+export class ConnectionFaults {
+  constructor(
+    private readonly sim: Sim,
+    private readonly net: Network,
+    private readonly hosts: readonly string[],
+    /** Workers of the machines that are up. */
+    private readonly workers: () => Worker[],
+  ) {}
+
+  /** Nothing goes between the two; what is sent is held back or lost, as drawn. */
+  cutFor(a: string, b: string, ms: number): void {
+    this.net.cut(a, b, this.drawCut());
+    this.sim.after(ms, () => this.net.heal(a, b));
+  }
+
+  private drawCut(): Cut {
+    return this.sim.random() < 0.5 ? 'hold' : 'reset';
+  }
+
+  /** A controller loses the other controllers. */
+  cutFromPeers(host: string, ms: number): void {
+    for (const peer of this.hosts) if (peer !== host) this.cutFor(host, peer, ms);
+  }
+
+  /** A controller loses the state service and its peers, but not its workers. */
+  isolate(host: string, ms: number): void {
+    this.cutFor(host, 'state', ms);
+    this.cutFromPeers(host, ms);
+  }
+
+  /** A controller loses every worker, but neither the state service nor its peers. */
+  cutFromWorkers(host: string, ms: number): void {
+    for (const worker of this.workers()) this.cutFor(host, worker.id, ms);
+  }
+
+  /** Connections between controllers are refused. */
+  refusePeers(ms: number): void {
+    const pairs = this.hosts.flatMap((a) =>
+      this.hosts.filter((b) => a < b).map((b): [string, string] => [a, b]),
+    );
+    for (const [a, b] of pairs) this.net.cut(a, b, 'reset');
+    this.sim.after(ms, () => {
+      for (const [a, b] of pairs) this.net.heal(a, b);
+    });
+  }
+
+  /** A zone goes on by itself, with its workers and one controller in it. */
+  cutZone(zone: string, inside: string, ms: number): void {
+    const cut = (a: string, b: string): void => {
+      this.net.cut(a, b, 'hold');
+      this.sim.after(ms, () => this.net.heal(a, b));
+    };
+    for (const other of ['state', 'user', 'cloud']) cut(inside, other);
+    for (const host of this.hosts) if (host !== inside) cut(inside, host);
+    for (const worker of this.workers())
+      for (const host of this.hosts)
+        if ((worker.zone === zone) !== (host === inside)) cut(worker.id, host);
+  }
+
+  /** The machine's reports arrive, but neither answers nor commands get to it. */
+  deafen(worker: Worker, ms: number, mode?: Cut): void {
+    for (const host of this.hosts) this.net.cutWay(host, worker.id, mode ?? this.drawCut());
+    this.healWorker(worker, ms);
+  }
+
+  /** What the machine says is held back, reports and answers; what it is told arrives. */
+  hush(worker: Worker, ms: number): void {
+    for (const host of this.hosts) this.net.cutWay(worker.id, host, 'hold');
+    this.healWorker(worker, ms);
+  }
+
+  /** A machine loses the network, and what was held back is delivered afterwards. */
+  cutMachine(worker: Worker, ms: number): void {
+    for (const host of this.hosts) this.net.cut(host, worker.id, 'hold');
+    this.healWorker(worker, ms);
+  }
+
+  private healWorker(worker: Worker, ms: number): void {
+    this.sim.after(ms, () => {
+      for (const host of this.hosts) this.net.heal(host, worker.id);
+    });
+  }
+}
--- a/test/world/happenings.ts
+++ b/test/world/happenings.ts
@@ -50,6 +50,10 @@
       happenings.note('cancelled while the leader alone is refused');
     if (rules.everyTeamAtLimit) happenings.note('cancelled with every team at its limit');
   });
+  world.processes.onKill.push((_, leads) => {
+    if (leads && rules.everyTeamAtLimit)
+      happenings.note('leader ended with every team at its limit');
+  });
   world.onLog.push((text, fields) => {
     const { reason } = fields as { reason?: string };
     if (text !== 'no longer leader' || !HAND_OVER_REASONS.includes(reason ?? '')) return;
--- /dev/null
+++ b/test/world/machine-faults.ts
@@ -0,0 +1,35 @@
+/** Faults that meet a share of the machines at one time. */
+import type { Cloud } from './cloud.js';
+import type { ConnectionFaults } from './connection-faults.js';
+import type { Sim } from './sim.js';
+import type { Worker } from './worker.js';
+
+/** Cuts, ends and takes machines of a simulation. */
+export class MachineFaults {
+  constructor(
+    private readonly sim: Sim,
+    private readonly cloud: Cloud,
+    private readonly connections: ConnectionFaults,
+  ) {}
+
+  /** A share of the machines loses the network, and what was held back is delivered afterwards. */
+  cut(share: number, ms: number): void {
+    for (const worker of this.some(share)) this.connections.cutMachine(worker, ms);
+  }
+
+  /** Many machines stop at once. */
+  kill(share: number): void {
+    for (const worker of this.some(share)) worker.die();
+  }
+
+  /** Spot machines are taken in a wave, without notice. */
+  takeSpot(share: number, overMs: number): void {
+    for (const worker of this.some(share))
+      if (worker.spot)
+        this.sim.after(this.sim.between(0, overMs), () => this.cloud.take(worker.id));
+  }
+
+  private some(share: number): Worker[] {
+    return this.cloud.workers.filter(() => this.sim.random() < share);
+  }
+}
--- /dev/null
+++ b/test/world/odd-requests.ts
@@ -0,0 +1,37 @@
+/** Requests that users should not send. */
+import { writeJob, type JobSpec } from '../../src/controller/wire/jobs.js';
+import type { World } from './world.js';
+
+/** Time between two such requests. */
+const BETWEEN_MS = { least: 300, most: 900 };
+/** More cores than any machine has. */
+const TOO_MANY_CORES = 1e6;
+
+/** For a time users repeat, cancel what is done, ask for what can't run or leave a field out. */
+export function oddRequests(world: World, ms: number): void {
+  const { sim, rules, users } = world;
+  const until = sim.now + ms;
+  const again = (): void => {
+    if (sim.now > until) return;
+    sim.after(sim.between(BETWEEN_MS.least, BETWEEN_MS.most), again);
+    const known = rules.known();
+    const id = known.length > 0 ? sim.pick(known) : '';
+    const spec = users.specOf(id);
+    if (spec === undefined) return;
+    if (rules.toldDone(id)) users.cancel(id);
+    else if (sim.random() < 0.5) users.repeat(id);
+    else submitOdd(world, spec);
+  };
+  again();
+}
+
+/** Submits a job like the one given that can't run or lacks a field. */
+function submitOdd(world: World, spec: JobSpec): void {
+  const { sim, rules, users } = world;
+  const odd = writeJob({ ...spec, id: `req-odd-${users.nextNumber()}` });
+  if (sim.random() < 0.5) odd['cores'] = TOO_MANY_CORES;
+  else Reflect.deleteProperty(odd, sim.pick(['duties', 'loaners', 'scatter', 'expect_s']));
+  users.ask('POST', '/submissions', odd, (status) => {
+    if (status === 200 || status === 201) rules.acceptedOdd(String(odd['id']));
+  });
+}
--- /dev/null
+++ b/test/world/processes.ts
@@ -0,0 +1,133 @@
+/** The controller processes of a simulation: starts, ends, standstills, and what they log. */
+import type { Controller } from '../../src/controller/controller.js';
+import type { Logger } from '../../src/controller/core/env.js';
+import { oneOf } from '../platform.js';
+import type { Network } from './network.js';
+import { ProcessEnv } from './process-env.js';
+import type { Scenario } from './scenario.js';
+import type { Sim } from './sim.js';
+import type { Version } from './version.js';
+
+/** How long a process is away in a rolling restart. */
+const ROLL_RESTART_MS = 6000;
+
+interface Process {
+  controller: Controller;
+  env: ProcessEnv;
+}
+
+/** Starts, ends and observes the process of each host. */
+export class ControllerProcesses {
+  /** Called with each line that a controller logs as information. */
+  readonly onLog: ((text: string, fields: object) => void)[] = [];
+  /** Called as a process is ended from outside. */
+  readonly onKill: ((host: string, leads: boolean) => void)[] = [];
+  /** Errors that controllers have logged. */
+  readonly errors: string[] = [];
+  /** How often the controllers have logged each text. */
+  readonly said = new Map<string, number>();
+  /** The versions of the leaders, in the order of their elections. */
+  readonly elected: Version[] = [];
+  private readonly processes = new Map<string, Process>();
+  private readonly peers = new Map<string, (bytes: Buffer) => void>();
+  private starts = 0;
+
+  constructor(
+    private readonly sim: Sim,
+    private readonly net: Network,
+    private readonly deployment: Scenario,
+    private readonly apiOf: (host: string) => string,
+    private readonly log: Logger,
+    /** What a host's process runs; asked whenever one starts. */
+    private readonly versionOf: (host: string) => Version,
+  ) {}
+
+  /** Starts the host's process, unless it runs. */
+  start(host: string): void {
+    if (this.processes.has(host)) return;
+    const env = new ProcessEnv(this.sim, this.net, host, this.peers);
+    const version = this.versionOf(host);
+    const { hosts, platform } = this.deployment;
+    const settings = new version.Settings(
+      oneOf(hosts, host, platform, version.readPlatform),
+      version.properties,
+    );
+    const name = `${host}-${this.starts++}`;
+    const controller = new version.Controller(env, this.observedLog(version), settings, name);
+    this.processes.set(host, { controller, env });
+    this.connect(host, { controller, env });
+    controller.start();
+  }
+
+  private connect(host: string, { controller, env }: Process): void {
+    this.peers.set(host, (bytes) => env.whenAwake(() => controller.peerFrame(bytes)));
+    this.net.listen(this.apiOf(host), host, (_, request, respond) => {
+      env.whenAwake(() => {
+        controller.request(request.method, request.path, request.bytes, (answer) => {
+          if (env.alive) respond({ status: answer.status, body: answer.body ?? null });
+        });
+      });
+    });
+  }
+
+  private observedLog(version: Version): Logger {
+    return {
+      ...this.log,
+      info: (fields, text) => {
+        this.said.set(text, (this.said.get(text) ?? 0) + 1);
+        if (text === 'elected leader') this.elected.push(version);
+        for (const logged of this.onLog) logged(text, fields);
+        this.log.info(fields, text);
+      },
+      error: (fields, text) => {
+        const { err } = fields as { err?: Error };
+        this.errors.push(`${text}: ${err?.stack ?? JSON.stringify(fields)}`);
+      },
+    };
+  }
+
+  /** The host that leads, as it believes itself. */
+  get leader(): string | null {
+    return this.leaders()[0] ?? null;
+  }
+
+  private leaders(): string[] {
+    return [...this.processes]
+      .filter(([, { controller }]) => controller.leads)
+      .map(([host]) => host);
+  }
+
+  /** The host's process ends, and starts again after so long. */
+  kill(host: string, restartMs: number): void {
+    const process = this.processes.get(host);
+    if (process === undefined) return;
+    for (const killed of this.onKill) killed(host, process.controller.leads);
+    process.env.alive = false;
+    this.processes.delete(host);
+    this.peers.delete(host);
+    this.net.remove(this.apiOf(host));
+    this.sim.after(restartMs, () => this.start(host));
+  }
+
+  /** The leader ends, and so do those who follow, each in the midst of its election; all are soon back. */
+  killElected(times = 4, overMs = 6000): void {
+    const { sim } = this;
+    let left = times;
+    const again = (): void => {
+      for (const host of this.leaders()) this.kill(host, sim.between(50, 400));
+      if (--left > 0) sim.after(sim.between(20, (2 * overMs) / times), again);
+    };
+    again();
+  }
+
+  /** The processes are restarted one after the other. */
+  roll(everyMs: number): void {
+    for (const [index, host] of this.deployment.hosts.entries())
+      this.sim.after(index * everyMs, () => this.kill(host, ROLL_RESTART_MS));
+  }
+
+  /** The host's process stands still. */
+  freeze(host: string, ms: number): void {
+    this.processes.get(host)?.env.freeze(ms);
+  }
+}
--- a/test/world/troubles.ts
+++ b/test/world/troubles.ts
@@ -1,6 +1,7 @@
 import type { JobSpec } from '../../src/controller/wire/jobs.js';
 import { closeLooks } from './close-looks.js';
 import { NEW_MACHINE_MS } from './happenings.js';
+import { oddRequests } from './odd-requests.js';
 import type { World } from './world.js';
 
 /** Whom a trouble is about, as of when it begins. */
@@ -64,7 +65,7 @@
     sim.after(sim.between(0, 200), () => {
       for (const worker of world.workersOf(id)) {
         if (hangMs > 0) worker.hang(hangMs);
-        if (cutMs > 0) world.cutMachine(worker, cutMs);
+        if (cutMs > 0) world.connectionFaults.cutMachine(worker, cutMs);
       }
       world.cancel(id, host);
     });
@@ -104,7 +105,7 @@
   world.onLog.push((text) => {
     if (text === 'elected leader' && sim.now <= until)
       net.deliverKept(
-        world.hosts.map((host) => world.context.apiOf(host)),
+        world.hosts.map((host) => world.apiOf(host)),
         afterMs,
       );
   });
@@ -152,21 +153,21 @@
     case 'slow':
       return state.slow(ms);
     case 'peers refused':
-      return world.refusePeers(ms);
+      return world.connectionFaults.refusePeers(ms);
     case 'elections':
-      return world.killElected(10, ms);
+      return world.processes.killElected(10, ms);
     case 'isolated':
-      return hostsOf(world, t.who).forEach((h) => world.isolate(h, ms));
+      return hostsOf(world, t.who).forEach((h) => world.connectionFaults.isolate(h, ms));
     case 'standing still':
-      return hostsOf(world, t.who).forEach((h) => world.freeze(h, ms));
+      return hostsOf(world, t.who).forEach((h) => world.processes.freeze(h, ms));
     case 'no workers':
-      return hostsOf(world, t.who).forEach((h) => world.cutFromWorkers(h, ms));
+      return hostsOf(world, t.who).forEach((h) => world.connectionFaults.cutFromWorkers(h, ms));
     case 'ended':
       return hostsOf(world, t.who).forEach((h) => world.kill(h, t.back * 1000));
     case 'quick boots':
       return world.cloud.bootQuickly(ms);
     case 'everyone asks':
-      return world.everyoneAsks(1000, ms);
+      return world.users.everyoneAsks(1000, ms);
     case 'slow links':
       net.latencyMs = 400;
       sim.after(ms, () => {
@@ -202,9 +203,9 @@
       });
       return;
     case 'machines cut':
-      return world.cutMachines(t.share, ms);
+      return world.machineFaults.cut(t.share, ms);
     case 'machines deaf':
-      return some(world, t.share).forEach((w) => world.deafen(w, ms, 'reset'));
+      return some(world, t.share).forEach((w) => world.connectionFaults.deafen(w, ms, 'reset'));
     case 'machines mute':
       return some(world, t.share).forEach((w) => w.mute(ms));
     case 'machines lost':
@@ -212,11 +213,11 @@
     case 'machines hang':
       return some(world, t.share).forEach((w) => w.hang(ms));
     case 'commands held':
-      return some(world, t.share).forEach((w) => world.deafen(w, ms, 'hold'));
+      return some(world, t.share).forEach((w) => world.connectionFaults.deafen(w, ms, 'hold'));
     case 'answers held':
-      return some(world, t.share).forEach((w) => world.hush(w, ms));
+      return some(world, t.share).forEach((w) => world.connectionFaults.hush(w, ms));
     case 'zone cut':
-      return world.cutZone(
+      return world.connectionFaults.cutZone(
         t.zone,
         hostsOf(world, t.inside === 'leader' ? 'leader' : 'others')[0] ?? '',
         ms,
@@ -231,7 +232,7 @@
       return;
     }
     case 'odd requests':
-      return world.oddRequests(ms);
+      return oddRequests(world, ms);
     case 'jobs':
       for (let i = 0; i < t.count; i++) world.user(world.job(t.like ?? {}), null);
   }
--- /dev/null
+++ b/test/world/user-population.ts
@@ -0,0 +1,114 @@
+/** The users of a simulation with their jobs, and how they reach the controllers. */
+import type { JobSpec } from '../../src/controller/wire/jobs.js';
+import type { Happenings } from './happenings.js';
+import type { Network } from './network.js';
+import type { Rules } from './rules.js';
+import type { Scenario } from './scenario.js';
+import type { Sim } from './sim.js';
+import type { StateService } from './state-service.js';
+import { User, type Ask } from './users.js';
+
+const POLL_TIMEOUT_MS = 2000;
+const POST_TIMEOUT_MS = 5000;
+/** Lifetimes of services, and run times of other jobs' tasks as shares of their estimates. */
+const SERVICE_MS = { least: 20_000, most: 200_000 };
+const RUN_SHARES = { least: 0.4, most: 1.8 };
+
+/** What the users' requests pass through. */
+export interface UserSurroundings {
+  sim: Sim;
+  net: Network;
+  state: StateService;
+  rules: Rules;
+  happenings: Happenings;
+  deployment: Scenario;
+  apiOf(host: string): string;
+}
+
+interface SubmittedJob {
+  spec: JobSpec;
+  runMs: number;
+}
+
+/** Makes jobs, and a user for each that is submitted. */
+export class UserPopulation {
+  private readonly jobs = new Map<string, SubmittedJob>();
+  private readonly users = new Map<string, User>();
+  private jobCount = 0;
+
+  constructor(private readonly surroundings: UserSurroundings) {}
+
+  /** A number for a job's name, each once. */
+  nextNumber(): number {
+    return this.jobCount++;
+  }
+
+  /** A random job of a kind that the deployment can run. */
+  randomJob(): JobSpec {
+    const { deployment, sim } = this.surroundings;
+    return deployment.job(sim, `req-${String(this.nextNumber()).padStart(6, '0')}`);
+  }
+
+  /** A user who submits, polls and perhaps cancels one job. */
+  submit(spec: JobSpec, cancelAfterMs: number | null): void {
+    const { sim, rules } = this.surroundings;
+    const runMs =
+      spec.kind === 'service'
+        ? sim.between(SERVICE_MS.least, SERVICE_MS.most)
+        : spec.estimateS * 1000 * sim.between(RUN_SHARES.least, RUN_SHARES.most);
+    this.jobs.set(spec.id, { spec, runMs });
+    const ask: Ask = (...request) => this.ask(...request);
+    this.users.set(spec.id, new User(sim, rules, ask, spec, cancelAfterMs));
+  }
+
+  /** What the job's user has submitted. */
+  specOf(id: string): JobSpec | undefined {
+    return this.jobs.get(id)?.spec;
+  }
+
+  /** True run time of the job's tasks. */
+  runMsOf(id: string): number | undefined {
+    return this.jobs.get(id)?.runMs;
+  }
+
+  /** The job's user calls it off, at `host` where one is named. */
+  cancel(id: string, host?: string): void {
+    this.users.get(id)?.cancel(host);
+  }
+
+  /** The job's user submits it once more. */
+  repeat(id: string): void {
+    this.users.get(id)?.repeat();
+  }
+
+  /** For a time every user asks again as soon as there is an answer, or none, to the question before. */
+  everyoneAsks(everyMs: number, ms: number): void {
+    const { sim } = this.surroundings;
+    const until = sim.now + ms;
+    const again = (): void => {
+      for (const user of this.users.values()) user.askNow();
+      if (sim.now + everyMs <= until) sim.after(everyMs, again);
+    };
+    again();
+  }
+
+  /** Sends a request to a controller, `host` or any. */
+  ask(
+    method: 'GET' | 'POST',
+    path: string,
+    body: unknown,
+    done: (status: number, state: string) => void,
+    host = this.surroundings.sim.pick(this.surroundings.deployment.hosts),
+  ): void {
+    const { net, state, happenings } = this.surroundings;
+    const to = this.surroundings.apiOf(host);
+    if (state.inOutage) happenings.note('asked in an outage');
+    const timeoutMs = method === 'GET' ? POLL_TIMEOUT_MS : POST_TIMEOUT_MS;
+    net.call(
+      'user',
+      { to, method, path, timeoutMs, ...(body === undefined ? {} : { body }) },
+      () => true,
+      (reply) => done(reply.status, (reply.body as { status?: string } | null)?.status ?? ''),
+    );
+  }
+}
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -1,40 +1,51 @@
-import type { Controller } from '../../src/controller/controller.js';
+/** A deployment put together: controllers, state service, cloud, machines, users, faults. */
 import type { Logger } from '../../src/controller/core/env.js';
-import type { StateLimits, Team } from '../../src/controller/settings/platform.js';
-import type { MachineType } from '../../src/controller/wire/cloud.js';
-import { writeJob, type JobSpec } from '../../src/controller/wire/jobs.js';
+import type { Platform, StateLimits } from '../../src/controller/settings/platform.js';
+import type { JobSpec } from '../../src/controller/wire/jobs.js';
 import { oneOf } from '../platform.js';
-import { Happenings, observe } from './happenings.js';
 import { Cloud } from './cloud.js';
+import { ConnectionFaults } from './connection-faults.js';
 import { Gangs } from './gangs.js';
+import { Happenings, observe } from './happenings.js';
 import type { MachineContext } from './machine-context.js';
-import type { Worker } from './worker.js';
+import { MachineFaults } from './machine-faults.js';
+import { Network } from './network.js';
+import { ControllerProcesses } from './processes.js';
+import { injectRandomFaults } from './random-faults.js';
 import { Rules } from './rules.js';
 import type { Scenario } from './scenario.js';
-import { Network } from './network.js';
-import { ProcessEnv } from './process-env.js';
 import { Sim } from './sim.js';
-import { User, type Ask } from './users.js';
 import { StateService } from './state-service.js';
+import { UserPopulation } from './user-population.js';
+import type { Ask } from './users.js';
 import { present, type Version } from './version.js';
+import type { Worker } from './worker.js';
 
-const quiet: Logger = {
+const noLog: Logger = {
   info: () => undefined,
   debug: () => undefined,
   warn: () => undefined,
   error: () => undefined,
 };
 
-interface Process {
-  controller: Controller;
-  env: ProcessEnv;
-}
-
-export interface Faults {
+/** Copies of old messages come up to so many leases late. */
+const LATEST_COPY_LEASES = 3;
+/** Machines that are there at the start are up after this time. */
+const FIRST_BOOT_MS = 100;
+/** True run time of jobs that nobody submitted. */
+const UNKNOWN_RUN_MS = 1000;
+/** How often the rules that depend on time are checked. */
+const TICK_MS = 1000;
+
+/** How often faults occur. */
+export interface FaultRates {
   /** Mean time between faults in milliseconds; Infinity for a quiet day. */
   everyMs: number;
+  /** Chance that a request arrives a second time. */
   doubled: number;
+  /** Chance that a task fails. */
   errors: number;
+  /** Chance that a rented machine never comes up. */
   bootFails: number;
 }
 
@@ -45,54 +56,55 @@
   readonly state: StateService;
   readonly cloud: Cloud;
   readonly rules: Rules;
-  readonly context: MachineContext;
+  private readonly context: MachineContext;
   readonly happenings = new Happenings();
-  /** Called with each line that a controller logs as information. */
-  readonly onLog: ((text: string, fields: object) => void)[] = [];
-  readonly errors: string[] = [];
-  private readonly processes = new Map<string, Process>();
-  private readonly peers = new Map<string, (bytes: Buffer) => void>();
-  private readonly jobs = new Map<string, { spec: JobSpec; runMs: number }>();
-  private readonly users = new Map<string, User>();
-  private readonly teams: Team[];
+  readonly processes: ControllerProcesses;
+  readonly users: UserPopulation;
+  readonly connectionFaults: ConnectionFaults;
+  readonly machineFaults: MachineFaults;
   /** Limits that the state service will have, by the controllers' settings. */
   readonly limitsToCome: StateLimits;
-  /** How often the controllers have logged each text. */
-  readonly said = new Map<string, number>();
-  /** The versions of the leaders, in the order of their elections. */
-  readonly elected: Version[] = [];
-  private starts = 0;
-  private jobCount = 0;
   /** No new faults from then on. */
-  private calm = false;
+  calm = false;
 
   constructor(
-    private readonly scenario: Scenario,
+    private readonly deployment: Scenario,
     seed: number,
-    private readonly faults: Faults,
-    private readonly log: Logger = quiet,
+    rates: FaultRates,
+    log: Logger = noLog,
     /** What a host's process runs; asked whenever one starts. */
-    public versionOf: (host: string) => Version = () => present(),
+    versionOf: (host: string) => Version = () => present(),
   ) {
+    const { hosts } = deployment;
+    const platform = oneOf(hosts, hosts[0] ?? '', deployment.platform);
+    const { state, stateLimits, workers } = platform;
+    this.limitsToCome = platform.stateNext;
     this.sim = new Sim(seed);
     this.net = new Network(this.sim);
-    this.net.doubled = faults.doubled;
-    const { hosts, types } = scenario;
-    const platform = oneOf(hosts, hosts[0] ?? '', scenario.platform);
-    // Copies of old messages come up to several leases late.
-    this.net.latestMs = platform.workers.leaseS * 3000;
-    this.teams = platform.teams;
-    this.limitsToCome = platform.stateNext;
-    const { workers } = platform;
-    this.rules = new Rules(this.teams, workers.cancelS * 1000, () => this.sim.now);
-    this.state = new StateService(
+    this.net.doubled = rates.doubled;
+    this.net.latestMs = workers.leaseS * 1000 * LATEST_COPY_LEASES;
+    this.rules = new Rules(platform.teams, workers.cancelS * 1000, () => this.sim.now);
+    this.state = new StateService(this.sim, this.net, state, stateLimits, deployment.page);
+    this.context = this.machineContext(platform, rates);
+    this.users = this.userPopulation();
+    this.cloud = this.startCloud(platform, rates);
+    this.connectionFaults = new ConnectionFaults(this.sim, this.net, hosts, () => this.workers);
+    this.machineFaults = new MachineFaults(this.sim, this.cloud, this.connectionFaults);
+    this.processes = new ControllerProcesses(
       this.sim,
       this.net,
-      platform.state,
-      platform.stateLimits,
-      scenario.page,
+      deployment,
+      (host) => this.apiOf(host),
+      log,
+      versionOf,
     );
-    this.context = {
+    observe(this);
+    for (const host of hosts) this.processes.start(host);
+    if (Number.isFinite(rates.everyMs)) injectRandomFaults(this, rates.everyMs);
+  }
+
+  private machineContext({ workers }: Platform, rates: FaultRates): MachineContext {
+    return {
       sim: this.sim,
       net: this.net,
       rules: this.rules,
@@ -102,275 +114,80 @@
         gangWaitMs: workers.gangWaitS * 1000,
         gangPeerMs: workers.gangPeerS * 1000,
       },
-      controllers: hosts,
-      apiOf: (h) => `10.0.0.${hosts.indexOf(h) + 1}:8080`,
-      job: (id) => this.jobs.get(id)?.spec,
-      runMs: (id) => this.jobs.get(id)?.runMs ?? 1000,
+      controllers: this.deployment.hosts,
+      apiOf: (host) => this.apiOf(host),
+      job: (id) => this.users.specOf(id),
+      runMs: (id) => this.users.runMsOf(id) ?? UNKNOWN_RUN_MS,
       gangs: new Gangs(this.sim),
-      errors: faults.errors,
+      errors: rates.errors,
       happenings: this.happenings,
       leasesLost: 0,
       replicasEnded: 0,
     };
-    this.cloud = new Cloud(
-      this.context,
-      platform.cloud,
-      types,
-      scenario.capacity,
-      platform.cloudLimits.listLagS * 1000,
-      faults.bootFails,
-    );
-    for (const m of scenario.machines)
-      for (let i = 0; i < m.count; i++) this.cloud.add(this.type(m.type), m.zone, m.spot, 100);
-    observe(this);
-    for (const h of hosts) this.startProcess(h);
-    if (Number.isFinite(faults.everyMs)) this.nextFault();
-  }
-
-  private type(name: string): MachineType {
-    const t = this.scenario.types.find((x) => x.name === name);
-    if (t === undefined) throw new Error(name);
-    return t;
-  }
-
-  // ---- processes
-
-  private startProcess(host: string): void {
-    if (this.processes.has(host)) return;
-    const env = new ProcessEnv(this.sim, this.net, host, this.peers);
-    const version = this.versionOf(host);
-    const { hosts, platform } = this.scenario;
-    const settings = new version.Settings(
-      oneOf(hosts, host, platform, version.readPlatform),
-      version.properties,
-    );
-    const log: Logger = {
-      ...this.log,
-      info: (fields, text) => {
-        this.said.set(text, (this.said.get(text) ?? 0) + 1);
-        if (text === 'elected leader') this.elected.push(version);
-        for (const logged of this.onLog) logged(text, fields);
-        this.log.info(fields, text);
-      },
-      error: (fields, text) => {
-        const { err } = fields as { err?: Error };
-        this.errors.push(`${text}: ${err?.stack ?? JSON.stringify(fields)}`);
-      },
-    };
-    const controller = new version.Controller(env, log, settings, `${host}-${this.starts++}`);
-    this.processes.set(host, { controller, env });
-    this.peers.set(host, (bytes) => env.whenAwake(() => controller.peerFrame(bytes)));
-    this.net.listen(this.context.apiOf(host), host, (_, request, respond) => {
-      env.whenAwake(() => {
-        controller.request(request.method, request.path, request.bytes, (a) => {
-          if (env.alive) respond({ status: a.status, body: a.body ?? null });
-        });
-      });
-    });
-    controller.start();
-  }
-
-  kill(host: string, restartMs: number): void {
-    const p = this.processes.get(host);
-    if (p === undefined) return;
-    if (p.controller.leads && this.rules.everyTeamAtLimit)
-      this.happenings.note('leader ended with every team at its limit');
-    p.env.alive = false;
-    this.processes.delete(host);
-    this.peers.delete(host);
-    this.net.remove(this.context.apiOf(host));
-    this.sim.after(restartMs, () => this.startProcess(host));
-  }
-
-  // ---- faults
-
-  private nextFault(): void {
-    this.sim.after(this.faults.everyMs * this.sim.between(0.3, 1.7), () => {
-      if (this.calm) return;
-      this.fault();
-      this.nextFault();
-    });
   }
 
-  private cutFor(a: string, b: string, ms: number): void {
-    this.net.cut(a, b, this.sim.random() < 0.5 ? 'hold' : 'reset');
-    this.sim.after(ms, () => this.net.heal(a, b));
+  private userPopulation(): UserPopulation {
+    const { sim, net, state, rules, happenings, deployment } = this;
+    const apiOf = (host: string): string => this.apiOf(host);
+    return new UserPopulation({ sim, net, state, rules, happenings, deployment, apiOf });
   }
 
-  private fault(): void {
-    const { sim } = this;
-    const { hosts } = this.scenario;
-    const host = sim.pick(hosts);
-    const workers = this.cloud.up.filter((w) => !w.gone);
-    const worker: Worker | undefined = workers.length > 0 ? sim.pick(workers) : undefined;
-    const long = sim.between(1000, 45_000);
-    const restart = sim.random() < 0.3 ? sim.between(100, 600) : 6000;
-    switch (Math.floor(sim.between(0, 20))) {
-      case 0:
-        return this.kill(host, restart);
-      case 1:
-        for (const h of hosts) this.kill(h, restart);
-        return;
-      case 2:
-        return this.state.outage(sim.between(1000, 30_000));
-      case 3:
-        return this.state.refuse(host, long);
-      case 4:
-        return this.cutFor(host, 'state', long);
-      case 5:
-        return this.cutFromWorkers(host, long);
-      case 6:
-        for (const h of hosts) if (h !== host) this.cutFor(host, h, long);
-        return;
-      case 7:
-        if (worker !== undefined) for (const h of hosts) this.cutFor(h, worker.id, long);
-        return;
-      case 8:
-        return worker?.hang(sim.between(1000, 60_000));
-      case 9:
-        return worker?.die();
-      case 10:
-        return worker?.restart(sim.between(100, 600));
-      case 11:
-        return this.deafen(worker, long);
-      case 12:
-        return this.isolate(host, long);
-      case 13:
-        return this.killElected();
-      case 14:
-        return this.freeze(host, long);
-      case 15:
-        return this.state.slow(long);
-      case 16:
-        return this.refusePeers(long);
-      case 17:
-        return this.cutMachines(0.3, long);
-      case 18:
-        return this.roll(sim.between(2000, 15_000));
-      default:
-        if (worker?.spot === true) {
-          worker.warn(10_000);
-          sim.after(10_000, () => this.cloud.take(worker.id));
-        }
+  private startCloud({ cloud: address, cloudLimits }: Platform, rates: FaultRates): Cloud {
+    const { types, capacity, machines } = this.deployment;
+    const lagMs = cloudLimits.listLagS * 1000;
+    const cloud = new Cloud(this.context, address, types, capacity, lagMs, rates.bootFails);
+    for (const { type: name, zone, spot, count } of machines) {
+      const type = types.find((candidate) => candidate.name === name);
+      if (type === undefined) throw new Error(name);
+      for (let i = 0; i < count; i++) cloud.add(type, zone, spot, FIRST_BOOT_MS);
     }
+    return cloud;
   }
 
-  /** The machine's reports arrive, but neither answers nor commands get to it. */
-  deafen(worker: Worker | undefined, ms: number, mode?: 'hold' | 'reset'): void {
-    if (worker === undefined) return;
-    const { hosts } = this.scenario;
-    for (const h of hosts)
-      this.net.cutWay(h, worker.id, mode ?? (this.sim.random() < 0.5 ? 'hold' : 'reset'));
-    this.sim.after(ms, () => {
-      for (const h of hosts) this.net.heal(h, worker.id);
-    });
-  }
-
-  /** What the machine says is held back, reports and answers; what it is told arrives. */
-  hush(worker: Worker, ms: number): void {
-    const { hosts } = this.scenario;
-    for (const h of hosts) this.net.cutWay(worker.id, h, 'hold');
-    this.sim.after(ms, () => {
-      for (const h of hosts) this.net.heal(h, worker.id);
-    });
-  }
-
-  /** A zone goes on by itself, with its workers and one controller in it. */
-  cutZone(zone: string, inside: string, ms: number): void {
-    const { hosts } = this.scenario;
-    const cut = (a: string, b: string): void => {
-      this.net.cut(a, b, 'hold');
-      this.sim.after(ms, () => this.net.heal(a, b));
-    };
-    for (const other of ['state', 'user', 'cloud']) cut(inside, other);
-    for (const h of hosts) if (h !== inside) cut(inside, h);
-    for (const w of this.workers)
-      for (const h of hosts) if ((w.zone === zone) !== (h === inside)) cut(w.id, h);
+  /** Address of the host's API. */
+  apiOf(host: string): string {
+    return `10.0.0.${this.hosts.indexOf(host) + 1}:8080`;
   }
 
+  /** Hosts of the controllers. */
   get hosts(): readonly string[] {
-    return this.scenario.hosts;
+    return this.deployment.hosts;
   }
 
+  /** Workers of the machines that are up. */
   get workers(): Worker[] {
-    return this.cloud.up.filter((w) => !w.gone);
-  }
-
-  worker(id: string): Worker | undefined {
-    return this.workers.find((w) => w.id === id);
-  }
-
-  /** A controller loses the state service and its peers, but not its workers. */
-  isolate(host: string, ms: number): void {
-    this.cutFor(host, 'state', ms);
-    for (const h of this.scenario.hosts) if (h !== host) this.cutFor(host, h, ms);
-  }
-
-  /** A controller stands still. */
-  freeze(host: string, ms: number): void {
-    this.processes.get(host)?.env.freeze(ms);
-  }
-
-  /** The controllers are restarted one after the other. */
-  roll(everyMs: number): void {
-    for (const [i, h] of this.scenario.hosts.entries())
-      this.sim.after(i * everyMs, () => this.kill(h, 6000));
-  }
-
-  /** Connections between controllers are refused. */
-  refusePeers(ms: number): void {
-    const { hosts } = this.scenario;
-    for (const a of hosts) for (const b of hosts) if (a < b) this.net.cut(a, b, 'reset');
-    this.sim.after(ms, () => {
-      for (const a of hosts) for (const b of hosts) if (a < b) this.net.heal(a, b);
-    });
-  }
-
-  private some(share: number): Worker[] {
-    const up = this.cloud.up.filter((w) => !w.gone);
-    return up.filter(() => this.sim.random() < share);
-  }
-
-  /** A share of the machines loses the network, and what was held back is delivered afterwards. */
-  cutMachines(share: number, ms: number): void {
-    for (const w of this.some(share)) this.cutMachine(w, ms);
-  }
-
-  /** A machine loses the network, and what was held back is delivered afterwards. */
-  cutMachine(worker: Worker, ms: number): void {
-    const { hosts } = this.scenario;
-    for (const h of hosts) this.net.cut(h, worker.id, 'hold');
-    this.sim.after(ms, () => {
-      for (const h of hosts) this.net.heal(h, worker.id);
-    });
+    return this.cloud.workers;
   }
 
   /** Machines with tasks of the job. */
   workersOf(id: string): Worker[] {
     const names = this.rules.machinesOf(id);
-    return this.workers.filter((w) => names.includes(w.id));
+    return this.workers.filter((worker) => names.includes(worker.id));
   }
 
-  /** Many machines stop at once. */
-  killMachines(share: number): void {
-    for (const w of this.some(share)) w.die();
+  /** The host that leads, as it believes itself. */
+  get leader(): string | null {
+    return this.processes.leader;
   }
 
-  /** Spot machines are taken in a wave, without notice. */
-  takeSpot(share: number, overMs: number): void {
-    for (const w of this.some(share))
-      if (w.spot) this.sim.after(this.sim.between(0, overMs), () => this.cloud.take(w.id));
+  /** The versions of the leaders, in the order of their elections. */
+  get elected(): readonly Version[] {
+    return this.processes.elected;
   }
 
-  /** The host that leads, as it believes itself. */
-  get leader(): string | null {
-    for (const [host, { controller }] of this.processes) if (controller.leads) return host;
-    return null;
+  /** How often the controllers have logged each text. */
+  get said(): ReadonlyMap<string, number> {
+    return this.processes.said;
+  }
+
+  /** Errors that controllers have logged. */
+  get errors(): readonly string[] {
+    return this.processes.errors;
   }
 
-  /** A controller loses every worker, but neither the state service nor its peers. */
-  cutFromWorkers(host: string, ms: number): void {
-    for (const w of this.cloud.up) if (!w.gone) this.cutFor(host, w.id, ms);
+  /** Called with each line that a controller logs as information. */
+  get onLog(): ControllerProcesses['onLog'] {
+    return this.processes.onLog;
   }
 
   /** Replicas of services that ended by themselves. */
@@ -383,108 +200,37 @@
     return this.context.leasesLost;
   }
 
-  /** The leader ends, and so do those who follow, each in the midst of its election; all are soon back. */
-  killElected(times = 4, overMs = 6000): void {
-    const { sim } = this;
-    let left = times;
-    const again = (): void => {
-      for (const [host, { controller }] of [...this.processes])
-        if (controller.leads) this.kill(host, sim.between(50, 400));
-      if (--left > 0) sim.after(sim.between(20, (2 * overMs) / times), again);
-    };
-    again();
+  /** The host's process ends, and starts again after so long. */
+  kill(host: string, restartMs: number): void {
+    this.processes.kill(host, restartMs);
   }
 
-  // ---- users
-
-  /** Users who repeat, cancel what is done, ask for what can't run or leave a field out. */
-  oddRequests(ms: number): void {
-    const { sim, rules } = this;
-    const until = sim.now + ms;
-    const again = (): void => {
-      if (sim.now > until) return;
-      sim.after(sim.between(300, 900), again);
-      const known = rules.known();
-      const id = known.length > 0 ? sim.pick(known) : '';
-      const spec = this.jobs.get(id)?.spec;
-      if (spec === undefined) return;
-      if (rules.toldDone(id)) return this.cancel(id);
-      if (sim.random() < 0.5) return this.users.get(id)?.repeat();
-      const odd = writeJob({ ...spec, id: `req-odd-${this.jobCount++}` });
-      if (sim.random() < 0.5) odd['cores'] = 1e6;
-      else Reflect.deleteProperty(odd, sim.pick(['duties', 'loaners', 'scatter', 'expect_s']));
-      this.ask('POST', '/submissions', odd, (status) => {
-        if (status === 200 || status === 201) rules.acceptedOdd(String(odd['id']));
-      });
-    };
-    again();
+  /** A random job of a kind that the deployment can run. */
+  randomJob(): JobSpec {
+    return this.users.randomJob();
   }
 
-  /** A job of a kind that this world can run, with what the caller wants of it. */
+  /** A job of a kind that the deployment can run, with what the caller wants of it. */
   job(part: Partial<JobSpec>): JobSpec {
     return { ...this.randomJob(), ...part };
   }
 
-  /** A random job of a kind that this world can run. */
-  randomJob(): JobSpec {
-    return this.scenario.job(this.sim, `req-${String(this.jobCount++).padStart(6, '0')}`);
-  }
-
-  /** For a time every user asks again as soon as there is an answer, or none, to the question before. */
-  everyoneAsks(everyMs: number, ms: number): void {
-    const until = this.sim.now + ms;
-    const again = (): void => {
-      for (const user of this.users.values()) user.askNow();
-      if (this.sim.now + everyMs <= until) this.sim.after(everyMs, again);
-    };
-    again();
-  }
-
-  /** What the job's user has submitted. */
-  specOf(id: string): JobSpec | undefined {
-    return this.jobs.get(id)?.spec;
+  /** A user who submits, polls and perhaps cancels one job. */
+  user(spec: JobSpec, cancelAfterMs: number | null): void {
+    this.users.submit(spec, cancelAfterMs);
   }
 
   /** The job's user calls it off, at `host` where one is named. */
   cancel(id: string, host?: string): void {
-    this.users.get(id)?.cancel(host);
+    this.users.cancel(id, host);
   }
 
-  /** A user who submits, polls and perhaps cancels one job. */
-  user(spec: JobSpec, cancelAfterMs: number | null): void {
-    const { sim } = this;
-    const runMs =
-      spec.kind === 'service'
-        ? sim.between(20_000, 200_000)
-        : spec.estimateS * 1000 * sim.between(0.4, 1.8);
-    this.jobs.set(spec.id, { spec, runMs });
-    const ask: Ask = (...args) => this.ask(...args);
-    this.users.set(spec.id, new User(this.sim, this.rules, ask, spec, cancelAfterMs));
-  }
-
-  ask(
-    method: 'GET' | 'POST',
-    path: string,
-    body: unknown,
-    done: (status: number, state: string) => void,
-    host = this.sim.pick(this.scenario.hosts),
-  ): void {
-    if (this.state.inOutage) this.happenings.note('asked in an outage');
-    this.net.call(
-      'user',
-      {
-        to: this.context.apiOf(host),
-        method,
-        path,
-        timeoutMs: method === 'GET' ? 2000 : 5000,
-        ...(body === undefined ? {} : { body }),
-      },
-      () => true,
-      (r) => done(r.status, (r.body as { status?: string } | null)?.status ?? ''),
-    );
+  /** Sends a request to a controller, a certain one or any. */
+  ask(...request: Parameters<Ask>): void {
+    this.users.ask(...request);
   }
 
-  /** From now on there are no new troubles; those under way end within the time given. */
+  /** From now on there are no new faults; those under way end within the time given. */
   calmDown(ms: number): void {
     this.calm = true;
     this.sim.after(ms, () => {
@@ -497,7 +243,7 @@
     let nextTick = 0;
     this.sim.run(this.sim.now + ms, () => {
       if (this.sim.now >= nextTick) {
-        nextTick = this.sim.now + 1000;
+        nextTick = this.sim.now + TICK_MS;
         this.rules.tick();
         if (this.rules.calmAt !== null) this.rules.waiting(this.workers.map((w) => w.free));
       }
