--- a/test/planted-faults.test.ts
+++ b/test/injected-bugs.test.ts
@@ -4,17 +4,17 @@
 import type { Env } from '../src/controller/core/env.js';
 import { defaultProperties } from '../src/controller/settings/properties.js';
 import { decodeBody, encodeBody } from '../src/controller/wire/cbor.js';
-import { answerMeetings } from './world/answer-meetings.js';
-import type { Meeting } from './world/meeting.js';
-import { meetings } from './world/meetings.js';
-import { playMeeting } from './world/play-meeting.js';
-import { takeoverMeetings } from './world/takeover-meetings.js';
-import { present, type Version } from './world/version.js';
+import { answerScenarios } from './simulation/answer-scenarios.js';
+import type { FaultScenario } from './simulation/fault-scenario.js';
+import { faultScenarios } from './simulation/fault-scenarios.js';
+import { playScenario } from './simulation/play-scenario.js';
+import { takeoverScenarios } from './simulation/takeover-scenarios.js';
+import { present, type Version } from './simulation/version.js';
 
-// A day of the table is worth what it catches: controllers with a planted fault break a rule on it.
+// A day of the table is worth what it catches: controllers with a injected bug break a rule on it.
 
-function named(part: string): Meeting {
-  const table = [...meetings, ...takeoverMeetings, ...answerMeetings];
+function named(part: string): FaultScenario {
+  const table = [...faultScenarios, ...takeoverScenarios, ...answerScenarios];
   const m = table.find((x) => x.name.includes(part));
   assert.ok(m, part);
   return m;
@@ -22,7 +22,7 @@
 
 type Request = Parameters<Controller['request']>;
 
-/** How long the planted controller remembers its answers. */
+/** How long the faulty controller remembers its answers. */
 const REMEMBERED_MS = 1000;
 
 /** Answers a poll from memory for a moment, whatever other nodes have told since. */
@@ -72,25 +72,25 @@
   }
 }
 
-function withController(planted: typeof Controller): Version {
-  return { ...present(), Controller: planted };
+function withController(buggy: typeof Controller): Version {
+  return { ...present(), Controller: buggy };
 }
 
 describe('planted faults in the code under test', () => {
   // Without its bound a leader renews workers for as long as its lease is renewed.
   it('a leader that answers on a view of any age', () => {
     const version = present({ ...defaultProperties(), 'workers.view.ratio': 1000 });
-    assert.throws(() => playMeeting(named('whose watches do not'), 1, version), /ran_cancelled/);
+    assert.throws(() => playScenario(named('whose watches do not'), 1, version), /ran_cancelled/);
   });
 
   for (const day of ['right after each answer', 'whose answers alone are lost'])
     it(`a node that remembers its answers, where ${day}`, () => {
       const version = withController(Remembering);
-      assert.throws(() => playMeeting(named(day), 1, version), /went_back/);
+      assert.throws(() => playScenario(named(day), 1, version), /went_back/);
     });
 
   it('a leader that believes reports of any age', () => {
     const day = named('which arrive 4 s after');
-    assert.throws(() => playMeeting(day, 1, withController(Credulous)), /ran_twice|quota/);
+    assert.throws(() => playScenario(day, 1, withController(Credulous)), /ran_twice|quota/);
   });
 });
--- a/test/mixed-day.ts
+++ b/test/mixed-day.ts
@@ -1,11 +1,11 @@
-/** Days in the simulated world on which controllers of two versions serve side by side. */
+/** Days in the simulation on which controllers of two versions serve side by side. */
 import assert from 'node:assert/strict';
 import type { JobSpec } from '../src/controller/wire/jobs.js';
-import { long } from './world/meeting.js';
-import { shrinking as deployment } from './world/scenario.js';
-import { bring, type Trouble } from './world/troubles.js';
-import type { Version } from './world/version.js';
-import { World } from './world/world.js';
+import { longJobs } from './simulation/fault-scenario.js';
+import { shrinking as deployment } from './simulation/deployment.js';
+import { injectFaults, type Fault } from './simulation/faults.js';
+import type { Version } from './simulation/version.js';
+import { Simulation } from './simulation/simulation.js';
 
 /** Work runs by then, and the versions mix within `MIXED_MS` after. */
 const START_MS = 15_000;
@@ -17,9 +17,9 @@
 
 /** Work of the day: long, in waves that leave jobs half done for long, and in gangs. */
 const work: Partial<JobSpec>[] = [
-  long,
-  { ...long, tasks: 20, cpus: 4, estimateS: 12 },
-  { ...long, kind: 'gang', tasks: 2, gpus: 1, estimateS: 25 },
+  longJobs,
+  { ...longJobs, tasks: 20, cpus: 4, estimateS: 12 },
+  { ...longJobs, kind: 'gang', tasks: 2, gpus: 1, estimateS: 25 },
 ];
 
 /** Replicas of each service that a day submits. */
@@ -63,7 +63,7 @@
 
 /** A day on which each host has its own version. */
 export class MixedDay {
-  readonly world: World;
+  readonly simulation: Simulation;
   readonly starts: Start[] = [];
   /** How the limits fell, once they have. */
   limitsFall: LimitsFall | null = null;
@@ -77,9 +77,11 @@
       this.versions.set(host, version);
     }
     const quiet = { everyMs: Infinity, doubled: 0.01, errors: 0, bootFails: 0 };
-    this.world = new World(deployment, seed, quiet, undefined, (host) => this.started(host));
+    this.simulation = new Simulation(deployment, seed, quiet, undefined, (host) =>
+      this.started(host),
+    );
     this.submit(14, START_MS / 2);
-    this.world.play(START_MS);
+    this.simulation.play(START_MS);
   }
 
   private started(host: string): Version {
@@ -90,17 +92,17 @@
   }
 
   private submit(count: number, overMs: number): void {
-    const { world } = this;
+    const { simulation } = this;
     for (let i = 0; i < count; i++)
-      world.sim.after(world.sim.between(0, overMs), () =>
-        world.user(world.job(work[i % work.length] ?? long), null),
+      simulation.sim.after(simulation.sim.between(0, overMs), () =>
+        simulation.user(simulation.job(work[i % work.length] ?? longJobs), null),
       );
   }
 
   /** Users submit services; returns their ids. */
   submitServices(count: number): string[] {
-    const specs = Array.from({ length: count }, () => this.world.job(service));
-    for (const spec of specs) this.world.user(spec, null);
+    const specs = Array.from({ length: count }, () => this.simulation.job(service));
+    for (const spec of specs) this.simulation.user(spec, null);
     return specs.map((s) => s.id);
   }
 
@@ -109,7 +111,7 @@
    * `extraMs`: time that each turn waits beyond what is drawn.
    */
   roll(to: Version, extraMs = 0): Roll {
-    const { sim, hosts, leader } = this.world;
+    const { sim, hosts, leader } = this.simulation;
     const others = hosts.filter((h) => h !== leader);
     const turnsMs: number[] = [];
     let atMs = 0;
@@ -118,7 +120,7 @@
       turnsMs.push(atMs);
       sim.after(atMs, () => {
         this.versions.set(host, to);
-        this.world.kill(host, sim.between(500, LONGEST_RESTART_MS));
+        this.simulation.kill(host, sim.between(500, LONGEST_RESTART_MS));
       });
       atMs += extraMs;
     }
@@ -133,24 +135,25 @@
 
   /** How often a leader of one version has followed one of the other. */
   get takeovers(): number {
-    const { elected } = this.world;
+    const { elected } = this.simulation;
     return elected.filter((v, i) => i > 0 && v !== elected[i - 1]).length;
   }
 
   /** The leader ends again and again, until the versions have taken over from each other so often. */
   alternate(times: number): void {
-    const { world } = this;
+    const { simulation } = this;
     const again = (): void => {
       if (this.takeovers >= times) return;
-      if (world.leader !== null) world.kill(world.leader, world.sim.between(100, 6000));
-      world.sim.after(world.sim.between(2000, 8000), again);
+      if (simulation.leader !== null)
+        simulation.kill(simulation.leader, simulation.sim.between(100, 6000));
+      simulation.sim.after(simulation.sim.between(2000, 8000), again);
     };
     again();
   }
 
   /** Runs `then` in the first moment from `afterMs` on in which the condition holds. */
   once(afterMs: number, condition: () => boolean, then: () => void): void {
-    const { sim } = this.world;
+    const { sim } = this.simulation;
     const look = (): void => {
       if (condition()) then();
       else sim.after(LOOK_MS, look);
@@ -160,16 +163,21 @@
 
   /** The limits of the state service fall now. */
   lowerLimits(transaction: LimitsFall['transaction'] = null): void {
-    const { world } = this;
+    const { simulation } = this;
     assert.equal(this.limitsFall, null, 'the limits fall once');
     const versions = new Set(this.running).size;
-    this.limitsFall = { leader: world.leader, outage: world.state.inOutage, transaction, versions };
-    world.state.lower(world.limitsToCome);
+    this.limitsFall = {
+      leader: simulation.leader,
+      outage: simulation.state.inOutage,
+      transaction,
+      versions,
+    };
+    simulation.state.lower(simulation.limitsToCome);
   }
 
   /** The limits fall as a transaction with one of the leader's pages arrives, before it is looked at. */
   lowerLimitsAmidCommit(afterMs: number): void {
-    const { sim, state } = this.world;
+    const { sim, state } = this.simulation;
     sim.after(afterMs, () => {
       state.arriving = (keys) => {
         if (!keys.some((key) => key.startsWith('page/'))) return;
@@ -179,18 +187,18 @@
     });
   }
 
-  /** New work comes and the troubles run their course; then all is quiet until the work is done. */
-  finish(troubles: Trouble[]): void {
-    const { world } = this;
+  /** New work comes and the faults run their course; then all is quiet until the work is done. */
+  finish(faults: Fault[]): void {
+    const { simulation } = this;
     this.submit(8, MIXED_MS / 4);
-    bring(world, troubles);
-    world.play(MIXED_MS);
-    world.calmDown(0);
-    const until = world.sim.now + 400_000;
-    do world.play(60_000);
-    while (world.sim.now < until && world.rules.unfinished().length > 0);
-    assert.deepEqual(world.rules.unfinished(), [], 'never finished');
-    assert.ok(world.rules.cancelledRunning.length > 0, 'nothing that ran was cancelled');
+    injectFaults(simulation, faults);
+    simulation.play(MIXED_MS);
+    simulation.calmDown(0);
+    const until = simulation.sim.now + 400_000;
+    do simulation.play(60_000);
+    while (simulation.sim.now < until && simulation.checker.unfinished().length > 0);
+    assert.deepEqual(simulation.checker.unfinished(), [], 'never finished');
+    assert.ok(simulation.checker.cancelledRunning.length > 0, 'nothing that ran was cancelled');
   }
 
   /** Every host's newest process runs `version`. */
@@ -205,7 +213,7 @@
 
   /** Replicas of each service that are on machines. */
   replicas(services: readonly string[]): number[] {
-    return services.map((id) => this.world.rules.machinesOf(id).length);
+    return services.map((id) => this.simulation.checker.machinesOf(id).length);
   }
 
   /** Whether every replica of the services is on a machine. */
--- a/test/mixed.test.ts
+++ b/test/mixed.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { LONGEST_RESTART_MS, MixedDay, REPLICAS, type Roll } from './mixed-day.js';
-import { olderVersions, type OlderVersion } from './world/production.js';
-import { shrinking as deployment } from './world/scenario.js';
-import type { Trouble } from './world/troubles.js';
-import { present, type Version } from './world/version.js';
+import { olderVersions, type OlderVersion } from './simulation/production.js';
+import { shrinking as deployment } from './simulation/deployment.js';
+import type { Fault } from './simulation/faults.js';
+import { present, type Version } from './simulation/version.js';
 
 // The operators roll out a new version while an older one serves (and back, where it fails), so both
 // read each other's records and take over from each other. Rules are checked after every step.
@@ -49,7 +49,7 @@
 }
 
 interface Arranged {
-  troubles: Trouble[];
+  faults: Fault[];
   happened: () => boolean;
 }
 
@@ -57,8 +57,8 @@
 const middles: Middle[] = [
   {
     name: 'a leader that dies before its turn and comes back as it was',
-    begin: ({ world: { sim }, starts }) => ({
-      troubles: [
+    begin: ({ simulation: { sim }, starts }) => ({
+      faults: [
         { kind: 'ended', who: 'leader', back: sim.between(0.1, 2), at: sim.between(0.5, 2.5) },
       ],
       happened: () => {
@@ -69,22 +69,22 @@
   },
   {
     name: 'an outage of the state service',
-    begin: ({ world: { sim, state } }) => ({
-      troubles: [{ kind: 'outage', at: sim.between(3, 12), for: sim.between(5, 30) }],
+    begin: ({ simulation: { sim, state } }) => ({
+      faults: [{ kind: 'outage', at: sim.between(3, 12), for: sim.between(5, 30) }],
       happened: () => state.missed > 0,
     }),
   },
   {
     name: 'late writes',
-    begin: ({ world: { state } }) => ({
-      troubles: [{ kind: 'late writes', share: 0.4, at: 0, for: 60 }],
+    begin: ({ simulation: { state } }) => ({
+      faults: [{ kind: 'late writes', share: 0.4, at: 0, for: 60 }],
       happened: () => state.late.applied + state.late.refused > 0,
     }),
   },
   {
     name: 'late reports',
-    begin: ({ world: { net } }) => ({
-      troubles: [{ kind: 'late reports', share: 0.4, at: 0, for: 60 }],
+    begin: ({ simulation: { net } }) => ({
+      faults: [{ kind: 'late reports', share: 0.4, at: 0, for: 60 }],
       happened: () => net.copies > 0,
     }),
   },
@@ -99,22 +99,22 @@
 
 /** All controllers end at once while one of them runs the other version, and come back as they were. */
 function endAll(day: MixedDay, roll: Roll): Arranged {
-  const { world, starts } = day;
+  const { simulation, starts } = day;
   let versionsThen = 0;
   let leaderless = false;
   let startsBefore = 0;
-  const atMs = roll.firstTurnMs + LONGEST_RESTART_MS + world.sim.between(500, 4500);
-  world.sim.after(atMs, () => {
+  const atMs = roll.firstTurnMs + LONGEST_RESTART_MS + simulation.sim.between(500, 4500);
+  simulation.sim.after(atMs, () => {
     versionsThen = new Set(day.running).size;
     startsBefore = starts.length;
-    const backMs = world.sim.between(200, 8000);
-    for (const host of world.hosts) world.kill(host, backMs);
-    leaderless = world.leader === null;
-    world.sim.after(backMs + 1, () => {
-      assert.equal(starts.length - startsBefore, world.hosts.length, 'not all ended at once');
+    const backMs = simulation.sim.between(200, 8000);
+    for (const host of simulation.hosts) simulation.kill(host, backMs);
+    leaderless = simulation.leader === null;
+    simulation.sim.after(backMs + 1, () => {
+      assert.equal(starts.length - startsBefore, simulation.hosts.length, 'not all ended at once');
     });
   });
-  return { troubles: [], happened: () => versionsThen === 2 && leaderless };
+  return { faults: [], happened: () => versionsThen === 2 && leaderless };
 }
 
 /** When the limits of the state service fall, from the time given on, and what shows it. */
@@ -128,32 +128,33 @@
     name: 'amid a commit',
     begin: (day, fromMs) => {
       day.lowerLimitsAmidCommit(fromMs);
-      return { troubles: [], happened: () => day.limitsFall?.transaction != null };
+      return { faults: [], happened: () => day.limitsFall?.transaction != null };
     },
   },
   {
     name: 'amid a takeover',
     begin: (day, fromMs) => {
-      const { world } = day;
+      const { simulation } = day;
       day.once(
         fromMs,
-        () => world.leader !== null,
+        () => simulation.leader !== null,
         () => {
-          if (world.leader !== null) world.kill(world.leader, world.sim.between(2000, 6000));
-          world.sim.after(world.sim.between(50, 1500), () => day.lowerLimits());
+          if (simulation.leader !== null)
+            simulation.kill(simulation.leader, simulation.sim.between(2000, 6000));
+          simulation.sim.after(simulation.sim.between(50, 1500), () => day.lowerLimits());
         },
       );
-      return { troubles: [], happened: () => day.limitsFall?.leader === null };
+      return { faults: [], happened: () => day.limitsFall?.leader === null };
     },
   },
   {
     name: 'amid an outage',
     begin: (day, fromMs) => {
-      const { sim } = day.world;
+      const { sim } = day.simulation;
       const atS = fromMs / 1000;
       sim.after(fromMs + sim.between(1000, 4000), () => day.lowerLimits());
       return {
-        troubles: [{ kind: 'outage', at: atS, for: sim.between(5, 20) }],
+        faults: [{ kind: 'outage', at: atS, for: sim.between(5, 20) }],
         happened: () => day.limitsFall?.outage === true,
       };
     },
@@ -176,12 +177,12 @@
   return {
     name: `limits of the state service that fall ${fall.name}`,
     begin: (day, roll) => {
-      const { troubles, happened } = fall.begin(day, fromMs(roll));
-      const work: Trouble = { kind: 'jobs', count: 10, at: roll.overMs / 1000 + 5 };
-      const { state } = day.world;
+      const { faults, happened } = fall.begin(day, fromMs(roll));
+      const work: Fault = { kind: 'jobs', count: 10, at: roll.overMs / 1000 + 5 };
+      const { state } = day.simulation;
       const asPlanned = (): boolean => happened() && day.limitsFall?.versions === versions;
       return {
-        troubles: [...troubles, work],
+        faults: [...faults, work],
         happened: () => asPlanned() && state.tooLarge === 0,
       };
     },
@@ -191,8 +192,8 @@
 /** The limits fall once the roll is over, near the end of a leader. */
 const fallNearTakeover: Middle = {
   name: 'lower limits',
-  begin: ({ world: { sim, state } }) => ({
-    troubles: [
+  begin: ({ simulation: { sim, state } }) => ({
+    faults: [
       { kind: 'limits fall', at: sim.between(50, 60) },
       { kind: 'ended', who: 'leader', back: 1, at: sim.between(48, 62) },
       { kind: 'jobs', count: 10, at: 62 },
@@ -201,15 +202,15 @@
   }),
 };
 
-/** All run `from`, and a roll with trouble in its middle makes all run `to`. */
+/** All run `from`, and a roll with fault in its middle makes all run `to`. */
 function rolled(seed: number, from: Version, to: Version, middle: Middle): void {
   const day = new MixedDay(seed, [from, from, from]);
-  const { sim, elected } = day.world;
-  const { troubles, happened } = middle.begin(day, day.roll(to, middle.extraMs));
+  const { sim, elected } = day.simulation;
+  const { faults, happened } = middle.begin(day, day.roll(to, middle.extraMs));
   day.finish([
     { kind: 'cancelled', count: 3, at: sim.between(1, 5), hang: sim.between(0, 10) },
     { kind: 'cancelled', count: 3, at: sim.between(10, 30), elsewhere: true },
-    ...troubles,
+    ...faults,
   ]);
   assert.ok(happened(), `${middle.name} did not happen`);
   for (const v of [from, to]) assert.ok(elected.includes(v), `${v.name} never led`);
@@ -219,7 +220,7 @@
 /** Two versions take over from each other ten times. */
 function alternating(seed: number, old: Version, current: Version): void {
   const day = new MixedDay(seed, [old, current, old]);
-  const { sim, elected } = day.world;
+  const { sim, elected } = day.simulation;
   day.alternate(10);
   day.finish([
     { kind: 'cancelled', count: 2, at: sim.between(2, 10) },
@@ -236,42 +237,42 @@
 /** Services come once all run `to`, keep running as the leader changes, and are called off. */
 function servicesAfterRoll(seed: number, from: Version, to: Version): void {
   const day = new MixedDay(seed, [from, from, from]);
-  const { world } = day;
+  const { simulation } = day;
   const roll = day.roll(to);
   let services: string[] = [];
   let survived = false;
-  world.sim.after(roll.overMs, () => {
+  simulation.sim.after(roll.overMs, () => {
     day.assertAllRun(to);
     services = day.submitServices(SERVICES);
     day.once(
       0,
-      () => world.leader !== null && day.complete(services),
+      () => simulation.leader !== null && day.complete(services),
       () => changeLeader(day, services, () => (survived = true)),
     );
   });
-  day.finish([{ kind: 'cancelled', count: 3, at: world.sim.between(1, 5) }]);
+  day.finish([{ kind: 'cancelled', count: 3, at: simulation.sim.between(1, 5) }]);
   assert.ok(survived, 'services did not run through a change of leader');
   assertCalledOff(day, services);
 }
 
 /** The leader ends while all replicas run: without one, replicas end only by themselves. */
 function changeLeader(day: MixedDay, services: readonly string[], survived: () => void): void {
-  const { world } = day;
-  const elections = world.elected.length;
-  const endedBefore = world.replicasEnded;
-  assert.ok(world.leader !== null);
-  world.kill(world.leader, LONGEST_RESTART_MS);
-  const changed = (): boolean => world.elected.length > elections;
+  const { simulation } = day;
+  const elections = simulation.elected.length;
+  const endedBefore = simulation.replicasEnded;
+  assert.ok(simulation.leader !== null);
+  simulation.kill(simulation.leader, LONGEST_RESTART_MS);
+  const changed = (): boolean => simulation.elected.length > elections;
   day.once(0, changed, () => {
     const on = day.replicas(services).reduce((sum, count) => sum + count, 0);
-    const ended = world.replicasEnded - endedBefore;
+    const ended = simulation.replicasEnded - endedBefore;
     assert.ok(on + ended >= SERVICES * REPLICAS, 'replicas were lost with the leader');
     day.once(
       1000,
       () => day.complete(services),
       () => {
         survived();
-        for (const id of services) world.cancel(id);
+        for (const id of services) simulation.cancel(id);
       },
     );
   });
@@ -280,35 +281,36 @@
 /** Services run from before the roll until after it, with leaders of both versions, and are called off. */
 function servicesDuringRoll(seed: number, from: Version, to: Version): void {
   const day = new MixedDay(seed, [from, from, from]);
-  const { world } = day;
+  const { simulation } = day;
   const services = day.submitServices(SERVICES);
-  const elections = world.elected.length;
+  const elections = simulation.elected.length;
   let fewest = Infinity;
   let survived = false;
   const rollOnce = (): void => {
-    assert.equal(world.elected.at(-1), from);
+    assert.equal(simulation.elected.at(-1), from);
     let over = false;
-    world.sim.after(day.roll(to).overMs, () => (over = true));
+    simulation.sim.after(day.roll(to).overMs, () => (over = true));
     const finished = (): boolean => {
       fewest = Math.min(fewest, ...day.replicas(services));
-      return over && world.leader !== null && day.complete(services);
+      return over && simulation.leader !== null && day.complete(services);
     };
     day.once(0, finished, () => {
       survived = true;
-      for (const id of services) world.cancel(id);
+      for (const id of services) simulation.cancel(id);
     });
   };
-  day.once(0, () => world.leader !== null && day.complete(services), rollOnce);
-  day.finish([{ kind: 'cancelled', count: 3, at: world.sim.between(1, 5) }]);
+  day.once(0, () => simulation.leader !== null && day.complete(services), rollOnce);
+  day.finish([{ kind: 'cancelled', count: 3, at: simulation.sim.between(1, 5) }]);
   assert.ok(survived, 'services did not run through the roll');
   assert.ok(fewest > 0, 'a service had no replica for a while');
-  assert.ok(world.elected.slice(elections).includes(to), `${to.name} never led with services`);
+  assert.ok(simulation.elected.slice(elections).includes(to), `${to.name} never led with services`);
   day.assertAllRun(to);
   assertCalledOff(day, services);
 }
 
 function assertCalledOff(day: MixedDay, services: readonly string[]): void {
-  for (const id of services) assert.ok(day.world.rules.toldCancelled(id), `${id} not cancelled`);
+  for (const id of services)
+    assert.ok(day.simulation.checker.toldCancelled(id), `${id} not cancelled`);
   assert.ok(
     day.replicas(services).every((count) => count === 0),
     'replicas left',
--- a/test/peer-messages.test.ts
+++ b/test/peer-messages.test.ts
@@ -7,10 +7,10 @@
 import { defaultProperties } from '../src/controller/settings/properties.js';
 import { Settings } from '../src/controller/settings/settings.js';
 import { oneOf } from './platform.js';
-import { small } from './world/scenario.js';
-import { Network } from './world/network.js';
-import { ProcessEnv } from './world/process-env.js';
-import { Sim } from './world/sim.js';
+import { small } from './simulation/deployment.js';
+import { Network } from './simulation/network.js';
+import { ProcessEnv } from './simulation/process-env.js';
+import { Sim } from './simulation/sim.js';
 
 const HOST = 'kiln-0';
 
--- a/test/planted.test.ts
+++ b/test/rule-checker.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import type { JobSpec } from '../src/controller/wire/jobs.js';
-import type { FreeRoom, Place } from './world/place.js';
-import { Rules } from './world/rules.js';
+import type { FreeRoom, Place } from './simulation/place.js';
+import { RuleChecker } from './simulation/rule-checker.js';
 
-// The simulated world is worth what its checks catch: one planted violation of each rule.
+// The simulation is worth what its checks catch: one violation of each rule.
 
 const spec: JobSpec = {
   id: 'req-1',
@@ -35,12 +35,12 @@
 };
 const team = { name: 'red', cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 4 };
 
-function broken(plant: (r: Rules, time: { now: number }) => void): string[] {
+function broken(violate: (r: RuleChecker, time: { now: number }) => void): string[] {
   const time = { now: 0 };
-  const rules = new Rules([team], 45_000, () => time.now);
-  rules.submitted(spec);
-  plant(rules, time);
-  return rules.broken.map((b) => b.split(' s ')[1]?.split(':')[0] ?? '');
+  const checker = new RuleChecker([team], 45_000, () => time.now);
+  checker.submitted(spec);
+  violate(checker, time);
+  return checker.broken.map((b) => b.split(' s ')[1]?.split(':')[0] ?? '');
 }
 
 describe('planted violations', () => {
@@ -59,7 +59,7 @@
   });
 
   it('none where a job waits for room that no machine has, or for its team', () => {
-    const waits = (room: FreeRoom, use: (r: Rules) => void = () => undefined): string[] =>
+    const waits = (room: FreeRoom, use: (r: RuleChecker) => void = () => undefined): string[] =>
       broken((r, time) => {
         r.answered('req-1', 201, 'pending', true);
         use(r);
@@ -68,7 +68,7 @@
     assert.deepEqual(waits({ ...free, gpus: 3 }), []);
     assert.deepEqual(waits({ ...free, type: 'small' }), []);
     assert.deepEqual(waits({ ...free, spot: true }), []);
-    const other = (r: Rules): void => {
+    const other = (r: RuleChecker): void => {
       r.submitted({ ...spec, id: 'req-2' });
       r.taskOn('req-2', 0, a);
     };
@@ -88,7 +88,7 @@
     assert.deepEqual(found, []);
   });
 
-  const cases: [string, (r: Rules, time: { now: number }) => void][] = [
+  const cases: [string, (r: RuleChecker, time: { now: number }) => void][] = [
     [
       'ran_twice',
       (r) => {
@@ -224,8 +224,8 @@
     ],
     ['accepted_odd', (r) => r.acceptedOdd('req-odd-1')],
   ];
-  for (const [i, [rule, plant]] of cases.entries())
+  for (const [i, [rule, violate]] of cases.entries())
     it(`${rule} is caught (${i})`, () => {
-      assert.ok(broken(plant).includes(rule));
+      assert.ok(broken(violate).includes(rule));
     });
 });
--- a/test/world/answer-meetings.ts
+++ b/test/simulation/answer-scenarios.ts
@@ -1,16 +1,16 @@
 import type { JobSpec } from '../../src/controller/wire/jobs.js';
-import { cancelled, leaders, long, type Meeting } from './meeting.js';
+import { cancelled, leaders, longJobs, type FaultScenario } from './fault-scenario.js';
 
 /** One-task jobs that are soon done. */
-const brief: Partial<JobSpec> = { ...long, tasks: 1, estimateS: 5 };
+const brief: Partial<JobSpec> = { ...longJobs, tasks: 1, estimateS: 5 };
 
 /** What users are told: many questions at once, lost answers, many short jobs, slow links. */
-export const answerMeetings: Meeting[] = [
+export const answerScenarios: FaultScenario[] = [
   {
     name: 'users ask at all nodes and repeat right after each answer, some cancel at once',
     jobs: { estimateS: 10 },
     count: 8,
-    troubles: () => [
+    faults: () => [
       { kind: 'close looks', cancelled: 0.3, at: 0, for: 120 },
       { kind: 'jobs', count: 12, at: 1 },
       { kind: 'slow', at: 20, for: 60 },
@@ -22,29 +22,29 @@
     ],
     happened: (w) => ({
       looks: w.happenings.count('close look'),
-      done: w.rules.endedAs('done'),
-      cancelled: w.rules.endedAs('cancelled'),
+      done: w.checker.endedAs('done'),
+      cancelled: w.checker.endedAs('cancelled'),
     }),
   },
   {
     name: 'one-task jobs four a second, a quarter of them cancelled',
     jobs: brief,
     count: 4,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'stream', perSecond: 4, cancelled: 0.25, like: brief, at: 0, for: 120 },
       { kind: 'ended', who: 'leader', back: between(0.2, 6), at: between(30, 90) },
     ],
     happened: (w) => ({
       leaders: leaders(w),
-      done: w.rules.endedAs('done') - 250,
-      cancelled: w.rules.endedAs('cancelled') - 40,
+      done: w.checker.endedAs('done') - 250,
+      cancelled: w.checker.endedAs('cancelled') - 40,
     }),
   },
   {
     name: 'transactions whose answers alone are lost, while other nodes read what they wrote',
     jobs: { estimateS: 10 },
     count: 10,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'lost answers', share: 0.3, at: 0, for: 80 },
       { kind: 'close looks', cancelled: 0.3, at: 0, for: 100 },
       { kind: 'jobs', count: 10, at: 1 },
@@ -55,14 +55,14 @@
     happened: (w) => ({
       read: w.state.readUnanswered,
       looks: w.happenings.count('close look'),
-      cancelled: w.rules.endedAs('cancelled'),
+      cancelled: w.checker.endedAs('cancelled'),
     }),
   },
   {
     name: 'all users ask during an outage',
     jobs: { estimateS: 25 },
     count: 20,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'cancelled', count: 3, at: 1 },
       { kind: 'outage', at: between(2, 5), for: between(20, 60) },
       { kind: 'everyone asks', at: 0, for: 70 },
@@ -76,12 +76,12 @@
     name: 'urgent and other work beyond the room over slow links',
     jobs: { estimateS: 25 },
     count: 30,
-    troubles: () => [
+    faults: () => [
       { kind: 'slow links', at: 0, for: 90 },
       { kind: 'jobs', count: 15, like: { priority: 'production', estimateS: 25 }, at: 5 },
       { kind: 'cancelled', count: 4, at: 20 },
       { kind: 'machines lost', share: 0.3, at: 25 },
     ],
-    happened: (w) => ({ started: w.rules.started, cancelled: cancelled(w) }),
+    happened: (w) => ({ started: w.checker.started, cancelled: cancelled(w) }),
   },
 ];
--- a/test/world/close-looks.ts
+++ b/test/simulation/close-looks.ts
@@ -1,5 +1,5 @@
 import { writeJob } from '../../src/controller/wire/jobs.js';
-import type { World } from './world.js';
+import type { Simulation } from './simulation.js';
 
 /** Questions to each node after something new was told, and within what time they are sent. */
 const QUESTIONS_PER_NODE = 3;
@@ -8,18 +8,18 @@
 const REPEATED_SHARE = 0.3;
 
 /** Asks one node about a job, by a poll or a repeated submission; the rules judge the answer. */
-function look(world: World, id: string, host: string): void {
-  const { rules, sim } = world;
-  const spec = world.users.specOf(id);
+function look(simulation: Simulation, id: string, host: string): void {
+  const { checker, sim } = simulation;
+  const spec = simulation.users.specOf(id);
   if (spec === undefined) return;
   const repeated = sim.random() < REPEATED_SHARE;
-  const before = rules.standing(id);
-  world.happenings.note('close look');
-  world.ask(
+  const before = checker.standing(id);
+  simulation.happenings.note('close look');
+  simulation.ask(
     repeated ? 'POST' : 'GET',
     repeated ? '/submissions' : `/submissions/${id}`,
     repeated ? writeJob(spec) : undefined,
-    (status, state) => rules.answered(id, status, state, repeated, before),
+    (status, state) => checker.answered(id, status, state, repeated, before),
     host,
   );
 }
@@ -28,17 +28,17 @@
  * For a time users ask at every node within milliseconds after a job was accepted, ended or
  * cancelled, and repeat its submission; a share of them calls the job off at that moment.
  */
-export function closeLooks(world: World, cancelShare: number, ms: number): void {
-  const { rules, sim } = world;
+export function closeLooks(simulation: Simulation, cancelShare: number, ms: number): void {
+  const { checker, sim } = simulation;
   const until = sim.now + ms;
   const lookClosely = (id: string): void => {
     if (sim.now > until) return;
-    for (const host of world.hosts)
+    for (const host of simulation.hosts)
       for (let i = 0; i < QUESTIONS_PER_NODE; i++)
-        sim.after(sim.between(0, WITHIN_MS), () => look(world, id, host));
+        sim.after(sim.between(0, WITHIN_MS), () => look(simulation, id, host));
     if (sim.random() < cancelShare)
-      sim.after(sim.between(0, WITHIN_MS), () => world.cancel(id, sim.pick(world.hosts)));
+      sim.after(sim.between(0, WITHIN_MS), () => simulation.cancel(id, sim.pick(simulation.hosts)));
   };
-  rules.onNews.push(lookClosely);
-  rules.onLastTask.push(lookClosely);
+  checker.onNews.push(lookClosely);
+  checker.onLastTask.push(lookClosely);
 }
--- a/test/world/scenario.ts
+++ b/test/simulation/deployment.ts
@@ -3,8 +3,8 @@
 import { usual, type PlatformParts } from '../platform.js';
 import type { Sim } from './sim.js';
 
-/** A deployment that the simulated world plays. */
-export interface Scenario {
+/** A deployment that the simulation plays. */
+export interface Deployment {
   hosts: string[];
   types: MachineType[];
   /** Machines that are up at the start, and how many the cloud has at most. */
@@ -39,7 +39,7 @@
 };
 
 /** Three controllers and a handful of machines in two zones, jobs of every kind. */
-export const small: Scenario = {
+export const small: Deployment = {
   hosts: hosts(3),
   types: [big, little],
   machines: ['a', 'b'].flatMap((zone) => [
@@ -81,7 +81,7 @@
 };
 
 /** The same where the state service will take less from some moment on. */
-export const shrinking: Scenario = {
+export const shrinking: Deployment = {
   ...small,
   platform: {
     ...small.platform,
@@ -90,7 +90,7 @@
 };
 
 /** Five controllers and hundreds of machines: many small tasks, and gangs of whole machines. */
-export function grown(machines: number): Scenario {
+export function grown(machines: number): Deployment {
   const whole: MachineType = { ...big, zones: ['a'], cacheGb: 60, fetchGbPerS: 0.5 };
   const many: MachineType = { ...little, cpus: 32, memoryGb: 128, zones: ['a'] };
   const gpus = machines * 4;
--- a/test/world/meeting.ts
+++ b/test/simulation/fault-scenario.ts
@@ -1,33 +1,33 @@
 import type { JobSpec } from '../../src/controller/wire/jobs.js';
-import type { Scenario } from './scenario.js';
-import type { Trouble } from './troubles.js';
-import type { World } from './world.js';
+import type { Deployment } from './deployment.js';
+import type { Fault } from './faults.js';
+import type { Simulation } from './simulation.js';
 
-/** Two troubles that meet, and what shows that they did. */
-export interface Meeting {
+/** Faults that coincide, and what shows that they did. */
+export interface FaultScenario {
   name: string;
   /** What the jobs of the day have in common; the rest is drawn. */
   jobs: Partial<JobSpec>;
   count: number;
   /** Where it is played, if not in the small deployment. */
-  scenario?: Scenario;
+  deployment?: Deployment;
   /** In seconds from when the first work runs; `between` draws. */
-  troubles(between: (from: number, to: number) => number): Trouble[];
+  faults(between: (from: number, to: number) => number): Fault[];
   /** Each must have happened at least once. */
-  happened(w: World): Record<string, number>;
+  happened(w: Simulation): Record<string, number>;
 }
 
 /** Work that has long to go, and of which all can run at one time. */
-export const long: Partial<JobSpec> = {
+export const longJobs: Partial<JobSpec> = {
   ...{ estimateS: 120, kind: 'array', tasks: 3, oneZone: false, spread: false },
   ...{ cpus: 1, gpus: 0, memoryGb: 1 },
 };
 
 /** How often a leader was elected after the first. */
-export const leaders = (w: World): number => (w.said.get('elected leader') ?? 0) - 1;
+export const leaders = (w: Simulation): number => (w.said.get('elected leader') ?? 0) - 1;
 /** How often a leader went on after a gap in its lease. */
-export const gaps = (w: World): number => w.said.get('lease renewed after a gap') ?? 0;
+export const gaps = (w: Simulation): number => w.said.get('lease renewed after a gap') ?? 0;
 /** How many jobs had tasks on machines when their users were told of the cancellation. */
-export const cancelled = (w: World): number => w.rules.cancelledRunning.length;
+export const cancelled = (w: Simulation): number => w.checker.cancelledRunning.length;
 /** How often a worker's lease ran out. */
-export const leasesLost = (w: World): number => w.leasesLost;
+export const leasesLost = (w: Simulation): number => w.leasesLost;
--- a/test/world/meetings.ts
+++ b/test/simulation/fault-scenarios.ts
@@ -1,14 +1,21 @@
-import { cancelled, gaps, leaders, leasesLost, long, type Meeting } from './meeting.js';
-import { shrinking } from './scenario.js';
-import type { Trouble } from './troubles.js';
+import {
+  cancelled,
+  gaps,
+  leaders,
+  leasesLost,
+  longJobs,
+  type FaultScenario,
+} from './fault-scenario.js';
+import { shrinking } from './deployment.js';
+import type { Fault } from './faults.js';
 
 /** Cancellations, outages, silent machines and late messages, around changes of the leader. */
-export const meetings: Meeting[] = [
+export const faultScenarios: FaultScenario[] = [
   {
     name: 'cancelled while the leader alone is refused, then an outage longer than cancel_s',
-    jobs: long,
+    jobs: longJobs,
     count: 14,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'refused', who: 'leader', at: 0, for: between(3, 25) },
       { kind: 'cancelled', count: 6, elsewhere: true, at: between(0.2, 1.8) },
       { kind: 'outage', at: between(2, 4), for: between(46, 130) },
@@ -20,9 +27,9 @@
   },
   {
     name: 'cancelled while the leader is refused and cut from its peers, then a shorter outage',
-    jobs: long,
+    jobs: longJobs,
     count: 14,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'refused', who: 'leader', at: 0, for: 2.5 },
       { kind: 'peers refused', at: 0, for: 60 },
       { kind: 'cancelled', count: 6, elsewhere: true, at: between(0.1, 0.8), hang: 8 },
@@ -33,9 +40,9 @@
   },
   {
     name: 'a leader whose renewals go through and whose watches do not',
-    jobs: long,
+    jobs: longJobs,
     count: 14,
-    troubles: () => [
+    faults: () => [
       { kind: 'unwatched', who: 'leader', at: 0, for: 100 },
       { kind: 'peers refused', at: 0, for: 100 },
       { kind: 'cancelled', count: 6, elsewhere: true, at: 1 },
@@ -44,9 +51,9 @@
   },
   {
     name: 'a leader that stands still while jobs are called off elsewhere, and goes on',
-    jobs: long,
+    jobs: longJobs,
     count: 14,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'standing still', who: 'leader', at: 0, for: between(1, 2.5) },
       { kind: 'cancelled', count: 4, elsewhere: true, at: 0.2, hang: 15 },
       { kind: 'standing still', who: 'leader', at: 20, for: between(5, 40) },
@@ -59,7 +66,7 @@
     name: 'tasks that end far apart, and leaders that change meanwhile',
     jobs: { tasks: 3, kind: 'array', estimateS: 40 },
     count: 14,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'ended', who: 'leader', back: 6, at: between(0, 5) },
       { kind: 'machines cut', share: 0.3, at: between(5, 10), for: between(5, 40) },
       { kind: 'ended', who: 'leader', back: between(0.1, 0.6), at: between(20, 30) },
@@ -70,7 +77,7 @@
     name: 'gangs of two and three, and leaders that change as they end',
     jobs: { tasks: 2, kind: 'gang', estimateS: 25, cpus: 1, gpus: 1, memoryGb: 1 },
     count: 14,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'machines cut', share: 0.3, at: between(2, 10), for: between(5, 40) },
       { kind: 'ended', who: 'leader', back: 6, at: between(5, 20) },
       { kind: 'late reports', share: 0.3, at: 0, for: 60 },
@@ -80,9 +87,9 @@
   },
   {
     name: 'slow answers of the state service, refusal and outage while users cancel and ask',
-    jobs: long,
+    jobs: longJobs,
     count: 14,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'slow', at: 0, for: 60 },
       { kind: 'late writes', share: 0.5, at: 0, for: 20 },
       { kind: 'cancelled', count: 3, at: 1 },
@@ -98,9 +105,9 @@
   },
   {
     name: 'all controllers away for longer than lease_s',
-    jobs: long,
+    jobs: longJobs,
     count: 14,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'cancelled', count: 3, at: 0 },
       { kind: 'ended', who: 'all', back: between(21, 50), at: between(0.05, 1) },
       { kind: 'machines hang', share: 0.3, at: 0, for: between(15, 60) },
@@ -109,9 +116,9 @@
   },
   {
     name: 'a leader with its workers and users, without state service and peers',
-    jobs: long,
+    jobs: longJobs,
     count: 14,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'isolated', who: 'leader', at: 0, for: between(10, 60) },
       { kind: 'cancelled', count: 3, elsewhere: true, at: 1 },
       { kind: 'cancelled', count: 4, elsewhere: true, at: between(4, 8) },
@@ -123,8 +130,8 @@
     name: 'commands and answers held up for seconds',
     jobs: { estimateS: 15 },
     count: 20,
-    troubles: (between) =>
-      [0, 15, 30, 45].flatMap((at): Trouble[] => [
+    faults: (between) =>
+      [0, 15, 30, 45].flatMap((at): Fault[] => [
         { kind: 'commands held', share: 0.4, at, for: between(2, 30) },
         { kind: 'answers held', share: 0.4, at: at + 3, for: between(2, 30) },
         { kind: 'cancelled', count: 2, at: at + 4, hang: between(1, 20) },
@@ -136,17 +143,17 @@
     name: 'more work than room',
     jobs: { estimateS: 30 },
     count: 60,
-    troubles: () => [
+    faults: () => [
       { kind: 'machines lost', share: 0.3, at: 5 },
       { kind: 'slow', at: 0, for: 60 },
     ],
-    happened: (w) => ({ started: w.rules.started }),
+    happened: (w) => ({ started: w.checker.started }),
   },
   {
     name: 'a team at its limit, a new leader, machines that cannot be asked, a cancellation',
     jobs: { estimateS: 100, team: 'red', kind: 'array', tasks: 10, gpus: 1, cpus: 1, memoryGb: 1 },
     count: 4,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'machines cut', share: 0.5, at: 0, for: between(10, 50) },
       { kind: 'ended', who: 'leader', back: 6, at: between(0.2, 3) },
       { kind: 'cancelled', count: 2, at: between(1, 8) },
@@ -158,7 +165,7 @@
     name: 'machines that reach no controller while commands reach them, and the reverse',
     jobs: { estimateS: 30 },
     count: 20,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'machines mute', share: 0.6, at: 0, for: between(10, 40) },
       { kind: 'cancelled', count: 3, at: between(1, 10) },
       { kind: 'jobs', count: 6, at: 5 },
@@ -176,7 +183,7 @@
     name: 'old reports after newer ones, of earlier sessions and attempts, at new leaders',
     jobs: { estimateS: 15 },
     count: 25,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'late reports', share: 0.5, at: 0, for: 90 },
       { kind: 'machines cut', share: 0.4, at: 5, for: between(21, 40) },
       { kind: 'ended', who: 'leader', back: 6, at: between(10, 20) },
@@ -191,7 +198,7 @@
     name: 'jobs bound to one zone lose machines',
     jobs: { estimateS: 40, oneZone: true, spread: false, zone: null, types: null, tasks: 3 },
     count: 14,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'machines cut', share: 0.5, at: 3, for: between(20, 60) },
       { kind: 'machines lost', share: 0.2, at: between(5, 20) },
       { kind: 'ended', who: 'leader', back: 6, at: between(10, 25) },
@@ -202,7 +209,7 @@
     name: 'controllers hand over and back, all end, one returns',
     jobs: { estimateS: 40 },
     count: 16,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'no workers', who: 'leader', at: 0, for: 20 },
       { kind: 'no workers', who: 'leader', at: 25, for: 15 },
       { kind: 'ended', who: 'others', back: 30, at: 45 },
@@ -213,9 +220,9 @@
   },
   {
     name: 'a leader ends while machines cannot be reached or do not hear the next one',
-    jobs: long,
+    jobs: longJobs,
     count: 12,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'machines cut', share: 0.4, at: 0, for: between(25, 50) },
       { kind: 'machines deaf', share: 0.5, at: 1, for: between(30, 50) },
       { kind: 'ended', who: 'leader', back: between(0.2, 6), at: 2 },
@@ -227,7 +234,7 @@
     name: 'transactions carried out late, after newer ones',
     jobs: { estimateS: 15 },
     count: 20,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'late writes', share: 0.4, at: 0, for: 60 },
       { kind: 'cancelled', count: 3, at: 2 },
       { kind: 'ended', who: 'leader', back: 0.3, at: between(10, 15) },
@@ -245,9 +252,9 @@
   },
   {
     name: 'a zone with workers and the leader is cut off for longer than lease_s',
-    jobs: long,
+    jobs: longJobs,
     count: 16,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'zone cut', zone: 'a', inside: 'leader', at: 0, for: between(21, 70) },
       { kind: 'cancelled', count: 5, elsewhere: true, at: between(4, 12) },
       { kind: 'jobs', count: 6, at: 8 },
@@ -258,11 +265,14 @@
     name: 'cancellations, questions and repeats at the end of the last task',
     jobs: { estimateS: 10 },
     count: 25,
-    troubles: () => [
+    faults: () => [
       { kind: 'cancelled at the end', share: 0.6, at: 0, for: 90 },
       { kind: 'odd requests', at: 0, for: 90 },
     ],
-    happened: (w) => ({ done: w.rules.endedAs('done'), cancelled: w.rules.endedAs('cancelled') }),
+    happened: (w) => ({
+      done: w.checker.endedAs('done'),
+      cancelled: w.checker.endedAs('cancelled'),
+    }),
   },
   {
     name: 'services lose replicas, machines and leaders, and are called off',
@@ -278,7 +288,7 @@
       ...{ cpus: 1, gpus: 0, memoryGb: 1, priority: 'production', checkpointS: 0, saveS: 0 },
     },
     count: 8,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'machines lost', share: 0.3, at: between(1, 5) },
       { kind: 'ended', who: 'leader', back: between(0.2, 6), at: 6 },
       { kind: 'cancelled', count: 2, at: 10, hang: 15 },
@@ -298,10 +308,10 @@
   },
   {
     name: 'the limits of the state service fall amid commits, takeovers and an outage',
-    scenario: shrinking,
+    deployment: shrinking,
     jobs: { estimateS: 15, gpus: 0, cpus: 1, memoryGb: 1 },
     count: 40,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'jobs', count: 30, at: between(0, 2) },
       { kind: 'ended', who: 'leader', back: between(0.2, 3), at: between(1, 3) },
       { kind: 'limits fall', at: between(2, 5) },
@@ -321,9 +331,9 @@
   },
   {
     name: 'ten leaders in two minutes, also inside an outage',
-    jobs: long,
+    jobs: longJobs,
     count: 16,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'elections', at: 0, for: 110 },
       { kind: 'outage', at: between(20, 60), for: between(5, 40) },
       { kind: 'cancelled', count: 4, at: between(3, 15) },
--- a/test/world/troubles.ts
+++ b/test/simulation/faults.ts
@@ -2,9 +2,9 @@
 import { closeLooks } from './close-looks.js';
 import { NEW_MACHINE_MS } from './happenings.js';
 import { oddRequests } from './odd-requests.js';
-import type { World } from './world.js';
+import type { Simulation } from './simulation.js';
 
-/** Whom a trouble is about, as of when it begins. */
+/** Whom a fault is about, as of when it begins. */
 type Who = 'leader' | 'others' | 'all';
 
 interface Base {
@@ -14,7 +14,7 @@
 }
 
 /** What a scripted day may bring; seconds, and shares of the machines. */
-export type Trouble = Base &
+export type Fault = Base &
   (
     | { kind: 'refused'; who: Who }
     | { kind: 'unwatched'; who: Who }
@@ -41,40 +41,40 @@
     | { kind: 'jobs'; count: number; like?: Partial<JobSpec> }
   );
 
-function hostsOf(world: World, who: Who): string[] {
-  const { leader, hosts } = world;
+function hostsOf(simulation: Simulation, who: Who): string[] {
+  const { leader, hosts } = simulation;
   if (who === 'all') return [...hosts];
   return hosts.filter((h) => (who === 'leader') === (h === leader));
 }
 
 /** Workers on a share of the machines, at least one. */
-function some(world: World, share: number): World['workers'] {
-  const all = world.workers;
-  const chosen = all.filter(() => world.sim.random() < share);
+function some(simulation: Simulation, share: number): Simulation['workers'] {
+  const all = simulation.workers;
+  const chosen = all.filter(() => simulation.sim.random() < share);
   return chosen.length > 0 ? chosen : all.slice(0, 1);
 }
 
 /** Calls off jobs that run, within a fifth of a second; their machines may hang or be cut at that moment. */
-function cancel(world: World, t: Trouble & { kind: 'cancelled' }): void {
-  const { sim } = world;
+function cancel(simulation: Simulation, t: Fault & { kind: 'cancelled' }): void {
+  const { sim } = simulation;
   const hangMs = (t.hang ?? 0) * 1000;
   const cutMs = (t.cut ?? 0) * 1000;
-  const others = hostsOf(world, 'others');
-  for (const id of world.rules.running().slice(0, t.count)) {
+  const others = hostsOf(simulation, 'others');
+  for (const id of simulation.checker.running().slice(0, t.count)) {
     const host = t.elsewhere === true ? sim.pick(others) : undefined;
     sim.after(sim.between(0, 200), () => {
-      for (const worker of world.workersOf(id)) {
+      for (const worker of simulation.workersOf(id)) {
         if (hangMs > 0) worker.hang(hangMs);
-        if (cutMs > 0) world.connectionFaults.cutMachine(worker, cutMs);
+        if (cutMs > 0) simulation.connectionFaults.cutMachine(worker, cutMs);
       }
-      world.cancel(id, host);
+      simulation.cancel(id, host);
     });
   }
 }
 
 /** Ends the leader a moment after a new machine is up, or has been given its first task. */
-function endBesideNewMachines(world: World, backMs: number, ms: number): void {
-  const { sim, cloud, rules } = world;
+function endBesideNewMachines(simulation: Simulation, backMs: number, ms: number): void {
+  const { sim, cloud, checker } = simulation;
   const until = sim.now + ms;
   let planned = false;
   const end = (withinMs: number): void => {
@@ -82,92 +82,94 @@
     planned = true;
     sim.after(sim.between(0, withinMs), () => {
       planned = false;
-      const { leader } = world;
+      const { leader } = simulation;
       if (leader === null) return;
-      world.happenings.note('leader ended beside a new machine');
-      world.kill(leader, backMs);
+      simulation.happenings.note('leader ended beside a new machine');
+      simulation.kill(leader, backMs);
     });
   };
   cloud.onUp.push(() => end(1500));
-  rules.onStart.push(({ machine }) => {
+  checker.onStart.push(({ machine }) => {
     if (cloud.ageMs(machine) < NEW_MACHINE_MS) end(300);
   });
 }
 
 /** Keeps copies of reports; they arrive at every node after the next election. */
-function keepReports(world: World, share: number, afterMs: number, ms: number): void {
-  const { net, sim } = world;
+function keepReports(simulation: Simulation, share: number, afterMs: number, ms: number): void {
+  const { net, sim } = simulation;
   const until = sim.now + ms;
   net.keptReports = share;
   sim.after(ms, () => {
     net.keptReports = 0;
   });
-  world.onLog.push((text) => {
+  simulation.onLog.push((text) => {
     if (text === 'elected leader' && sim.now <= until)
       net.deliverKept(
-        world.hosts.map((host) => world.apiOf(host)),
+        simulation.hosts.map((host) => simulation.apiOf(host)),
         afterMs,
       );
   });
 }
 
 /** Calls off running jobs in the seconds after a leader has given up the lead. */
-function cancelAtHandOvers(world: World, count: number, ms: number): void {
-  const { sim, rules } = world;
+function cancelAtHandOvers(simulation: Simulation, count: number, ms: number): void {
+  const { sim, checker } = simulation;
   const until = sim.now + ms;
-  world.onLog.push((text) => {
+  simulation.onLog.push((text) => {
     if (text !== 'no longer leader' || sim.now > until) return;
-    for (const id of rules.running().slice(0, count))
-      sim.after(sim.between(0, 2500), () => world.cancel(id, sim.pick(world.hosts)));
+    for (const id of checker.running().slice(0, count))
+      sim.after(sim.between(0, 2500), () => simulation.cancel(id, sim.pick(simulation.hosts)));
   });
 }
 
 /** Jobs come at a steady rate; a share of them is cancelled before, while or after they run. */
-function stream(world: World, t: Trouble & { kind: 'stream' }): void {
-  const { sim } = world;
+function stream(simulation: Simulation, t: Fault & { kind: 'stream' }): void {
+  const { sim } = simulation;
   const everyMs = 1000 / t.perSecond;
   for (let at = 0; at < (t.for ?? 0) * 1000; at += everyMs)
     sim.after(at, () => {
       const cancelAfterMs = sim.random() < t.cancelled ? sim.between(0, 12_000) : null;
-      world.user(world.job(t.like), cancelAfterMs);
+      simulation.user(simulation.job(t.like), cancelAfterMs);
     });
 }
 
-/** Brings the troubles about, each at its time from now. */
-export function bring(world: World, troubles: readonly Trouble[]): void {
-  for (const t of troubles) world.sim.after(t.at * 1000, () => begin(world, t));
+/** Injects the faults, each at its time from now. */
+export function injectFaults(simulation: Simulation, faults: readonly Fault[]): void {
+  for (const t of faults) simulation.sim.after(t.at * 1000, () => begin(simulation, t));
 }
 
-function begin(world: World, t: Trouble): void {
+function begin(simulation: Simulation, t: Fault): void {
   const ms = (t.for ?? 0) * 1000;
-  const { sim, net, state } = world;
+  const { sim, net, state } = simulation;
   switch (t.kind) {
     case 'refused':
-      return hostsOf(world, t.who).forEach((h) => state.refuse(h, ms));
+      return hostsOf(simulation, t.who).forEach((h) => state.refuse(h, ms));
     case 'unwatched':
-      return hostsOf(world, t.who).forEach((h) => state.refuseWatches(h, ms));
+      return hostsOf(simulation, t.who).forEach((h) => state.refuseWatches(h, ms));
     case 'outage':
       return state.outage(ms);
     case 'limits fall':
-      return state.lower(world.limitsToCome);
+      return state.lower(simulation.limitsToCome);
     case 'slow':
       return state.slow(ms);
     case 'peers refused':
-      return world.connectionFaults.refusePeers(ms);
+      return simulation.connectionFaults.refusePeers(ms);
     case 'elections':
-      return world.processes.killElected(10, ms);
+      return simulation.processes.killElected(10, ms);
     case 'isolated':
-      return hostsOf(world, t.who).forEach((h) => world.connectionFaults.isolate(h, ms));
+      return hostsOf(simulation, t.who).forEach((h) => simulation.connectionFaults.isolate(h, ms));
     case 'standing still':
-      return hostsOf(world, t.who).forEach((h) => world.processes.freeze(h, ms));
+      return hostsOf(simulation, t.who).forEach((h) => simulation.processes.freeze(h, ms));
     case 'no workers':
-      return hostsOf(world, t.who).forEach((h) => world.connectionFaults.cutFromWorkers(h, ms));
+      return hostsOf(simulation, t.who).forEach((h) =>
+        simulation.connectionFaults.cutFromWorkers(h, ms),
+      );
     case 'ended':
-      return hostsOf(world, t.who).forEach((h) => world.kill(h, t.back * 1000));
+      return hostsOf(simulation, t.who).forEach((h) => simulation.kill(h, t.back * 1000));
     case 'quick boots':
-      return world.cloud.bootQuickly(ms);
+      return simulation.cloud.bootQuickly(ms);
     case 'everyone asks':
-      return world.users.everyoneAsks(1000, ms);
+      return simulation.users.everyoneAsks(1000, ms);
     case 'slow links':
       net.latencyMs = 400;
       sim.after(ms, () => {
@@ -175,7 +177,7 @@
       });
       return;
     case 'ended beside new machines':
-      return endBesideNewMachines(world, t.back * 1000, ms);
+      return endBesideNewMachines(simulation, t.back * 1000, ms);
     case 'lost answers':
       return state.loseAnswers(t.share, ms);
     case 'late commands':
@@ -185,15 +187,15 @@
       });
       return;
     case 'reports for the next leader':
-      return keepReports(world, t.share, t.after * 1000, ms);
+      return keepReports(simulation, t.share, t.after * 1000, ms);
     case 'machines restart':
-      return some(world, t.share).forEach((w) => w.restart(t.back * 1000));
+      return some(simulation, t.share).forEach((w) => w.restart(t.back * 1000));
     case 'cancelled at hand-overs':
-      return cancelAtHandOvers(world, t.count, ms);
+      return cancelAtHandOvers(simulation, t.count, ms);
     case 'close looks':
-      return closeLooks(world, t.cancelled, ms);
+      return closeLooks(simulation, t.cancelled, ms);
     case 'stream':
-      return stream(world, t);
+      return stream(simulation, t);
     case 'late writes':
       return state.delayWrites(t.share, ms);
     case 'late reports':
@@ -203,37 +205,41 @@
       });
       return;
     case 'machines cut':
-      return world.machineFaults.cut(t.share, ms);
+      return simulation.machineFaults.cut(t.share, ms);
     case 'machines deaf':
-      return some(world, t.share).forEach((w) => world.connectionFaults.deafen(w, ms, 'reset'));
+      return some(simulation, t.share).forEach((w) =>
+        simulation.connectionFaults.deafen(w, ms, 'reset'),
+      );
     case 'machines mute':
-      return some(world, t.share).forEach((w) => w.mute(ms));
+      return some(simulation, t.share).forEach((w) => w.mute(ms));
     case 'machines lost':
-      return some(world, t.share).forEach((w) => w.die());
+      return some(simulation, t.share).forEach((w) => w.die());
     case 'machines hang':
-      return some(world, t.share).forEach((w) => w.hang(ms));
+      return some(simulation, t.share).forEach((w) => w.hang(ms));
     case 'commands held':
-      return some(world, t.share).forEach((w) => world.connectionFaults.deafen(w, ms, 'hold'));
+      return some(simulation, t.share).forEach((w) =>
+        simulation.connectionFaults.deafen(w, ms, 'hold'),
+      );
     case 'answers held':
-      return some(world, t.share).forEach((w) => world.connectionFaults.hush(w, ms));
+      return some(simulation, t.share).forEach((w) => simulation.connectionFaults.hush(w, ms));
     case 'zone cut':
-      return world.connectionFaults.cutZone(
+      return simulation.connectionFaults.cutZone(
         t.zone,
-        hostsOf(world, t.inside === 'leader' ? 'leader' : 'others')[0] ?? '',
+        hostsOf(simulation, t.inside === 'leader' ? 'leader' : 'others')[0] ?? '',
         ms,
       );
     case 'cancelled':
-      return cancel(world, t);
+      return cancel(simulation, t);
     case 'cancelled at the end': {
       const until = sim.now + ms;
-      world.rules.onLastTask.push((id) => {
-        if (sim.now <= until && sim.random() < t.share) world.cancel(id);
+      simulation.checker.onLastTask.push((id) => {
+        if (sim.now <= until && sim.random() < t.share) simulation.cancel(id);
       });
       return;
     }
     case 'odd requests':
-      return oddRequests(world, ms);
+      return oddRequests(simulation, ms);
     case 'jobs':
-      for (let i = 0; i < t.count; i++) world.user(world.job(t.like ?? {}), null);
+      for (let i = 0; i < t.count; i++) simulation.user(simulation.job(t.like ?? {}), null);
   }
 }
--- a/test/world/happenings.ts
+++ b/test/simulation/happenings.ts
@@ -1,4 +1,4 @@
-import type { World } from './world.js';
+import type { Simulation } from './simulation.js';
 
 /** What a scripted day may come to; tests assert that it did. */
 export type Happening =
@@ -33,34 +33,34 @@
 const HAND_OVER_REASONS = ['no view of the jobs', 'workers do not reach this node'];
 
 /** Notes combinations of faults as they come about. */
-export function observe(world: World): void {
-  const { rules, sim, state, happenings } = world;
+export function observe(simulation: Simulation): void {
+  const { checker, sim, state, happenings } = simulation;
   let cancelledAt = -Infinity;
   let handedOverAt = -Infinity;
   const handOver = (): void => {
     if (Math.abs(cancelledAt - handedOverAt) <= HAND_OVER_MS)
       happenings.note('cancelled at a hand-over');
   };
-  rules.onNews.push((_, news) => {
+  checker.onNews.push((_, news) => {
     if (news !== 'cancelled') return;
     cancelledAt = sim.now;
     handOver();
-    const { leader } = world;
+    const { leader } = simulation;
     if (leader !== null && state.refuses(leader))
       happenings.note('cancelled while the leader alone is refused');
-    if (rules.everyTeamAtLimit) happenings.note('cancelled with every team at its limit');
+    if (checker.everyTeamAtLimit) happenings.note('cancelled with every team at its limit');
   });
-  world.processes.onKill.push((_, leads) => {
-    if (leads && rules.everyTeamAtLimit)
+  simulation.processes.onKill.push((_, leads) => {
+    if (leads && checker.everyTeamAtLimit)
       happenings.note('leader ended with every team at its limit');
   });
-  world.onLog.push((text, fields) => {
+  simulation.onLog.push((text, fields) => {
     const { reason } = fields as { reason?: string };
     if (text !== 'no longer leader' || !HAND_OVER_REASONS.includes(reason ?? '')) return;
     handedOverAt = sim.now;
     handOver();
   });
-  rules.onStart.push(({ machine }) => {
-    if (world.cloud.ageMs(machine) < NEW_MACHINE_MS) happenings.note('work on a new machine');
+  checker.onStart.push(({ machine }) => {
+    if (simulation.cloud.ageMs(machine) < NEW_MACHINE_MS) happenings.note('work on a new machine');
   });
 }
--- a/test/world/machine-context.ts
+++ b/test/simulation/machine-context.ts
@@ -3,7 +3,7 @@
 import type { Gangs } from './gangs.js';
 import type { Happenings } from './happenings.js';
 import type { Network } from './network.js';
-import type { Rules } from './rules.js';
+import type { RuleChecker } from './rule-checker.js';
 import type { Sim } from './sim.js';
 
 /** Periods that the platform gives to workers, in milliseconds. */
@@ -18,7 +18,7 @@
 export interface MachineContext {
   sim: Sim;
   net: Network;
-  rules: Rules;
+  checker: RuleChecker;
   settings: WorkerSettings;
   /** Controllers' API by host name. */
   controllers: string[];
--- a/test/world/odd-requests.ts
+++ b/test/simulation/odd-requests.ts
@@ -1,6 +1,6 @@
 /** Requests that users should not send. */
 import { writeJob, type JobSpec } from '../../src/controller/wire/jobs.js';
-import type { World } from './world.js';
+import type { Simulation } from './simulation.js';
 
 /** Time between two such requests. */
 const BETWEEN_MS = { least: 300, most: 900 };
@@ -8,30 +8,30 @@
 const TOO_MANY_CORES = 1e6;
 
 /** For a time users repeat, cancel what is done, ask for what can't run or leave a field out. */
-export function oddRequests(world: World, ms: number): void {
-  const { sim, rules, users } = world;
+export function oddRequests(simulation: Simulation, ms: number): void {
+  const { sim, checker, users } = simulation;
   const until = sim.now + ms;
   const again = (): void => {
     if (sim.now > until) return;
     sim.after(sim.between(BETWEEN_MS.least, BETWEEN_MS.most), again);
-    const known = rules.known();
+    const known = checker.known();
     const id = known.length > 0 ? sim.pick(known) : '';
     const spec = users.specOf(id);
     if (spec === undefined) return;
-    if (rules.toldDone(id)) users.cancel(id);
+    if (checker.toldDone(id)) users.cancel(id);
     else if (sim.random() < 0.5) users.repeat(id);
-    else submitOdd(world, spec);
+    else submitOdd(simulation, spec);
   };
   again();
 }
 
 /** Submits a job like the one given that can't run or lacks a field. */
-function submitOdd(world: World, spec: JobSpec): void {
-  const { sim, rules, users } = world;
+function submitOdd(simulation: Simulation, spec: JobSpec): void {
+  const { sim, checker, users } = simulation;
   const odd = writeJob({ ...spec, id: `req-odd-${users.nextNumber()}` });
   if (sim.random() < 0.5) odd['cores'] = TOO_MANY_CORES;
   else Reflect.deleteProperty(odd, sim.pick(['duties', 'loaners', 'scatter', 'expect_s']));
   users.ask('POST', '/submissions', odd, (status) => {
-    if (status === 200 || status === 201) rules.acceptedOdd(String(odd['id']));
+    if (status === 200 || status === 201) checker.acceptedOdd(String(odd['id']));
   });
 }
--- /dev/null
+++ b/test/simulation/play-scenario.ts
@@ -0,0 +1,68 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import type { FaultScenario } from './fault-scenario.js';
+import { small } from './deployment.js';
+import { injectFaults } from './faults.js';
+import { present, type Version } from './version.js';
+import { Simulation } from './simulation.js';
+
+/** Work runs by then, and all faults begin and end within this time after. */
+const START_MS = 15_000;
+const FAULTS_MS = 200_000;
+/** Quiet time in which the work has to be finished, and no rule may break. */
+const QUIET_MS = 400_000;
+
+/** Plays the day of a scenario in quiet surroundings; throws where a rule is broken. */
+export function playScenario(
+  scenario: FaultScenario,
+  seed: number,
+  version: Version = present(),
+): Simulation {
+  const quiet = { everyMs: Infinity, doubled: 0.01, errors: 0, bootFails: 0 };
+  const simulation = new Simulation(
+    scenario.deployment ?? small,
+    seed,
+    quiet,
+    undefined,
+    () => version,
+  );
+  const { sim } = simulation;
+  for (let i = 0; i < scenario.count; i++)
+    sim.after(sim.between(0, START_MS / 2), () =>
+      simulation.user(simulation.job(scenario.jobs), null),
+    );
+  simulation.play(START_MS);
+  injectFaults(
+    simulation,
+    scenario.faults((from, to) => sim.between(from, to)),
+  );
+  simulation.play(FAULTS_MS);
+  simulation.calmDown(0);
+  simulation.play(QUIET_MS);
+  return simulation;
+}
+
+const SEEDS = Number(process.env['SCENARIO_SEEDS'] ?? 3);
+const FIRST = Number(process.env['SCENARIO_FIRST'] ?? 1);
+
+function playSeed(scenario: FaultScenario, seed: number): void {
+  const simulation = playScenario(scenario, seed);
+  assert.deepEqual(simulation.checker.unfinished(), [], 'never finished');
+  for (const [what, times] of Object.entries(scenario.happened(simulation)))
+    assert.ok(times > 0, `${what} did not happen`);
+}
+
+/** Makes a test of each scenario, which plays it with several seeds. */
+export function testScenarios(title: string, faultScenarios: readonly FaultScenario[]): void {
+  describe(title, () => {
+    for (const scenario of faultScenarios)
+      it(scenario.name, () => {
+        for (let seed = FIRST; seed < FIRST + SEEDS; seed++)
+          try {
+            playSeed(scenario, seed);
+          } catch (err) {
+            throw new Error(`seed ${seed}: ${(err as Error).message}`, { cause: err });
+          }
+      });
+  });
+}
--- a/test/world/processes.ts
+++ b/test/simulation/processes.ts
@@ -4,7 +4,7 @@
 import { oneOf } from '../platform.js';
 import type { Network } from './network.js';
 import { ProcessEnv } from './process-env.js';
-import type { Scenario } from './scenario.js';
+import type { Deployment } from './deployment.js';
 import type { Sim } from './sim.js';
 import type { Version } from './version.js';
 
@@ -35,7 +35,7 @@
   constructor(
     private readonly sim: Sim,
     private readonly net: Network,
-    private readonly deployment: Scenario,
+    private readonly deployment: Deployment,
     private readonly apiOf: (host: string) => string,
     private readonly log: Logger,
     /** What a host's process runs; asked whenever one starts. */
--- a/test/world/random-faults.ts
+++ b/test/simulation/random-faults.ts
@@ -1,6 +1,6 @@
 /** Faults of every kind at random times. */
 import type { Worker } from './worker.js';
-import type { World } from './world.js';
+import type { Simulation } from './simulation.js';
 
 /** Spot machines are taken so long after the notice. */
 const RECALL_MS = 10_000;
@@ -14,7 +14,7 @@
   restartMs: number;
 }
 
-type RandomFault = (world: World, draw: Draw) => void;
+type RandomFault = (simulation: Simulation, draw: Draw) => void;
 
 /** Kinds of faults, each as likely as the others. */
 const RANDOM_FAULTS: readonly RandomFault[] = [
@@ -42,36 +42,36 @@
 ];
 
 /** Injects a fault every now and then, until the simulation is calm. */
-export function injectRandomFaults(world: World, everyMs: number): void {
-  const { sim } = world;
+export function injectRandomFaults(simulation: Simulation, everyMs: number): void {
+  const { sim } = simulation;
   sim.after(everyMs * sim.between(0.3, 1.7), () => {
-    if (world.calm) return;
-    injectRandomFault(world);
-    injectRandomFaults(world, everyMs);
+    if (simulation.calm) return;
+    injectRandomFault(simulation);
+    injectRandomFaults(simulation, everyMs);
   });
 }
 
-function injectRandomFault(world: World): void {
-  const { sim, hosts, workers } = world;
+function injectRandomFault(simulation: Simulation): void {
+  const { sim, hosts, workers } = simulation;
   const draw: Draw = {
     host: sim.pick(hosts),
     worker: workers.length > 0 ? sim.pick(workers) : undefined,
     durationMs: sim.between(1000, 45_000),
     restartMs: sim.random() < 0.3 ? sim.between(100, 600) : RESTART_MS,
   };
-  sim.pick(RANDOM_FAULTS)(world, draw);
+  sim.pick(RANDOM_FAULTS)(simulation, draw);
 }
 
-function cutWorker({ connectionFaults, hosts }: World, { worker, durationMs }: Draw): void {
+function cutWorker({ connectionFaults, hosts }: Simulation, { worker, durationMs }: Draw): void {
   if (worker === undefined) return;
   for (const host of hosts) connectionFaults.cutFor(host, worker.id, durationMs);
 }
 
-function deafenWorker({ connectionFaults }: World, { worker, durationMs }: Draw): void {
+function deafenWorker({ connectionFaults }: Simulation, { worker, durationMs }: Draw): void {
   if (worker !== undefined) connectionFaults.deafen(worker, durationMs);
 }
 
-function recallSpotMachine({ cloud, sim }: World, { worker }: Draw): void {
+function recallSpotMachine({ cloud, sim }: Simulation, { worker }: Draw): void {
   if (worker?.spot !== true) return;
   worker.warn(RECALL_MS);
   sim.after(RECALL_MS, () => cloud.take(worker.id));
--- a/test/world/rules.ts
+++ b/test/simulation/rule-checker.ts
@@ -14,15 +14,15 @@
 import { hasRoom, tasksToStart } from './room.js';
 import { TeamUsage } from './team-usage.js';
 
-/** Troubles over, no job may wait longer than this beside room for it. */
+/** Faults over, no job may wait longer than this beside room for it. */
 const WAITING_MS = 90_000;
 /** And no service may lack a replica for longer. */
 const REPLICA_MS = 30_000;
-/** After this time without any answer a job counts as forgotten, once troubles are over. */
+/** After this time without any answer a job counts as forgotten, once faults are over. */
 const UNANSWERED_MS = 75_000;
 
 /** Is told what happens to jobs and tasks, and notes each rule that it breaks. */
-export class Rules {
+export class RuleChecker {
   /** Rules that were broken, with the time and the detail. */
   readonly broken: string[] = [];
   private readonly jobs = new Map<string, JobRecord>();
@@ -31,7 +31,7 @@
   private readonly usage: TeamUsage;
   /** Cancelled jobs of which tasks may still be on machines. */
   private readonly leaving = new Set<JobRecord>();
-  /** Set once the last trouble is over. */
+  /** Set once the last fault is over. */
   calmAt: number | null = null;
   /** How many tasks have begun on a machine. */
   started = 0;
@@ -132,7 +132,7 @@
       this.fail('went_back', `${id} cancelled, then ${state}`);
   }
 
-  /** The operators' rule: troubles over, no job may go unanswered for long, however others fare. */
+  /** The operators' rule: faults over, no job may go unanswered for long, however others fare. */
   private checkAnswered(job: JobRecord): void {
     if (this.calmAt === null || job.unansweredFrom === null) return;
     const from = Math.max(this.calmAt, job.unansweredFrom);
@@ -226,7 +226,7 @@
     this.fail('accepted_odd', id);
   }
 
-  /** The operators' rule: troubles over, no job waits for long beside room for it, within its limit. */
+  /** The operators' rule: faults over, no job waits for long beside room for it, within its limit. */
   waiting(free: readonly FreeRoom[]): void {
     for (const job of this.jobs.values()) {
       const { spec } = job;
--- a/test/world/world.ts
+++ b/test/simulation/simulation.ts
@@ -12,8 +12,8 @@
 import { Network } from './network.js';
 import { ControllerProcesses } from './processes.js';
 import { injectRandomFaults } from './random-faults.js';
-import { Rules } from './rules.js';
-import type { Scenario } from './scenario.js';
+import { RuleChecker } from './rule-checker.js';
+import type { Deployment } from './deployment.js';
 import { Sim } from './sim.js';
 import { StateService } from './state-service.js';
 import { UserPopulation } from './user-population.js';
@@ -50,12 +50,12 @@
 }
 
 /** The controllers of a deployment with all that is around them, in virtual time. */
-export class World {
+export class Simulation {
   readonly sim: Sim;
   readonly net: Network;
   readonly state: StateService;
   readonly cloud: Cloud;
-  readonly rules: Rules;
+  readonly checker: RuleChecker;
   private readonly context: MachineContext;
   readonly happenings = new Happenings();
   readonly processes: ControllerProcesses;
@@ -68,7 +68,7 @@
   calm = false;
 
   constructor(
-    private readonly deployment: Scenario,
+    private readonly deployment: Deployment,
     seed: number,
     rates: FaultRates,
     log: Logger = noLog,
@@ -83,7 +83,7 @@
     this.net = new Network(this.sim);
     this.net.doubled = rates.doubled;
     this.net.latestMs = workers.leaseS * 1000 * LATEST_COPY_LEASES;
-    this.rules = new Rules(platform.teams, workers.cancelS * 1000, () => this.sim.now);
+    this.checker = new RuleChecker(platform.teams, workers.cancelS * 1000, () => this.sim.now);
     this.state = new StateService(this.sim, this.net, state, stateLimits, deployment.page);
     this.context = this.machineContext(platform, rates);
     this.users = this.userPopulation();
@@ -107,7 +107,7 @@
     return {
       sim: this.sim,
       net: this.net,
-      rules: this.rules,
+      checker: this.checker,
       settings: {
         reportMs: workers.reportS * 1000,
         leaseMs: workers.leaseS * 1000,
@@ -127,9 +127,9 @@
   }
 
   private userPopulation(): UserPopulation {
-    const { sim, net, state, rules, happenings, deployment } = this;
+    const { sim, net, state, checker, happenings, deployment } = this;
     const apiOf = (host: string): string => this.apiOf(host);
-    return new UserPopulation({ sim, net, state, rules, happenings, deployment, apiOf });
+    return new UserPopulation({ sim, net, state, checker, happenings, deployment, apiOf });
   }
 
   private startCloud({ cloud: address, cloudLimits }: Platform, rates: FaultRates): Cloud {
@@ -161,7 +161,7 @@
 
   /** Machines with tasks of the job. */
   workersOf(id: string): Worker[] {
-    const names = this.rules.machinesOf(id);
+    const names = this.checker.machinesOf(id);
     return this.workers.filter((worker) => names.includes(worker.id));
   }
 
@@ -234,7 +234,7 @@
   calmDown(ms: number): void {
     this.calm = true;
     this.sim.after(ms, () => {
-      this.rules.calmAt = this.sim.now;
+      this.checker.calmAt = this.sim.now;
     });
   }
 
@@ -244,11 +244,11 @@
     this.sim.run(this.sim.now + ms, () => {
       if (this.sim.now >= nextTick) {
         nextTick = this.sim.now + TICK_MS;
-        this.rules.tick();
-        if (this.rules.calmAt !== null) this.rules.waiting(this.workers.map((w) => w.free));
+        this.checker.tick();
+        if (this.checker.calmAt !== null) this.checker.waiting(this.workers.map((w) => w.free));
       }
-      if (this.rules.broken.length > 0 || this.errors.length > 0)
-        throw new Error([...this.rules.broken, ...this.errors].join('\n'));
+      if (this.checker.broken.length > 0 || this.errors.length > 0)
+        throw new Error([...this.checker.broken, ...this.errors].join('\n'));
     });
   }
 }
--- a/test/world/takeover-meetings.ts
+++ b/test/simulation/takeover-scenarios.ts
@@ -1,19 +1,19 @@
 import type { JobSpec } from '../../src/controller/wire/jobs.js';
-import { cancelled, leaders, leasesLost, long, type Meeting } from './meeting.js';
+import { cancelled, leaders, leasesLost, longJobs, type FaultScenario } from './fault-scenario.js';
 
 /** Work of which a few jobs take all that a team may use. */
 const atLimit: Partial<JobSpec> = {
-  ...{ ...long, estimateS: 90, tasks: 10, gpus: 1, priority: 'normal', types: null },
+  ...{ ...longJobs, estimateS: 90, tasks: 10, gpus: 1, priority: 'normal', types: null },
   ...{ zone: null, spot: true },
 };
 
 /** What is under way when the lead passes on: new machines, limits, commands, reports, restarts. */
-export const takeoverMeetings: Meeting[] = [
+export const takeoverScenarios: FaultScenario[] = [
   {
     name: 'a zone with workers and a follower is cut off for longer than lease_s',
-    jobs: long,
+    jobs: longJobs,
     count: 16,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'zone cut', zone: 'a', inside: 'follower', at: 0, for: between(21, 70) },
       { kind: 'cancelled', count: 5, at: between(4, 12) },
       { kind: 'jobs', count: 6, at: 8 },
@@ -23,9 +23,9 @@
   },
   {
     name: 'new machines up at once and put to work while writes lag, and the leader ends',
-    jobs: { ...long, estimateS: 30, cpus: 4, gpus: 1 },
+    jobs: { ...longJobs, estimateS: 30, cpus: 4, gpus: 1 },
     count: 10,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'quick boots', at: 0, for: 100 },
       { kind: 'machines lost', share: 0.4, at: 0 },
       { kind: 'slow', at: 0, for: 100 },
@@ -45,7 +45,7 @@
     name: 'every team at its limit, cancellations whose machines are cut or hang, a new leader',
     jobs: { ...atLimit, team: 'red' },
     count: 3,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'jobs', count: 4, like: { ...atLimit, team: 'blue' }, at: 0 },
       { kind: 'cancelled', count: 2, cut: between(5, 50), at: 45 },
       { kind: 'ended', who: 'leader', back: between(0.2, 6), at: between(44.5, 47) },
@@ -62,13 +62,13 @@
   },
   {
     name: "cancellations while one controller's work changes hands",
-    jobs: long,
+    jobs: longJobs,
     count: 16,
-    troubles: () => [
+    faults: () => [
       { kind: 'cancelled at hand-overs', count: 2, at: 0, for: 120 },
       { kind: 'no workers', who: 'leader', at: 0, for: 20 },
       { kind: 'no workers', who: 'leader', at: 35, for: 15 },
-      { kind: 'jobs', count: 6, like: long, at: 40 },
+      { kind: 'jobs', count: 6, like: longJobs, at: 40 },
       { kind: 'no workers', who: 'leader', at: 65, for: 15 },
     ],
     happened: (w) => ({
@@ -80,7 +80,7 @@
     name: "direct commands of ended and deposed leaders arrive after the next one's",
     jobs: { estimateS: 12 },
     count: 16,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'late commands', share: 0.4, at: 0, for: 90 },
       { kind: 'jobs', count: 8, at: 1 },
       { kind: 'ended', who: 'leader', back: 0.3, at: 3 },
@@ -97,11 +97,11 @@
       leaders: leaders(w) - 1,
     }),
   },
-  ...[0, 4].map((after): Meeting => ({
+  ...[0, 4].map((after): FaultScenario => ({
     name: `reports kept for the next leader, which arrive ${after} s after its election`,
     jobs: { estimateS: 12 },
     count: 16,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'reports for the next leader', share: 0.5, after, at: 0, for: 120 },
       { kind: 'jobs', count: 8, at: 2 },
       { kind: 'ended', who: 'leader', back: 0.3, at: between(8, 12) },
@@ -117,7 +117,7 @@
     name: 'machines and processes back within a second, in the midst of elections too',
     jobs: { estimateS: 25 },
     count: 16,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'machines restart', share: 0.5, back: between(0.1, 0.9), at: 0 },
       { kind: 'elections', at: 1, for: 30 },
       { kind: 'machines restart', share: 0.5, back: between(0.1, 0.9), at: 10 },
@@ -130,9 +130,9 @@
   },
   {
     name: 'arrays bound to one zone lose machines and a leader',
-    jobs: { ...long, estimateS: 60, zone: 'a' },
+    jobs: { ...longJobs, estimateS: 60, zone: 'a' },
     count: 14,
-    troubles: (between) => [
+    faults: (between) => [
       { kind: 'machines cut', share: 0.4, at: 2, for: between(20, 60) },
       { kind: 'machines lost', share: 0.3, at: between(4, 10) },
       { kind: 'ended', who: 'leader', back: between(0.2, 6), at: between(8, 20) },
--- a/test/world/task-runner.ts
+++ b/test/simulation/task-runner.ts
@@ -115,7 +115,7 @@
     if (task.status !== 'pulling') return;
     this.images.add(spec.image);
     task.on = true;
-    this.context.rules.taskOn(task.id, task.task, { ...this.host.place });
+    this.context.checker.taskOn(task.id, task.task, { ...this.host.place });
     this.host.changed();
     if (spec.kind === 'gang') this.waitForGang(task, spec);
     else if (spec.kind === 'service') this.runReplica(task);
@@ -169,14 +169,14 @@
     task.timer?.cancel();
     task.status = 'exited';
     task.cause = cause;
-    if (cause === 'done') this.context.rules.taskDone(task.id, task.task);
+    if (cause === 'done') this.context.checker.taskDone(task.id, task.task);
     this.off(task);
     this.host.changed();
   }
 
   private off(task: Task): void {
-    const { rules, gangs, settings } = this.context;
-    if (task.on) rules.taskOff(task.id, task.task, this.host.place.machine);
+    const { checker, gangs, settings } = this.context;
+    if (task.on) checker.taskOff(task.id, task.task, this.host.place.machine);
     task.on = false;
     gangs.leave(task, settings.gangPeerMs);
   }
--- a/test/world/user-population.ts
+++ b/test/simulation/user-population.ts
@@ -2,8 +2,8 @@
 import type { JobSpec } from '../../src/controller/wire/jobs.js';
 import type { Happenings } from './happenings.js';
 import type { Network } from './network.js';
-import type { Rules } from './rules.js';
-import type { Scenario } from './scenario.js';
+import type { RuleChecker } from './rule-checker.js';
+import type { Deployment } from './deployment.js';
 import type { Sim } from './sim.js';
 import type { StateService } from './state-service.js';
 import { User, type Ask } from './users.js';
@@ -19,9 +19,9 @@
   sim: Sim;
   net: Network;
   state: StateService;
-  rules: Rules;
+  checker: RuleChecker;
   happenings: Happenings;
-  deployment: Scenario;
+  deployment: Deployment;
   apiOf(host: string): string;
 }
 
@@ -51,14 +51,14 @@
 
   /** A user who submits, polls and perhaps cancels one job. */
   submit(spec: JobSpec, cancelAfterMs: number | null): void {
-    const { sim, rules } = this.surroundings;
+    const { sim, checker } = this.surroundings;
     const runMs =
       spec.kind === 'service'
         ? sim.between(SERVICE_MS.least, SERVICE_MS.most)
         : spec.estimateS * 1000 * sim.between(RUN_SHARES.least, RUN_SHARES.most);
     this.jobs.set(spec.id, { spec, runMs });
     const ask: Ask = (...request) => this.ask(...request);
-    this.users.set(spec.id, new User(sim, rules, ask, spec, cancelAfterMs));
+    this.users.set(spec.id, new User(sim, checker, ask, spec, cancelAfterMs));
   }
 
   /** What the job's user has submitted. */
--- a/test/world/users.ts
+++ b/test/simulation/users.ts
@@ -1,6 +1,6 @@
 import type { Timer } from '../../src/controller/core/env.js';
 import { writeJob, type JobSpec } from '../../src/controller/wire/jobs.js';
-import type { Rules } from './rules.js';
+import type { RuleChecker } from './rule-checker.js';
 import type { Sim } from './sim.js';
 
 /** How a user asks a controller; `host`: a certain one. */
@@ -23,13 +23,13 @@
 
   constructor(
     private readonly sim: Sim,
-    private readonly rules: Rules,
+    private readonly checker: RuleChecker,
     private readonly ask: Ask,
     private readonly spec: JobSpec,
     cancelAfterMs: number | null,
   ) {
     this.body = writeJob(spec);
-    rules.submitted(spec);
+    checker.submitted(spec);
     if (cancelAfterMs !== null) sim.after(cancelAfterMs, () => this.cancel());
     this.step();
   }
@@ -67,9 +67,9 @@
     // Now and then the submission is repeated long after it was accepted.
     const submit =
       !this.accepted || (!cancel && (this.wish === 'repeat' || this.sim.random() < 0.1));
-    if (cancel) this.rules.cancelAsked(id);
+    if (cancel) this.checker.cancelAsked(id);
     if (submit && this.wish === 'repeat') this.wish = 'none';
-    const before = this.rules.standing(id);
+    const before = this.checker.standing(id);
     this.asking = true;
     this.ask(
       submit || cancel ? 'POST' : 'GET',
@@ -77,7 +77,7 @@
       submit ? this.body : undefined,
       (status, state) => {
         this.asking = false;
-        this.rules.answered(id, status, state, submit, before);
+        this.checker.answered(id, status, state, submit, before);
         const answered = status === 200 || status === 201;
         if (answered) this.accepted = true;
         if (cancel && answered) this.wish = 'none';
--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { grown } from './world/scenario.js';
-import { World } from './world/world.js';
+import { grown } from './simulation/deployment.js';
+import { Simulation } from './simulation/simulation.js';
 
 /** Machines at most; more would only make the test slow. */
 const MACHINES = 200;
@@ -14,66 +14,66 @@
   started: number;
 }
 
-function spent(world: World): Spent {
-  const { puts, requests } = world.state;
-  return { puts, requests, started: world.rules.started };
+function spent(simulation: Simulation): Spent {
+  const { puts, requests } = simulation.state;
+  return { puts, requests, started: simulation.checker.started };
 }
 
-/** A day of many machines with jobs coming all the time, and the troubles given, each at its time. */
-function day(seed: number, ms: number, troubles: [number, (w: World) => void][]): World {
+/** A day of many machines with jobs coming all the time, and the faults given, each at its time. */
+function day(seed: number, ms: number, faults: [number, (w: Simulation) => void][]): Simulation {
   const quiet = { everyMs: Infinity, doubled: 0.002, errors: 0.005, bootFails: 0.02 };
-  const world = new World(grown(MACHINES), seed, quiet);
-  for (let i = 0; i < 30; i++) world.user(world.randomJob(), null);
+  const simulation = new Simulation(grown(MACHINES), seed, quiet);
+  for (let i = 0; i < 30; i++) simulation.user(simulation.randomJob(), null);
   const next = (): void => {
-    if (world.sim.now > ms) return;
-    world.user(world.randomJob(), world.sim.random() < 0.04 ? 20_000 : null);
-    world.sim.after(world.sim.between(0.3, 1.7) * EVERY_MS, next);
+    if (simulation.sim.now > ms) return;
+    simulation.user(simulation.randomJob(), simulation.sim.random() < 0.04 ? 20_000 : null);
+    simulation.sim.after(simulation.sim.between(0.3, 1.7) * EVERY_MS, next);
   };
   next();
-  for (const [at, trouble] of troubles) world.sim.after(at, () => trouble(world));
-  world.play(ms);
-  return world;
+  for (const [at, fault] of faults) simulation.sim.after(at, () => fault(simulation));
+  simulation.play(ms);
+  return simulation;
 }
 
-/** Troubles over, all that was accepted is done, and nobody was neglected. */
-function ends(world: World): void {
-  world.calmDown(60_000);
-  world.play(400_000);
-  assert.deepEqual(world.rules.unfinished(), []);
-  assert.deepEqual(world.rules.neglected(), []);
+/** Faults over, all that was accepted is done, and nobody was neglected. */
+function ends(simulation: Simulation): void {
+  simulation.calmDown(60_000);
+  simulation.play(400_000);
+  assert.deepEqual(simulation.checker.unfinished(), []);
+  assert.deepEqual(simulation.checker.neglected(), []);
 }
 
-const leader = (w: World): string => w.leader ?? 'kiln-0';
+const leader = (w: Simulation): string => w.leader ?? 'kiln-0';
 
 describe('the service at size', () => {
   it('spends little at the state service and the cloud, and stays within their limits', () => {
     let from: Spent = { puts: 0, requests: 0, started: 0 };
-    const world = day(1, 120_000, [[60_000, (w) => (from = spent(w))]]);
-    const to = spent(world);
+    const simulation = day(1, 120_000, [[60_000, (w) => (from = spent(w))]]);
+    const to = spent(simulation);
     const tasks = to.started - from.started;
     assert.ok(tasks > 300, `only ${tasks} tasks started`);
     // Records are packed: a put serves several tasks, beside the three that each job costs.
     assert.ok((to.puts - from.puts) / tasks < 2, `${(to.puts - from.puts) / tasks} puts a task`);
     assert.ok((to.requests - from.requests) / 60 < 80);
-    assert.equal(world.state.tooMany, 0);
-    ends(world);
+    assert.equal(simulation.state.tooMany, 0);
+    ends(simulation);
   });
 
-  // What the operators expect of a fleet's day, one trouble after the other.
+  // What the operators expect of a fleet's day, one fault after the other.
   it('lives through losses of controllers, and loses no lease of a machine that is well', () => {
-    const world = day(2, 240_000, [
+    const simulation = day(2, 240_000, [
       [30_000, (w) => w.connectionFaults.cutFromWorkers(leader(w), 37_000)],
       [80_000, (w) => w.processes.freeze(leader(w), 28_000)],
       [120_000, (w) => w.connectionFaults.refusePeers(30_000)],
       [130_000, (w) => w.connectionFaults.isolate(leader(w), 42_000)],
       [180_000, (w) => w.processes.roll(9000)],
     ]);
-    assert.equal(world.leasesLost, 0);
-    ends(world);
+    assert.equal(simulation.leasesLost, 0);
+    ends(simulation);
   });
 
   it('lives through mass losses of machines, an outage, slow answers and crashes of all', () => {
-    const world = day(3, 240_000, [
+    const simulation = day(3, 240_000, [
       [30_000, (w) => w.machineFaults.cut(0.2, 47_000)],
       [33_000, (w) => w.kill(leader(w), 6000)],
       [90_000, (w) => w.machineFaults.kill(0.07)],
@@ -86,6 +86,6 @@
       ],
       [200_000, (w) => w.processes.killElected()],
     ]);
-    ends(world);
+    ends(simulation);
   });
 });
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -2,14 +2,14 @@
 import { describe, it } from 'node:test';
 import { isList, isMap } from '../src/controller/wire/cbor.js';
 import type { JobSpec } from '../src/controller/wire/jobs.js';
-import { long } from './world/meeting.js';
-import { small } from './world/scenario.js';
-import { World } from './world/world.js';
+import { longJobs } from './simulation/fault-scenario.js';
+import { small } from './simulation/deployment.js';
+import { Simulation } from './simulation/simulation.js';
 
 const quiet = { everyMs: Infinity, doubled: 0, errors: 0, bootFails: 0 };
 
 const gang: Partial<JobSpec> = {
-  ...{ ...long, class: 'train', kind: 'gang', priority: 'high', tasks: 2, cpus: 2, gpus: 1 },
+  ...{ ...longJobs, class: 'train', kind: 'gang', priority: 'high', tasks: 2, cpus: 2, gpus: 1 },
   ...{ estimateS: 60, spread: false, oneZone: false, types: null, zone: null },
 };
 
@@ -20,10 +20,10 @@
 }
 
 /** The newest record of the class at the state service. */
-function learned(world: World, cls: string): Learned {
+function learned(simulation: Simulation, cls: string): Learned {
   let newest = -1;
   let text: unknown = null;
-  for (const [key, { value }] of world.state.entries) {
+  for (const [key, { value }] of simulation.state.entries) {
     if (!key.startsWith('page/') || !isMap(value)) continue;
     const { seq, entries } = value;
     if (typeof seq !== 'number' || seq < newest || !isList(entries)) continue;
@@ -45,19 +45,19 @@
   // Deployment "Trapezi grown": after each change of leader gangs waited longer for their room.
   for (const seed of [1, 2, 3])
     it(`goes on from what the leader before has learned, though jobs are live, seed ${seed}`, () => {
-      const world = new World(small, seed, quiet);
+      const simulation = new Simulation(small, seed, quiet);
       for (let i = 0; i < 8; i++)
-        world.sim.after(10_000 + i * 4000, () =>
-          world.user(world.job({ ...gang, image: `img-${1 + (i % 3)}` }), null),
+        simulation.sim.after(10_000 + i * 4000, () =>
+          simulation.user(simulation.job({ ...gang, image: `img-${1 + (i % 3)}` }), null),
         );
-      world.play(60_000);
-      const before = learned(world, 'train');
-      const first = world.leader;
+      simulation.play(60_000);
+      const before = learned(simulation, 'train');
+      const first = simulation.leader;
       assert.ok(first !== null);
-      world.kill(first, 30_000);
-      world.play(40_000);
-      assert.ok(world.leader !== null && world.leader !== first, 'another leads');
-      const after = learned(world, 'train');
+      simulation.kill(first, 30_000);
+      simulation.play(40_000);
+      assert.ok(simulation.leader !== null && simulation.leader !== first, 'another leads');
+      const after = learned(simulation, 'train');
       assert.deepEqual(after.images, before.images);
       // No job has come since: the weight is the same, and decays only as it is used.
       assert.equal(after.weight, before.weight);
