--- a/test/simulation/answer-scenarios.ts
+++ b/test/simulation/answer-scenarios.ts
@@ -1,3 +1,4 @@
+/** Fault scenarios about what users are told. */
 import type { JobSpec } from '../../src/controller/wire/jobs.js';
 import { cancelled, leaders, longJobs, type FaultScenario } from './fault-scenario.js';
 
--- a/test/simulation/close-looks.ts
+++ b/test/simulation/close-looks.ts
@@ -1,3 +1,4 @@
+/** Questions at every node right after something new was told of a job. */
 import { writeJob } from '../../src/controller/wire/jobs.js';
 import type { Simulation } from './simulation.js';
 
--- a/test/simulation/deployment.ts
+++ b/test/simulation/deployment.ts
@@ -1,3 +1,4 @@
+/** The deployments that are simulated: hosts, machine types, limits, and kinds of jobs. */
 import type { MachineType } from '../../src/controller/wire/cloud.js';
 import type { JobSpec } from '../../src/controller/wire/jobs.js';
 import { usual, type PlatformParts } from '../platform.js';
--- a/test/simulation/fault-scenario.ts
+++ b/test/simulation/fault-scenario.ts
@@ -1,3 +1,4 @@
+/** What a fault scenario consists of, and counters that show that it came about. */
 import type { JobSpec } from '../../src/controller/wire/jobs.js';
 import type { Deployment } from './deployment.js';
 import type { Fault } from './faults.js';
--- a/test/simulation/fault-scenarios.ts
+++ b/test/simulation/fault-scenarios.ts
@@ -1,3 +1,4 @@
+/** Fault scenarios around changes of the leader. */
 import {
   cancelled,
   gaps,
--- a/test/simulation/faults.ts
+++ b/test/simulation/faults.ts
@@ -1,3 +1,4 @@
+/** Faults that a scenario injects at given times. */
 import type { JobSpec } from '../../src/controller/wire/jobs.js';
 import { closeLooks } from './close-looks.js';
 import { NEW_MACHINE_MS } from './happenings.js';
--- a/test/simulation/happenings.ts
+++ b/test/simulation/happenings.ts
@@ -1,3 +1,4 @@
+/** Combinations of faults and actions that tests assert to have come about. */
 import type { Simulation } from './simulation.js';
 
 /** What a scripted day may come to; tests assert that it did. */
@@ -17,10 +18,12 @@
 export class Happenings {
   private readonly counts = new Map<Happening, number>();
 
+  /** It happened once more. */
   note(happening: Happening): void {
     this.counts.set(happening, this.count(happening) + 1);
   }
 
+  /** How often it happened. */
   count(happening: Happening): number {
     return this.counts.get(happening) ?? 0;
   }
--- a/test/simulation/play-scenario.ts
+++ b/test/simulation/play-scenario.ts
@@ -1,3 +1,4 @@
+/** Plays fault scenarios, and makes a test of each. */
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import type { FaultScenario } from './fault-scenario.js';
--- a/test/simulation/takeover-scenarios.ts
+++ b/test/simulation/takeover-scenarios.ts
@@ -1,3 +1,4 @@
+/** Fault scenarios about what is under way when the lead passes on. */
 import type { JobSpec } from '../../src/controller/wire/jobs.js';
 import { cancelled, leaders, leasesLost, longJobs, type FaultScenario } from './fault-scenario.js';
 
--- a/test/simulation/users.ts
+++ b/test/simulation/users.ts
@@ -1,3 +1,4 @@
+/** One user with one job. */
 import type { Timer } from '../../src/controller/core/env.js';
 import { writeJob, type JobSpec } from '../../src/controller/wire/jobs.js';
 import type { RuleChecker } from './rule-checker.js';
--- a/test/simulation/version.ts
+++ b/test/simulation/version.ts
@@ -1,3 +1,4 @@
+/** The program versions that controller processes run. */
 import { Controller } from '../../src/controller/controller.js';
 import { readPlatform } from '../../src/controller/settings/platform.js';
 import { defaultProperties, type Properties } from '../../src/controller/settings/properties.js';
