--- /dev/null
+++ b/test/simulation/sim.ts
@@ -0,0 +1,103 @@
+/** Virtual time and the random numbers of a seeded run. */
+import type { Timer } from '../../src/controller/core/env.js';
+import { uniform } from '../../src/controller/core/random.js';
+
+interface Event {
+  at: number;
+  order: number;
+  run: () => void;
+  cancelled: boolean;
+}
+
+const doNothing = (): void => undefined;
+
+/** Virtual time: events in order of time, then of scheduling. Milliseconds. */
+export class Sim {
+  now = 0;
+  private order = 0;
+  private readonly heap: Event[] = [];
+  readonly random: () => number;
+
+  constructor(seed: number) {
+    this.random = uniform(seed);
+  }
+
+  /** Runs the function once so much time has passed. */
+  after(ms: number, run: () => void): Timer {
+    const at = this.now + Math.max(0, ms);
+    const event: Event = { at, order: this.order++, run, cancelled: false };
+    this.push(event);
+    return {
+      cancel: () => {
+        event.cancelled = true;
+        // What the event refers to may go at once, though its entry stays until its time.
+        event.run = doNothing;
+      },
+    };
+  }
+
+  /** A random number in the range. */
+  between(from: number, to: number): number {
+    return from + (to - from) * this.random();
+  }
+
+  /** A random element of the list. */
+  pick<T>(list: readonly T[]): T {
+    const picked = list[Math.floor(this.random() * list.length)];
+    if (picked === undefined) throw new Error('nothing to pick from');
+    return picked;
+  }
+
+  /** Runs all events up to `until`; `check` after each of them. */
+  run(until: number, check: () => void): void {
+    for (;;) {
+      const first = this.heap[0];
+      if (first === undefined || first.at > until) break;
+      this.pop();
+      if (first.cancelled) continue;
+      this.now = first.at;
+      first.run();
+      check();
+    }
+    this.now = until;
+  }
+
+  private less(a: Event, b: Event): boolean {
+    return a.at < b.at || (a.at === b.at && a.order < b.order);
+  }
+
+  private push(event: Event): void {
+    const { heap } = this;
+    let index = heap.push(event) - 1;
+    while (index > 0) {
+      const parentIndex = (index - 1) >> 1;
+      const parent = heap[parentIndex];
+      if (parent === undefined || !this.less(event, parent)) break;
+      heap[index] = parent;
+      index = parentIndex;
+    }
+    heap[index] = event;
+  }
+
+  private pop(): void {
+    const { heap } = this;
+    const last = heap.pop();
+    if (last === undefined || heap.length === 0) return;
+    let index = 0;
+    for (;;) {
+      let childIndex = 2 * index + 1;
+      const left = heap[childIndex];
+      const right = heap[childIndex + 1];
+      if (left === undefined) break;
+      let child = left;
+      if (right !== undefined && this.less(right, left)) {
+        child = right;
+        childIndex++;
+      }
+      if (!this.less(child, last)) break;
+      heap[index] = child;
+      index = childIndex;
+    }
+    heap[index] = last;
+  }
+}
--- /dev/null
+++ b/test/simulation/state-service.ts
@@ -0,0 +1,244 @@
+/** The simulated state service: its paths, its limits and its faults. */
+import { Tokens } from '../../src/controller/core/tokens.js';
+import type { Reply } from '../../src/controller/core/env.js';
+import type { StateLimits } from '../../src/controller/settings/platform.js';
+import type { Arrival, Network, Respond } from './network.js';
+import type { Sim } from './sim.js';
+import { fits, StateStore, type Transaction, type Watch } from './state-store.js';
+import { UnansweredWrites } from './unanswered-writes.js';
+
+const EXPIRE_EVERY_MS = 50;
+/** Share of the answers that are late while the service is slow, and by how much. */
+const SLOW_SHARE = 0.3;
+const SLOW_MS = { least: 50, most: 2000 };
+/** When a transaction that gets no answer is carried out. */
+const LATE_WRITE_MS = { least: 2000, most: 12_000 };
+
+const UNAVAILABLE: Reply = { status: 503, body: null };
+const NOT_FOUND: Reply = { status: 404, body: null };
+const GONE: Reply = { status: 410, body: null };
+const TOO_MANY: Reply = { status: 429, body: null };
+
+/** Stand-in for the state service, after PROTOCOL. */
+export class StateService {
+  private readonly store: StateStore;
+  private down = false;
+  private slowUntil = 0;
+  private readonly refused = new Set<string>();
+  private readonly requestTokens: Tokens;
+  private readonly putTokens: Tokens;
+  /** Transactions refused for their size; copies that the network made of older ones aside. */
+  tooLarge = 0;
+  /** Requests, puts and deletes served, and requests refused for being too many. */
+  requests = 0;
+  puts = 0;
+  tooMany = 0;
+  /** Requests that came in an outage. */
+  missed = 0;
+  /** Share of the transactions that get no answer and are carried out later, and how many were. */
+  private lateWrites = 0;
+  readonly late = { applied: 0, refused: 0 };
+  /** Share of the transactions that are carried out at once and whose answer alone is lost. */
+  private lostAnswers = 0;
+  private readonly unanswered = new UnansweredWrites();
+  /** Nodes whose watches are refused, and nothing else of theirs. */
+  private readonly unwatched = new Set<string>();
+  /** Told of each transaction as it arrives, before it is looked at: its writes' keys. */
+  arriving: (keys: readonly string[]) => void = () => undefined;
+
+  constructor(
+    private readonly sim: Sim,
+    net: Network,
+    address: string,
+    private limits: StateLimits,
+    private readonly pageSize: number,
+  ) {
+    const now = (): number => sim.now;
+    this.store = new StateStore(now, (by, key) => this.unanswered.wasRead(by, key));
+    this.requestTokens = new Tokens(now, limits.rps, limits.rps);
+    this.putTokens = new Tokens(now, limits.writeRps, limits.writeRps);
+    net.listen(address, 'state', (from, request, respond) => this.serve(from, request, respond));
+    this.expire();
+  }
+
+  /** What is stored, by key. */
+  get entries(): StateStore['entries'] {
+    return this.store.entries;
+  }
+
+  /** How often another node has read what a node without an answer wrote. */
+  get readUnanswered(): number {
+    return this.unanswered.readByOthers;
+  }
+
+  /** Whether it answers nobody just now. */
+  get inOutage(): boolean {
+    return this.down;
+  }
+
+  /** Answers nobody for a time; afterwards all leases run anew. */
+  outage(ms: number): void {
+    this.down = true;
+    this.sim.after(ms, () => {
+      this.down = false;
+      this.store.renewAll();
+    });
+  }
+
+  /** Answers come late for a time, now and then by seconds. */
+  slow(ms: number): void {
+    this.slowUntil = Math.max(this.slowUntil, this.sim.now + ms);
+  }
+
+  /** One node alone gets 503, and its leases run out. */
+  refuse(host: string, ms: number): void {
+    this.refused.add(host);
+    this.sim.after(ms, () => this.refused.delete(host));
+  }
+
+  /** From now on it takes less. What is stored stays. */
+  lower(limits: StateLimits): void {
+    this.limits = limits;
+    this.requestTokens.setRate(limits.rps, limits.rps);
+    this.putTokens.setRate(limits.writeRps, limits.writeRps);
+  }
+
+  /** One node's watches alone get 503. */
+  refuseWatches(host: string, ms: number): void {
+    this.unwatched.add(host);
+    this.sim.after(ms, () => this.unwatched.delete(host));
+  }
+
+  /** Some transactions get no answer and are carried out 2 to 12 s later, after newer ones. */
+  delayWrites(share: number, ms: number): void {
+    this.lateWrites = share;
+    this.sim.after(ms, () => {
+      this.lateWrites = 0;
+    });
+  }
+
+  /** Some transactions are carried out at once, and only their answers are lost. */
+  loseAnswers(share: number, ms: number): void {
+    this.lostAnswers = share;
+    this.sim.after(ms, () => {
+      this.lostAnswers = 0;
+    });
+  }
+
+  /** Whether this node alone is refused. */
+  refuses(host: string): boolean {
+    return !this.down && this.refused.has(host);
+  }
+
+  private expire(): void {
+    this.sim.after(EXPIRE_EVERY_MS, () => this.expire());
+    if (!this.down) this.store.expire();
+  }
+
+  private serve(from: string, request: Arrival, answer: Respond): void {
+    const respond = this.delayed(answer);
+    if (this.down) this.missed++;
+    if (this.down || this.refused.has(from)) return respond(UNAVAILABLE);
+    const transaction = request.path === '/multi' ? (request.body() as Transaction) : null;
+    const writes = transaction?.writes ?? [];
+    if (transaction !== null) this.arriving(writes.map((write) => write.set ?? write.delete ?? ''));
+    if (!this.takeTokens(writes.length)) return respond(TOO_MANY);
+    if (transaction !== null) this.serveTransaction(from, transaction, request.copy, respond);
+    else this.serveOther(from, request, respond);
+  }
+
+  /** While the service is slow some answers are late. */
+  private delayed(answer: Respond): Respond {
+    const slow = this.sim.now < this.slowUntil && this.sim.random() < SLOW_SHARE;
+    if (!slow) return answer;
+    const lateMs = this.sim.between(SLOW_MS.least, SLOW_MS.most);
+    return (reply) => this.sim.after(lateMs, () => answer(reply));
+  }
+
+  private takeTokens(puts: number): boolean {
+    if (!this.requestTokens.take() || (puts > 0 && !this.putTokens.take(puts))) {
+      this.tooMany++;
+      return false;
+    }
+    this.requests++;
+    this.puts += puts;
+    return true;
+  }
+
+  private serveTransaction(
+    from: string,
+    transaction: Transaction,
+    copy: boolean,
+    respond: Respond,
+  ): void {
+    const { sim } = this;
+    if (this.lateWrites > 0 && sim.random() < this.lateWrites) {
+      const lateMs = sim.between(LATE_WRITE_MS.least, LATE_WRITE_MS.most);
+      sim.after(lateMs, () => this.commitLate(transaction));
+      return;
+    }
+    if (this.lostAnswers > 0 && sim.random() < this.lostAnswers) {
+      if (this.commit(transaction).status === 200) this.unanswered.note(from, transaction);
+      return;
+    }
+    for (const { k } of transaction.if ?? []) this.unanswered.wasRead(from, k);
+    respond(this.commit(transaction, copy));
+  }
+
+  private commitLate(transaction: Transaction): void {
+    if (this.down) return;
+    if (this.commit(transaction).status === 200) this.late.applied++;
+    else this.late.refused++;
+  }
+
+  private commit(transaction: Transaction, copy = false): Reply {
+    if (fits(transaction, this.limits)) return this.store.commit(transaction);
+    if (!copy) this.tooLarge++;
+    return { status: 400, body: { error: 'limits' } };
+  }
+
+  private serveOther(from: string, request: Arrival, respond: Respond): void {
+    const url = new URL(request.path, 'http://state');
+    const path = url.pathname;
+    const lease = /^\/holds\/(\d+)(\/extend)?$/.exec(path);
+    if (path === '/holds') respond(this.grantLease(request));
+    else if (lease !== null) respond(this.serveLease(Number(lease[1]), request));
+    else if (path === '/follow') this.serveWatch(from, url.searchParams, respond);
+    else if (path === '/keys') respond(this.readPage(url.searchParams));
+    else {
+      const key = path.slice('/keys/'.length);
+      this.unanswered.wasRead(from, key);
+      respond(this.store.read(key));
+    }
+  }
+
+  private grantLease(request: Arrival): Reply {
+    const { life_ms: lifeMs } = request.body() as { life_ms: number };
+    return { status: 200, body: { permit: this.store.grant(lifeMs) } };
+  }
+
+  private serveLease(id: number, request: Arrival): Reply {
+    const found = request.method === 'DELETE' ? this.store.revoke(id) : this.store.renew(id);
+    return found ? { status: 200, body: { permit: id } } : NOT_FOUND;
+  }
+
+  private readPage(query: URLSearchParams): Reply {
+    const limit = Math.min(Number(query.get('limit')), this.pageSize);
+    return this.store.readPage(query.get('starts') ?? '', query.get('from') ?? '', limit);
+  }
+
+  private serveWatch(from: string, query: URLSearchParams, respond: Respond): void {
+    if (this.unwatched.has(from)) return respond(UNAVAILABLE);
+    const watch: Watch = {
+      by: from,
+      prefix: query.get('starts') ?? '',
+      from: Number(query.get('from')),
+      respond,
+      open: true,
+    };
+    if (!this.store.watch(watch)) return respond(GONE);
+    this.sim.after(Number(query.get('hold_ms')), () => {
+      if (!this.down) this.store.closeWatch(watch);
+    });
+  }
+}
