--- a/test/platform.ts
+++ b/test/platform.ts
@@ -3,25 +3,32 @@
 /** What the tests' platforms differ in. */
 export interface PlatformParts {
   zones: string[];
+  /** Zones of the hosts, in their order. */
+  sites: string[];
   /** TOML of teams and objectives. */
   teams: string;
   reportS: number;
   leaseS: number;
+  cancelS: number;
   rps: number;
   writeRps: number;
   txnOps: number;
+  valueKb: number;
   /** TOML of the limits that the state service will have. */
   next: string;
 }
 
 export const usual: PlatformParts = {
   zones: ['a', 'b'],
+  sites: [],
   teams: '',
   reportS: 3,
   leaseS: 20,
+  cancelS: 45,
   rps: 100,
   writeRps: 60,
   txnOps: 16,
+  valueKb: 16,
   next: '',
 };
 
@@ -41,11 +48,11 @@
 lease_s = ${p.leaseS.toFixed(1)}
 gang_wait_s = 30.0
 gang_peer_s = 6.0
-cancel_s = 45.0
+cancel_s = ${p.cancelS.toFixed(1)}
 [params.state]
 rps = ${p.rps.toFixed(1)}
 write_rps = ${p.writeRps.toFixed(1)}
-value_kb = 16.0
+value_kb = ${p.valueKb.toFixed(1)}
 txn_ops = ${p.txnOps}
 ${p.next}
 [params.cloud]
@@ -73,12 +80,13 @@
   read = readPlatform,
 ): Platform {
   const addr = (h: string, port: number): string => `10.0.0.${hosts.indexOf(h) + 1}:${port}`;
+  const site = (h: string): string => parts.sites[hosts.indexOf(h)] ?? 'a';
   const peers = hosts
     .filter((h) => h !== host)
-    .map((h) => `[[peers]]\nhost_name = "${h}"\nsite = "a"\naddr = "${addr(h, 8081)}"\n`);
+    .map((h) => `[[peers]]\nhost_name = "${h}"\nsite = "${site(h)}"\naddr = "${addr(h, 8081)}"\n`);
   const head = [
     `host_name = "${host}"`,
-    'site = "a"',
+    `site = "${site(host)}"`,
     `api_addr = "${addr(host, 8080)}"`,
     `internal_addr = "${addr(host, 8081)}"`,
     ...peers,
--- a/test/world/happenings.ts
+++ b/test/world/happenings.ts
@@ -11,7 +11,10 @@
   | 'direct command to a mute machine'
   | 'leader ended beside a new machine'
   | 'leader ended with every team at its limit'
-  | 'work on a new machine';
+  | 'leader alone in its zone'
+  | 'leader elected outside a cut zone'
+  | 'work on a new machine'
+  | 'work while a zone is cut';
 
 /** Counts of what happened on a day. */
 export class Happenings {
--- a/test/world/play-meeting.ts
+++ b/test/world/play-meeting.ts
@@ -14,12 +14,18 @@
 
 /** Plays the day of a meeting in quiet surroundings; throws where a rule is broken. */
 export function playMeeting(meeting: Meeting, seed: number, version: Version = present()): World {
-  const quiet = { everyMs: Infinity, doubled: 0.01, errors: 0, bootFails: 0 };
-  const world = new World(meeting.scenario ?? small, seed, quiet, undefined, () => version);
+  const scenario = meeting.scenario ?? small;
+  const { startMs = START_MS, bootFails = 0, firstJob } = scenario;
+  const quiet = { everyMs: Infinity, doubled: 0.01, errors: 0, bootFails };
+  const world = new World(scenario, seed, quiet, undefined, () => version);
   const { sim } = world;
+  if (firstJob !== undefined) world.user(world.job(firstJob), null);
+  const submittedMs = startMs - START_MS;
   for (let i = 0; i < meeting.count; i++)
-    sim.after(sim.between(0, START_MS / 2), () => world.user(world.job(meeting.jobs), null));
-  world.play(START_MS);
+    sim.after(submittedMs + sim.between(0, START_MS / 2), () =>
+      world.user(world.job(meeting.jobs), null),
+    );
+  world.play(startMs);
   bring(
     world,
     meeting.troubles((from, to) => sim.between(from, to)),
@@ -30,7 +36,6 @@
   return world;
 }
 
-const SEEDS = Number(process.env['MEETING_SEEDS'] ?? 3);
 const FIRST = Number(process.env['MEETING_FIRST'] ?? 1);
 
 function playSeed(meeting: Meeting, seed: number): void {
@@ -41,11 +46,12 @@
 }
 
 /** Makes a test of each meeting, which plays it with several seeds. */
-export function testMeetings(title: string, meetings: readonly Meeting[]): void {
+export function testMeetings(title: string, meetings: readonly Meeting[], usualSeeds = 3): void {
+  const seeds = Number(process.env['MEETING_SEEDS'] ?? usualSeeds);
   describe(title, () => {
     for (const meeting of meetings)
       it(meeting.name, () => {
-        for (let seed = FIRST; seed < FIRST + SEEDS; seed++)
+        for (let seed = FIRST; seed < FIRST + seeds; seed++)
           try {
             playSeed(meeting, seed);
           } catch (err) {
--- a/test/world/scenario.ts
+++ b/test/world/scenario.ts
@@ -13,18 +13,33 @@
   platform: PlatformParts;
   /** Entries of a page of the state service at most. */
   page: number;
+  /** When the work of a scripted day runs; by then machines have come up. */
+  startMs?: number;
+  /** Work that brings machines up before a scripted day's own jobs. */
+  firstJob?: Partial<JobSpec>;
+  /** Chance that a rented machine never comes up on a scripted day. */
+  bootFails?: number;
+  /** Tasks of scripted jobs take so many times the processors and memory that their table says. */
+  taskScale?: number;
   job(sim: Sim, id: string): JobSpec;
 }
 
-const hosts = (count: number): string[] => Array.from({ length: count }, (_, i) => `kiln-${i}`);
+export const hosts = (count: number): string[] =>
+  Array.from({ length: count }, (_, i) => `kiln-${i}`);
 
-function team(name: string, cpus: number, cpusMax: number, gpus: number, gpusMax: number): string {
+export function team(
+  name: string,
+  cpus: number,
+  cpusMax: number,
+  gpus: number,
+  gpusMax: number,
+): string {
   const amounts = { cpus, cpus_max: cpusMax, gpus, gpus_max: gpusMax };
   const lines = Object.entries(amounts).map(([k, v]) => `${k} = ${v.toFixed(1)}`);
   return ['[[params.teams]]', `name = "${name}"`, ...lines, ''].join('\n');
 }
 
-function objective(kind: string, cls: string, withinS: number, share: number): string {
+export function objective(kind: string, cls: string, withinS: number, share: number): string {
   const lines = [`kind = "${kind}"`, `class = "${cls}"`, `within_s = ${withinS.toFixed(1)}`];
   return ['[[params.objectives]]', ...lines, `share = ${share}`, ''].join('\n');
 }
--- /dev/null
+++ b/test/world/short-leases.ts
@@ -0,0 +1,161 @@
+import type { JobSpec } from '../../src/controller/wire/jobs.js';
+import { usual } from '../platform.js';
+import { cancelled, leaders, leasesLost, long, type Meeting } from './meeting.js';
+import { hosts, team, type Scenario } from './scenario.js';
+import type { Sim } from './sim.js';
+import type { Trouble } from './troubles.js';
+
+const LEASE_S = 10;
+const CANCEL_S = 35;
+/** The one type of machine. */
+const CPUS = 64;
+const GPUS = 8;
+const MEMORY_GB = 400;
+
+/** Gangs of whole machines, arrays of single GPUs that checkpoint, and arrays without GPUs. */
+function job(sim: Sim, id: string): JobSpec {
+  const base = {
+    ...{ id, team: sim.pick(['red', 'blue']), types: null, spread: false, deadlineS: null },
+    ...{ priority: sim.pick(['low', 'normal', 'normal', 'high'] as const), spot: true },
+    ...{ imageGb: sim.between(1, 4), estimateS: 20, saveS: 1 },
+    zone: sim.random() < 0.1 ? 'a' : null,
+  };
+  const kind = sim.random();
+  if (kind < 0.3)
+    return {
+      ...{ ...base, class: 'train', kind: 'gang', tasks: sim.pick([1, 1, 2, 3]) },
+      ...{ cpus: CPUS - 8, gpus: GPUS, memoryGb: MEMORY_GB - 80 },
+      ...{ image: sim.pick(['train-1', 'train-2']), oneZone: sim.random() < 0.5 },
+      ...{ checkpointS: 10 },
+    };
+  const array = { ...base, kind: 'array' as const, oneZone: false };
+  if (kind < 0.8)
+    return {
+      ...{ ...array, class: 'score', tasks: Math.ceil(sim.between(0, 12)), cpus: 6, gpus: 1 },
+      ...{ memoryGb: 40, image: sim.pick(['score-1', 'score-2']), checkpointS: 5 },
+    };
+  return {
+    ...{ ...array, class: 'print', tasks: sim.pick([1, 3, 10]), cpus: 4, gpus: 0 },
+    ...{ memoryGb: 10, image: 'print-1', checkpointS: 0 },
+  };
+}
+
+/** Leases of half the usual length, controllers in two zones, large machines and none at the start. */
+export const shortLeases: Scenario = {
+  hosts: hosts(3),
+  types: [
+    {
+      ...{ name: 'large', cpus: CPUS, gpus: GPUS, memoryGb: MEMORY_GB },
+      ...{ cacheGb: 60, fetchGbPerS: 1, price: 20, spotPrice: 7, bootS: 30, zones: ['a', 'b'] },
+    },
+  ],
+  machines: [],
+  capacity: 20,
+  platform: {
+    ...usual,
+    ...{ sites: ['a', 'a', 'b'], reportS: 1, leaseS: LEASE_S, cancelS: CANCEL_S },
+    ...{ rps: 80, writeRps: 30, valueKb: 8 },
+    teams: team('red', 0, 0, 16, 24) + team('blue', 0, 0, 16, 32),
+  },
+  page: 20,
+  startMs: 75_000,
+  firstJob: {
+    ...{ ...long, estimateS: 10, tasks: 10, priority: 'normal', zone: null, spot: true },
+    ...{ cpus: 7, memoryGb: 10 },
+  },
+  bootFails: 0.1,
+  taskScale: 8,
+  job,
+};
+
+/** The same where the state service will take less from some moment on. */
+const shrinkingShortLeases: Scenario = {
+  ...shortLeases,
+  platform: {
+    ...shortLeases.platform,
+    next: '[params.state.next]\nvalue_kb = 2.0\ntxn_ops = 6\nwrite_rps = 20.0\n',
+  },
+};
+
+const LEASE_RATIO = LEASE_S / usual.leaseS;
+const CANCEL_RATIO = CANCEL_S / usual.cancelS;
+/** Until then a day goes by at the rate of the leases; later times only shift. */
+const SCALED_UNTIL_S = 10;
+
+/** A time of a meeting's table, as a time of the deployment with short leases. */
+function moment(seconds: number): number {
+  const early = Math.min(seconds, SCALED_UNTIL_S);
+  return early * LEASE_RATIO + (seconds - early);
+}
+
+/** A span of time: one longer than `cancel_s` stays so, others keep their ratio to the lease. */
+function span(seconds: number): number {
+  return seconds * (seconds > usual.cancelS ? CANCEL_RATIO : LEASE_RATIO);
+}
+
+function scaled(trouble: Trouble): Trouble {
+  const t = { ...trouble, at: moment(trouble.at) };
+  if (t.for !== undefined && PASSING.has(t.kind)) t.for = span(t.for);
+  if ('hang' in t) t.hang = span(t.hang);
+  if ('cut' in t) t.cut = span(t.cut);
+  return t;
+}
+
+/** Troubles whose length matters beside the leases; others say for how long something goes on. */
+const PASSING: ReadonlySet<Trouble['kind']> = new Set([
+  ...(['refused', 'outage', 'isolated', 'standing still', 'no workers', 'zone cut'] as const),
+  ...(['machines cut', 'machines deaf', 'machines mute', 'machines hang'] as const),
+  ...(['commands held', 'answers held'] as const),
+]);
+
+/** The meeting as a day of the deployment with short leases. */
+export function withShortLeases(meeting: Meeting): Meeting {
+  return {
+    ...meeting,
+    scenario: meeting.scenario === undefined ? shortLeases : shrinkingShortLeases,
+    troubles: (between) => meeting.troubles(between).map(scaled),
+  };
+}
+
+/** The zone with a single controller alone, with the leader or with a follower in it. */
+export const singleControllerZone: Meeting[] = [
+  {
+    name: 'the zone with one controller, which leads, is cut off for longer than lease_s',
+    jobs: long,
+    count: 16,
+    scenario: shortLeases,
+    troubles: (between) => [
+      { kind: 'led from', host: 'kiln-2', back: 4, at: 0 },
+      { kind: 'zone cut', zone: 'b', inside: 'leader', at: 12, for: between(15, 45) },
+      { kind: 'cancelled', count: 5, elsewhere: true, at: between(14, 18) },
+      { kind: 'jobs', count: 6, like: long, at: 16 },
+    ],
+    happened: (w) => ({
+      leaders: leaders(w) - 1,
+      alone: w.happenings.count('leader alone in its zone'),
+      elected: w.happenings.count('leader elected outside a cut zone'),
+      work: w.happenings.count('work while a zone is cut'),
+      cancelled: cancelled(w),
+      lost: leasesLost(w),
+    }),
+  },
+  {
+    name: 'the zone with one controller, a follower, is cut off and the leader ends',
+    jobs: long,
+    count: 16,
+    scenario: shortLeases,
+    troubles: (between) => [
+      { kind: 'led from', host: 'kiln-0', back: 4, at: 0 },
+      { kind: 'zone cut', zone: 'b', inside: 'single', at: 12, for: between(15, 45) },
+      { kind: 'cancelled', count: 5, at: between(14, 18) },
+      { kind: 'ended', who: 'leader', back: between(0.2, 6), at: between(15, 20) },
+      { kind: 'jobs', count: 6, like: long, at: 16 },
+    ],
+    happened: (w) => ({
+      leaders: leaders(w),
+      work: w.happenings.count('work while a zone is cut'),
+      cancelled: cancelled(w),
+      lost: leasesLost(w),
+    }),
+  },
+];
--- a/test/world/state-service.ts
+++ b/test/world/state-service.ts
@@ -52,6 +52,8 @@
   /** Share of the transactions that get no answer and are carried out later, and how many were. */
   lateWrites = 0;
   late = { applied: 0, refused: 0 };
+  /** Transactions are carried out late by at most this, and by a sixth of it at least. */
+  latestMs = 12_000;
   /** Share of the transactions that are carried out at once and whose answer alone is lost. */
   private lostAnswers = 0;
   /** Keys that such a transaction wrote, with the node that got no answer. */
@@ -217,7 +219,7 @@
     const url = new URL(call.path, 'http://state');
     const path = url.pathname;
     if (multi !== null && this.lateWrites > 0 && this.sim.random() < this.lateWrites) {
-      this.sim.after(this.sim.between(2000, 12_000), () => this.later(multi));
+      this.sim.after(this.sim.between(this.latestMs / 6, this.latestMs), () => this.later(multi));
       return;
     }
     if (multi !== null && this.lostAnswers > 0 && this.sim.random() < this.lostAnswers) {
--- a/test/world/troubles.ts
+++ b/test/world/troubles.ts
@@ -29,7 +29,10 @@
     | { kind: 'machines cut' | 'machines deaf' | 'machines mute' | 'machines lost'; share: number }
     | { kind: 'machines restart'; share: number; back: number }
     | { kind: 'machines hang' | 'commands held' | 'answers held'; share: number }
-    | { kind: 'zone cut'; zone: string; inside: 'leader' | 'follower' }
+    /** Where controllers are spread over zones it is the zone of that controller, with all in it. */
+    | { kind: 'zone cut'; zone: string; inside: 'leader' | 'follower' | 'single' }
+    /** The lead passes to this controller: all others end, and are back after a time. */
+    | { kind: 'led from'; host: string; back: number }
     | { kind: 'cancelled'; count: number; hang?: number; cut?: number; elsewhere?: boolean }
     | { kind: 'cancelled at the end'; share: number }
     /** Jobs are cancelled a moment after a leader has given up the lead. */
@@ -132,6 +135,33 @@
     });
 }
 
+function cutZone(world: World, t: Trouble & { kind: 'zone cut' }, ms: number): void {
+  const host = hostsOf(world, t.inside === 'leader' ? 'leader' : 'others')[0] ?? '';
+  const site = t.inside === 'single' ? t.zone : world.siteOf(host);
+  if (site === undefined) return world.cutZone(t.zone, [host], ms);
+  const inside = world.hosts.filter((h) => world.siteOf(h) === site);
+  world.cutZone(site, inside, ms);
+  observeZoneCut(world, inside, ms);
+}
+
+/** Notes who leads, and that work goes on, while a zone is cut off. */
+function observeZoneCut(world: World, inside: readonly string[], ms: number): void {
+  const { sim, happenings, rules } = world;
+  const until = sim.now + ms;
+  if (inside.length === 1 && world.leader === inside[0])
+    happenings.note('leader alone in its zone');
+  world.onLog.push((text) => {
+    if (text !== 'elected leader' || sim.now > until) return;
+    sim.after(0, () => {
+      const leads = world.hosts.some((h) => world.leads(h) && !inside.includes(h));
+      if (leads) happenings.note('leader elected outside a cut zone');
+    });
+  });
+  rules.onStart.push(() => {
+    if (sim.now <= until) happenings.note('work while a zone is cut');
+  });
+}
+
 /** Brings the troubles about, each at its time from now. */
 export function bring(world: World, troubles: readonly Trouble[]): void {
   for (const t of troubles) world.sim.after(t.at * 1000, () => begin(world, t));
@@ -216,11 +246,9 @@
     case 'answers held':
       return some(world, t.share).forEach((w) => world.hush(w, ms));
     case 'zone cut':
-      return world.cutZone(
-        t.zone,
-        hostsOf(world, t.inside === 'leader' ? 'leader' : 'others')[0] ?? '',
-        ms,
-      );
+      return cutZone(world, t, ms);
+    case 'led from':
+      return world.endAllBut(t.host, t.back * 1000);
     case 'cancelled':
       return cancel(world, t);
     case 'cancelled at the end': {
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -87,6 +87,7 @@
       platform.stateLimits,
       scenario.page,
     );
+    this.state.latestMs = workers.leaseS * 600;
     this.shared = {
       sim: this.sim,
       net: this.net,
@@ -270,17 +271,29 @@
     });
   }
 
-  /** A zone goes on by itself, with its workers and one controller in it. */
-  cutZone(zone: string, inside: string, ms: number): void {
+  /** A zone goes on by itself, with its workers and some controllers in it. */
+  cutZone(zone: string, inside: readonly string[], ms: number): void {
     const { hosts } = this.scenario;
     const cut = (a: string, b: string): void => {
       this.net.cut(a, b, 'hold');
       this.sim.after(ms, () => this.net.heal(a, b));
     };
-    for (const other of ['state', 'user', 'cloud']) cut(inside, other);
-    for (const h of hosts) if (h !== inside) cut(inside, h);
+    for (const h of inside) {
+      for (const other of ['state', 'user', 'cloud']) cut(h, other);
+      for (const other of hosts) if (!inside.includes(other)) cut(h, other);
+    }
     for (const w of this.workers)
-      for (const h of hosts) if ((w.zone === zone) !== (h === inside)) cut(w.id, h);
+      for (const h of hosts) if ((w.zone === zone) !== inside.includes(h)) cut(w.id, h);
+  }
+
+  /** The zone of a controller where the deployment spreads them over zones. */
+  siteOf(host: string): string | undefined {
+    return this.scenario.platform.sites[this.scenario.hosts.indexOf(host)];
+  }
+
+  /** Another controller than `host` can't lead: all others end, and are back after a time. */
+  endAllBut(host: string, backMs: number): void {
+    for (const h of this.scenario.hosts) if (h !== host) this.kill(h, backMs);
   }
 
   get hosts(): readonly string[] {
@@ -357,6 +370,11 @@
       if (w.spot) this.sim.after(this.sim.between(0, overMs), () => this.cloud.take(w.id));
   }
 
+  /** Whether the host leads, as it believes itself. */
+  leads(host: string): boolean {
+    return this.processes.get(host)?.controller.leads === true;
+  }
+
   /** The host that leads, as it believes itself. */
   get leader(): string | null {
     for (const [host, { controller }] of this.processes) if (controller.leads) return host;
@@ -417,7 +435,11 @@
 
   /** A job of a kind that this world can run, with what the caller wants of it. */
   job(part: Partial<JobSpec>): JobSpec {
-    return { ...this.randomJob(), ...part };
+    const { taskScale = 1 } = this.scenario;
+    const job = { ...this.randomJob(), ...part };
+    if (part.cpus !== undefined) job.cpus = part.cpus * taskScale;
+    if (part.memoryGb !== undefined) job.memoryGb = part.memoryGb * taskScale;
+    return job;
   }
 
   /** A random job of a kind that this world can run. */
