Memory: the heap's bound fits a small place, and a start that would outgrow it is refused

V8 20 takes no new bound once it runs: after v8.setFlagsFromString with max-old-space-size, max-heap-size or max-semi-space-size heap_size_limit was unchanged and the heap grew past it. Time-outs of a takeover's reads and of lost watches follow the leader's lease; with a worker lease of 22 s they are as before.

--- a/src/controller/leader/leader-term.ts
+++ b/src/controller/leader/leader-term.ts
@@ -195,7 +195,7 @@
 
   /** Begins to read what the leaders before have left. */
   start(): void {
-    new Takeover(this.context.core, this.context.client, this).start();
+    new Takeover(this.context.core, this.context.settings, this.context.client, this).start();
   }
 
   /** Takes in what the leaders before have left. */
--- a/src/controller/leader/leader.test.ts
+++ b/src/controller/leader/leader.test.ts
@@ -110,7 +110,7 @@
       range: (prefix: string, _timeoutMs: number, done: RangeDone) =>
         void reads.push({ prefix, done }),
     };
-    new Takeover(new Core(env, silentLogger), client, heir).start();
+    new Takeover(new Core(env, silentLogger), settings, client, heir).start();
     return { env, reads, heir };
   }
 
--- a/src/controller/leader/takeover.ts
+++ b/src/controller/leader/takeover.ts
@@ -1,11 +1,13 @@
 /** Reads what the leaders before have left, once this node has been elected. */
 import type { Core } from '../core/core.js';
 import { LIVE } from '../jobs/feed.js';
+import type { Settings } from '../settings/settings.js';
 import type { StateClient } from '../store/client.js';
 import { PAGES } from '../store/pages.js';
 import type { Item } from '../wire/state.js';
 
-const READ_TIMEOUT_MS = 3000;
+/** A read may take this ratio of the leader's lease: a slower service could not keep a leader. */
+const READ_TIMEOUT_LEASES = 1.05;
 const RETRY_MS = 200;
 
 /** All that is stored. From the election on no earlier leader can change it. */
@@ -37,6 +39,7 @@
 export class Takeover {
   constructor(
     private readonly core: Core,
+    private readonly settings: Pick<Settings, 'leaderLeaseMs'>,
     private readonly client: Pick<StateClient, 'range'>,
     private readonly heir: Heir,
   ) {}
@@ -53,7 +56,8 @@
 
   private read(prefix: string, done: (read: RangeRead) => void): void {
     const sentAt = this.core.now();
-    this.client.range(prefix, READ_TIMEOUT_MS, (got) => {
+    const timeoutMs = this.settings.leaderLeaseMs * READ_TIMEOUT_LEASES;
+    this.client.range(prefix, timeoutMs, (got) => {
       if (this.heir.closed) return;
       if (got.kind === 'failed') return this.readLater(prefix, done);
       done({ items: got.value.items, revision: got.value.revision, sentAt });
--- a/src/controller/settings/platform.ts
+++ b/src/controller/settings/platform.ts
@@ -101,7 +101,37 @@
   };
 }
 
+/** Caps of a team are 0, which means none, or not below what it is guaranteed. */
+function checkTeam(team: Team, path: string): void {
+  if (team.cpusMax > 0 && team.cpusMax < team.cpus)
+    throw new SettingsError(`${path}cpus_max: ${team.cpusMax} is below cpus ${team.cpus}`);
+  if (team.gpusMax > 0 && team.gpusMax < team.gpus)
+    throw new SettingsError(`${path}gpus_max: ${team.gpusMax} is below gpus ${team.gpus}`);
+}
+
+/** Ends the start where figures that are each in range contradict one another. */
+function checkConsistency(platform: Platform): void {
+  const { reportS, leaseS } = platform.workers;
+  if (leaseS <= reportS)
+    throw new SettingsError(
+      `params.workers.lease_s: ${leaseS} is not above report_s ${reportS}: every lease would run out`,
+    );
+  platform.teams.forEach((team, i) => checkTeam(team, `params.teams.${i}.`));
+  const names = [platform.host];
+  platform.peers.forEach(({ host }, i) => {
+    if (names.includes(host))
+      throw new SettingsError(`peers.${i}.host_name: ${host} is named twice`);
+    names.push(host);
+  });
+}
+
 export function readPlatform(source: string): Platform {
+  const platform = parsePlatform(source);
+  checkConsistency(platform);
+  return platform;
+}
+
+function parsePlatform(source: string): Platform {
   let root: Table;
   try {
     root = parse(source);
--- a/src/controller/settings/settings.test.ts
+++ b/src/controller/settings/settings.test.ts
@@ -1,8 +1,11 @@
 import assert from 'node:assert/strict';
 import { readFileSync } from 'node:fs';
 import { describe, it } from 'node:test';
-import { SettingsError } from './platform.js';
+import { settingsOf, usual, type PlatformParts } from '../../../test/platform.js';
+import { checkMemory } from './memory.js';
+import { readPlatform, SettingsError } from './platform.js';
 import { defaultProperties, formatProperties, readProperties } from './properties.js';
+import { Settings } from './settings.js';
 
 describe('properties', () => {
   it('ships a file that documents every key with its default', () => {
@@ -23,3 +26,50 @@
     assert.throws(() => readProperties('fleet.strikes = 1e9'), SettingsError);
   });
 });
+
+describe("the platform's settings", () => {
+  const hosts = ['kiln-0', 'kiln-1'];
+  const text = (parts: Partial<PlatformParts>): string =>
+    settingsOf(hosts, 'kiln-0', { ...usual, ...parts });
+  const read = (source: string): Settings =>
+    new Settings(readPlatform(source), defaultProperties());
+  const team = (amounts: string): string => `[[params.teams]]\nname = "red"\n${amounts}\n`;
+
+  const contradictions: [string, string, RegExp][] = [
+    ['a lease below the report interval', text({ leaseS: 2 }), /^params\.workers\.lease_s: /],
+    ['a lease of one report interval', text({ leaseS: 3 }), /^params\.workers\.lease_s: /],
+    ['no time to cancel in', text({ cancelS: 26 }), /^params\.workers\.cancel_s: /],
+    ['a value that holds no record', text({ valueKb: 0.5 }), /^params\.state\.value_kb: /],
+    ['a transaction of one change', text({ txnOps: 1 }), /^params\.state\.txn_ops: /],
+    [
+      'a cap of GPUs below the guarantee',
+      text({ teams: team('gpus = 9\ngpus_max = 8') }),
+      /^params\.teams\.0\.gpus_max: /,
+    ],
+    [
+      'a cap of processors below the guarantee',
+      text({ teams: team('cpus = 9.0\ncpus_max = 8.0') }),
+      /^params\.teams\.0\.cpus_max: /,
+    ],
+    ['a peer named as itself', text({}).replaceAll('kiln-1', 'kiln-0'), /^peers\.0\.host_name: /],
+  ];
+  for (const [what, source, line] of contradictions)
+    it(`ends the start with one line on ${what}`, () =>
+      assert.throws(
+        () => read(source),
+        (err) =>
+          err instanceof SettingsError && line.test(err.message) && !err.message.includes('\n'),
+      ));
+
+  it('takes a team without caps, caps at the guarantee, and fields that it does not know', () => {
+    const teams = team('gpus = 9') + team('gpus = 8\ngpus_max = 8\nspare = "x"');
+    const source = text({ teams }).replace('[params.quota]', '[params.quota]\nmagic = [1]');
+    assert.equal(read(`novelty = 1\n${source}`).platform.teams.length, 2);
+  });
+
+  it('ends the start where the heap may outgrow the memory of the process', () => {
+    const platform = readPlatform(text({ ramMb: 140 }));
+    checkMemory(platform, 88);
+    assert.throws(() => checkMemory(platform, 200), /^Error: params\.quota\.ram_mb: 140 /);
+  });
+});
--- a/src/controller/store/client.ts
+++ b/src/controller/store/client.ts
@@ -28,6 +28,11 @@
 /** Over which time the wish for writes is counted, and in which what waits should go out. */
 const WANTED_MS = 3000;
 const QUEUE_S = 2;
+/**
+ * A watch without an answer is given up this ratio of the leader's lease after it was to end, so that
+ * one that was lost delays an election little beside the workers' lease.
+ */
+const WATCH_ANSWER_LEASES = 0.7;
 
 export type TxnResult =
   | { kind: 'ok'; revision: number }
@@ -265,7 +270,8 @@
   ): void {
     this.tokens.force();
     const path = `/follow?starts=${prefix}&from=${from}&hold_ms=${Math.round(holdMs)}`;
-    this.call('GET', path, undefined, holdMs + 2000, 'follow', (r) => {
+    const timeoutMs = holdMs + this.settings.leaderLeaseMs * WATCH_ANSWER_LEASES;
+    this.call('GET', path, undefined, timeoutMs, 'follow', (r) => {
       if (r.status === 410) done({ kind: 'too-old' });
       else done(this.parse(r, readEvents));
     });
--- a/src/main.ts
+++ b/src/main.ts
@@ -2,7 +2,8 @@
 import { Command } from 'commander';
 import { ask } from './controller/operators/client.js';
 import { run } from './controller/run.js';
-import { readPlatform, SettingsError } from './controller/settings/platform.js';
+import { checkMemory, heapLimitMb, neededMb } from './controller/settings/memory.js';
+import { readPlatform, SettingsError, type Platform } from './controller/settings/platform.js';
 import {
   defaultProperties,
   formatProperties,
@@ -32,6 +33,16 @@
   }
 }
 
+/** Ends the program with one line where settings are at fault. */
+function orFail<T>(run: () => T): T {
+  try {
+    return run();
+  } catch (err) {
+    if (err instanceof SettingsError) fail(err.message);
+    throw err;
+  }
+}
+
 interface Files {
   config: string;
   properties?: string;
@@ -41,12 +52,14 @@
   const platform = load(files.config, readPlatform);
   const properties =
     files.properties === undefined ? defaultProperties() : load(files.properties, readProperties);
-  try {
-    return new Settings(platform, properties);
-  } catch (err) {
-    if (err instanceof SettingsError) fail(err.message);
-    throw err;
-  }
+  return orFail(() => new Settings(platform, properties));
+}
+
+function memoryLine({ quota }: Platform): string {
+  const heapMb = heapLimitMb();
+  const needed = neededMb(heapMb);
+  const verdict = needed > quota.ramMb ? 'too little, a controller would not start' : 'enough';
+  return `heap of at most ${heapMb} MB, ${needed} MB in all, of ${quota.ramMb} MB: ${verdict}`;
 }
 
 const program = new Command('bitternvale')
@@ -56,7 +69,9 @@
   .option('--config <file>', 'settings of the platform (TOML)')
   .action((files: Partial<Files>) => {
     if (files.config === undefined) fail('--config FILE is needed; see --help');
-    run(settings(files as Files));
+    const loaded = settings(files as Files);
+    orFail(() => checkMemory(loaded.platform));
+    run(loaded);
   });
 
 program
@@ -72,6 +87,7 @@
         `leader lease ${s.leaderLeaseMs} ms, renewed every ${s.renewMs} ms, used for ${Math.round(s.leaderActsMs)} ms`,
         `a silent worker's tasks are gone after ${Math.round(s.workerGoneMs)} ms`,
         `workers are answered on a view of cancellations at most ${Math.round(s.viewMs)} ms old`,
+        memoryLine(s.platform),
         '',
       ].join('\n'),
     );
--- /dev/null
+++ b/test/memory.test.ts
@@ -0,0 +1,60 @@
+/** The memory bound of a controller, with the options of `node` that deploy/service.toml sets. */
+import assert from 'node:assert/strict';
+import { spawnSync } from 'node:child_process';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { after, describe, it } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import { parse } from 'smol-toml';
+import { neededMb } from '../src/controller/settings/memory.js';
+import { settingsOf, usual } from './platform.js';
+
+const root = fileURLToPath(new URL('../', import.meta.url));
+const { run } = parse(readFileSync(join(root, 'deploy', 'service.toml'), 'utf8'));
+if (typeof run !== 'string') throw new Error('deploy/service.toml: run: no text');
+const options = run.split(' ').filter((word) => word.startsWith('--max-'));
+
+/** Fills the heap nearly to its bound, and prints the bound and the peak of resident memory in MB. */
+const FILL = `
+  const limit = require('node:v8').getHeapStatistics().heap_size_limit;
+  const rows = [];
+  let peak = 0;
+  for (let used = 0; used < limit * 0.65; used = process.memoryUsage().heapUsed) {
+    for (let i = 0; i < 500; i++) rows.push({ name: 'k' + i, list: [i] });
+    peak = Math.max(peak, process.memoryUsage().rss);
+  }
+  console.log(Math.round(limit / 2 ** 20), Math.round(peak / 2 ** 20));
+`;
+
+describe('memory of a controller', () => {
+  const directory = mkdtempSync(join(tmpdir(), 'bitternvale-'));
+  after(() => rmSync(directory, { recursive: true }));
+
+  /** Starts the program with the deployed options in a place with so much memory. */
+  function start(ramMb: number, ...command: string[]) {
+    const config = join(directory, `${ramMb}.toml`);
+    writeFileSync(config, settingsOf(['kiln-0'], 'kiln-0', { ...usual, ramMb }));
+    const program = ['--import', 'tsx', 'src/main.ts', ...command, '--config', config];
+    return spawnSync(process.execPath, [...options, ...program], { cwd: root, encoding: 'utf8' });
+  }
+
+  it('ends the start with one line where the heap leaves no room', () => {
+    const { status, stderr } = start(100);
+    assert.equal(status, 1);
+    assert.match(stderr, /^bitternvale: params\.quota\.ram_mb: 100 [^\n]*\n$/);
+  });
+
+  it('is printed by check-config, and suffices in a small place', () => {
+    const { status, stdout } = start(140, 'check-config');
+    assert.equal(status, 0);
+    assert.match(stdout, /^heap of at most \d+ MB, \d+ MB in all, of 140 MB: enough$/m);
+    assert.match(start(100, 'check-config').stdout, /of 100 MB: too little/);
+  });
+
+  it('holds while the heap fills', () => {
+    const { stdout } = spawnSync(process.execPath, [...options, '-e', FILL], { encoding: 'utf8' });
+    const [limit = NaN, peak = NaN] = stdout.split(' ').map(Number);
+    assert.ok(peak < neededMb(limit), `${peak} MB resident with a heap of ${limit} MB`);
+  });
+});
--- a/test/platform.ts
+++ b/test/platform.ts
@@ -14,6 +14,7 @@
   writeRps: number;
   txnOps: number;
   valueKb: number;
+  ramMb: number;
   /** TOML of the limits that the state service will have. */
   next: string;
 }
@@ -29,6 +30,7 @@
   writeRps: 60,
   txnOps: 16,
   valueKb: 16,
+  ramMb: 256,
   next: '',
 };
 
@@ -60,7 +62,7 @@
 list_lag_s = 4.0
 [params.quota]
 cores = 0.2
-ram_mb = 256.0
+ram_mb = ${p.ramMb.toFixed(1)}
 fd_limit = 1000
 `;
 }
@@ -72,13 +74,8 @@
   return readPlatform(toml(head, 1, { ...usual, teams }));
 }
 
-/** Settings of one of several controllers. */
-export function oneOf(
-  hosts: string[],
-  host: string,
-  parts: PlatformParts,
-  read = readPlatform,
-): Platform {
+/** TOML of the settings of one of several controllers. */
+export function settingsOf(hosts: string[], host: string, parts: PlatformParts): string {
   const addr = (h: string, port: number): string => `10.0.0.${hosts.indexOf(h) + 1}:${port}`;
   const site = (h: string): string => parts.sites[hosts.indexOf(h)] ?? 'a';
   const peers = hosts
@@ -91,5 +88,15 @@
     `internal_addr = "${addr(host, 8081)}"`,
     ...peers,
   ];
-  return read(toml(head.join('\n'), hosts.length, parts));
+  return toml(head.join('\n'), hosts.length, parts);
+}
+
+/** Settings of one of several controllers. */
+export function oneOf(
+  hosts: string[],
+  host: string,
+  parts: PlatformParts,
+  read = readPlatform,
+): Platform {
+  return read(settingsOf(hosts, host, parts));
 }
