--- a/src/controller/leader/leader.test.ts
+++ b/src/controller/leader/leader.test.ts
@@ -98,7 +98,7 @@
 
   function begin() {
     const env = new ManualEnv();
-    const reads: { prefix: string; done: RangeDone }[] = [];
+    const reads: { prefix: string; timeoutMs: number; done: RangeDone }[] = [];
     const heir = {
       closed: false as boolean,
       jobs: 0,
@@ -107,8 +107,8 @@
       takeOver: (inheritance: Inheritance) => void heir.inherited.push(inheritance),
     } satisfies Heir & Record<string, unknown>;
     const client = {
-      range: (prefix: string, _timeoutMs: number, done: RangeDone) =>
-        void reads.push({ prefix, done }),
+      range: (prefix: string, timeoutMs: number, done: RangeDone) =>
+        void reads.push({ prefix, timeoutMs, done }),
     };
     new Takeover(new Core(env, silentLogger), settings, client, heir).start();
     return { env, reads, heir };
@@ -128,6 +128,11 @@
     assert.deepEqual(heir.inherited, [{ jobs: [item], revision: 9, sentAt: 500, pages: [] }]);
   });
 
+  it('waits for a read about as long as a lease of the leader lasts', () => {
+    const timeoutMs = begin().reads[0]?.timeoutMs ?? NaN;
+    assert.ok(Math.abs(timeoutMs / settings.leaderLeaseMs - 1) <= 0.1, `${timeoutMs} ms`);
+  });
+
   it('stops when the term is over', () => {
     const { env, reads, heir } = begin();
     heir.closed = true;
