--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -12,6 +12,7 @@
 import type { Answer } from './jobs/frontend.js';
 import { readPeer } from './peers/listener.js';
 import { REPORT_PATH } from './routes.js';
+import { memoryWarning } from './settings/memory.js';
 import type { Settings } from './settings/settings.js';
 import { encodeBody } from './wire/cbor.js';
 
@@ -40,6 +41,8 @@
 export function run(settings: Settings): void {
   const { platform } = settings;
   const log = openLog(platform.host);
+  const warning = memoryWarning(platform);
+  if (warning !== null) log.warn({}, warning);
   const seed = randomBytes(8);
   const identity = `${platform.host}-${seed.toString('hex')}`;
   const sockets = new Sockets(
--- a/src/controller/store/client.ts
+++ b/src/controller/store/client.ts
@@ -39,6 +39,11 @@
 /** Over which time the wish for writes is counted, and in which what waits should go out. */
 const WANTED_MS = 3000;
 const QUEUE_S = 2;
+/**
+ * A watch without an answer is given up this ratio of the leader's lease after it was to end, so that
+ * one that was lost delays an election little beside the workers' lease.
+ */
+const WATCH_ANSWER_LEASES = 0.7;
 
 /** Calls to the state service, paid for with tokens, their answers read. */
 export class StateClient {
@@ -266,7 +271,8 @@
   ): void {
     this.tokens.force();
     const path = `/follow?starts=${prefix}&from=${from}&hold_ms=${Math.round(holdMs)}`;
-    this.call('GET', path, undefined, holdMs + 2000, 'follow', (reply) => {
+    const timeoutMs = holdMs + this.settings.leaderLeaseMs * WATCH_ANSWER_LEASES;
+    this.call('GET', path, undefined, timeoutMs, 'follow', (reply) => {
       if (reply.status === 410) done({ kind: 'too-old' });
       else done(this.parse(reply, readEvents));
     });
--- a/src/main.ts
+++ b/src/main.ts
@@ -3,7 +3,8 @@
 import { Command } from 'commander';
 import { ask } from './controller/operators/client.js';
 import { run } from './controller/run.js';
-import { readPlatform, SettingsError } from './controller/settings/platform.js';
+import { heapLimitMb, neededMb } from './controller/settings/memory.js';
+import { readPlatform, SettingsError, type Platform } from './controller/settings/platform.js';
 import {
   defaultProperties,
   formatProperties,
@@ -50,6 +51,13 @@
   }
 }
 
+function memoryLine({ quota }: Platform): string {
+  const heapMb = heapLimitMb();
+  const needed = neededMb(heapMb);
+  const verdict = needed > quota.ramMb ? 'too little' : 'enough';
+  return `heap of at most ${heapMb} MB, ${needed} MB in all, of ${quota.ramMb} MB: ${verdict}`;
+}
+
 const program = new Command('bitternvale')
   .description('A cluster scheduler. Without a subcommand: runs one controller.')
   .version(VERSION)
@@ -73,6 +81,7 @@
         `leader lease ${s.leaderLeaseMs} ms, renewed every ${s.renewMs} ms, used for ${Math.round(s.leaderActsMs)} ms`,
         `a silent worker's tasks are gone after ${Math.round(s.workerGoneMs)} ms`,
         `workers are answered on a view of cancellations at most ${Math.round(s.viewMs)} ms old`,
+        memoryLine(s.platform),
         '',
       ].join('\n'),
     );
