--- a/src/controller/placement/room.ts
+++ b/src/controller/placement/room.ts
@@ -1,3 +1,4 @@
+/** Machines as a placement pass sees them: what is free, and who has claimed it. */
 import type { JobSpec } from '../wire/jobs.js';
 import type { MachineType } from '../wire/cloud.js';
 import type { Assignment, Need } from '../workers/assignment.js';
