--- a/src/controller/settings/settings.test.ts
+++ b/src/controller/settings/settings.test.ts
@@ -67,6 +67,16 @@
     assert.equal(read(`novelty = 1\n${source}`).platform.teams.length, 2);
   });
 
+  // A place where cancel_s leaves little beside lease_s was refused, though a shorter lease fits it.
+  it('shortens the lease of the leader where cancel_s leaves little time', () => {
+    const usualLease = read(text({})).leaderLeaseMs;
+    const short = read(text({ leaseS: 6, cancelS: 12, reportS: 1 }));
+    assert.equal(usualLease, usual.leaseS * 1000 * short.get('leadership.lease.ratio'));
+    assert.ok(short.leaderLeaseMs < 6000 * short.get('leadership.lease.ratio'));
+    assert.ok(short.leaderLeaseMs * 2 <= short.viewMs + 1);
+    assert.ok(short.viewMs + 6000 + 4000 < 12_000, 'the bound on cancelled tasks still holds');
+  });
+
   it('tells where the heap may outgrow the memory of the process', () => {
     const platform = readPlatform(text({ ramMb: 140 }));
     assert.equal(memoryWarning(platform, 88), null);
--- a/src/controller/settings/settings.ts
+++ b/src/controller/settings/settings.ts
@@ -1,6 +1,6 @@
 /** The settings of a controller, and the durations that follow from them. */
 import { SettingsError, type Platform } from './platform.js';
-import type { Properties, PropertyName } from './properties.js';
+import { propertyKeys, type Properties, type PropertyName } from './properties.js';
 
 /** Steady clocks of two machines drift apart by at most this (PROTOCOL). */
 export const DRIFT = 0.0005;
@@ -8,6 +8,9 @@
 /** A worker takes an answer up to this long after it has sent the report (PROTOCOL). */
 const ANSWER_MS = 4000;
 
+/** Leases of the leader that its view of cancellations lasts at least. */
+const VIEW_LEASES = 2;
+
 /** Both kinds of settings, and the figures that follow from them, in milliseconds. */
 export class Settings {
   readonly reportMs: number;
@@ -32,18 +35,11 @@
   ) {
     this.reportMs = platform.workers.reportS * 1000;
     this.workerLeaseMs = platform.workers.leaseS * 1000;
-    this.leaderLeaseMs = Math.round(this.workerLeaseMs * this.get('leadership.lease.ratio'));
-    this.renewMs = this.leaderLeaseMs * this.get('leadership.renew.ratio');
     const cancelMs = platform.workers.cancelS * 1000 * (1 - 2 * DRIFT);
     const slackMs = cancelMs - this.workerLeaseMs * (1 + 2 * DRIFT) - ANSWER_MS;
     this.viewMs = slackMs * this.get('workers.view.ratio');
-    // A view is renewed with each watch; below two of them no leader could keep it.
-    if (this.viewMs < this.leaderLeaseMs * 2)
-      throw new SettingsError(
-        `params.workers.cancel_s: ${platform.workers.cancelS} is too short for lease_s ` +
-          `${platform.workers.leaseS}, leadership.lease.ratio ${this.get('leadership.lease.ratio')} ` +
-          `and workers.view.ratio ${this.get('workers.view.ratio')}: cancelled tasks could outlast it`,
-      );
+    this.leaderLeaseMs = this.fittingLeaderLeaseMs();
+    this.renewMs = this.leaderLeaseMs * this.get('leadership.renew.ratio');
     for (const objective of platform.objectives) {
       const { kind, class: className, withinS, times } = objective;
       if (className === null) continue;
@@ -56,6 +52,23 @@
   }
 
   /** The value of a property. */
+  /**
+   * A view is renewed with each watch, and below two leases no leader could keep it: where
+   * `cancel_s` is short the leader's lease is shortened to fit, down to the least that is allowed.
+   */
+  private fittingLeaderLeaseMs(): number {
+    const { cancelS, leaseS } = this.platform.workers;
+    const wantedMs = this.workerLeaseMs * this.get('leadership.lease.ratio');
+    const fittingMs = Math.round(Math.min(wantedMs, this.viewMs / VIEW_LEASES));
+    const leastRatio = propertyKeys['leadership.lease.ratio'].min;
+    if (fittingMs < this.workerLeaseMs * leastRatio)
+      throw new SettingsError(
+        `params.workers.cancel_s: ${cancelS} is too short for lease_s ${leaseS} and ` +
+          `workers.view.ratio ${this.get('workers.view.ratio')}: cancelled tasks could outlast it`,
+      );
+    return fittingMs;
+  }
+
   get(name: PropertyName): number {
     return this.properties[name];
   }
