--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -3,6 +3,7 @@
 import { randomBytes } from 'node:crypto';
 import { Controller } from './controller.js';
 import type { Logger } from './core/env.js';
+import { HeapBudget, memoryWarning, type MemoryQuota } from './core/heap-budget.js';
 import { makeLog, LOG_LEVELS } from './core/log.js';
 import { NodeEnv } from './core/node-env.js';
 import { uniform } from './core/random.js';
@@ -12,7 +13,6 @@
 import type { Answer } from './jobs/frontend.js';
 import { readPeer } from './peers/listener.js';
 import { REPORT_PATH } from './routes.js';
-import { memoryWarning } from './settings/memory.js';
 import type { Settings } from './settings/settings.js';
 import { encodeBody } from './wire/cbor.js';
 
@@ -20,6 +20,7 @@
 const BODY_BYTES = 64 * 1024;
 const EMPTY_BODY = Buffer.alloc(0);
 const REQUEST_READ_MS = 10_000;
+const HEAP_CHECK_MS = 1000;
 const USER_IDLE_MS = 60_000;
 /** Workers that are well report often: of one long silent only the connection is left. */
 const WORKER_IDLE_REPORTS = 2.5;
@@ -41,8 +42,7 @@
 export function run(settings: Settings): void {
   const { platform } = settings;
   const log = openLog(platform.host);
-  const warning = memoryWarning(platform);
-  if (warning !== null) log.warn({}, warning);
+  boundHeap(platform.quota, log);
   const seed = randomBytes(8);
   const identity = `${platform.host}-${seed.toString('hex')}`;
   const sockets = new Sockets(
@@ -71,6 +71,15 @@
   loadMetrics(settings, controller);
 }
 
+/** Keeps the heap within the process's memory, or says that it will not fit. */
+function boundHeap(quota: MemoryQuota, log: Logger): void {
+  const warning = memoryWarning(quota);
+  if (warning !== null) log.warn({}, warning);
+  const budget = new HeapBudget(quota);
+  budget.adjust();
+  setInterval(() => budget.adjust(), HEAP_CHECK_MS);
+}
+
 function createApi(settings: Settings, sockets: Sockets, controller: Controller): HttpServer {
   const { platform } = settings;
   const options = {
--- a/src/main.ts
+++ b/src/main.ts
@@ -3,7 +3,7 @@
 import { Command } from 'commander';
 import { ask } from './controller/operators/client.js';
 import { run } from './controller/run.js';
-import { heapLimitMb, neededMb } from './controller/settings/memory.js';
+import { oldGenerationMb } from './controller/core/heap-budget.js';
 import { readPlatform, SettingsError, type Platform } from './controller/settings/platform.js';
 import {
   defaultProperties,
@@ -52,10 +52,7 @@
 }
 
 function memoryLine({ quota }: Platform): string {
-  const heapMb = heapLimitMb();
-  const needed = neededMb(heapMb);
-  const verdict = needed > quota.ramMb ? 'too little' : 'enough';
-  return `heap of at most ${heapMb} MB, ${needed} MB in all, of ${quota.ramMb} MB: ${verdict}`;
+  return `heap keeps at most ${oldGenerationMb(quota)} MB of ${quota.ramMb} MB`;
 }
 
 const program = new Command('bitternvale')
