Lists of any length: cloud list waits for its calls, /cluster pages, full transactions leave at once

Three fixed limits stood below a fleet of thousands. The cloud's list was given up at the first page without a token, and nothing is rented before it has been read once; now the page waits, and the list is read so seldom that 0.6 of the calls are left for rentals and releases. Questions had 25 transactions in a report interval, full or not: a full one leaves at once. The operators' listing cut its lists at 200 without a word and could pass 64 KiB: it says which are cut, and lists machines from any name on.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -127,7 +127,7 @@
       leads: () => this.leads,
       ready: () => this.readiness.ready,
       report: (body, respond) => this.report(body, respond),
-      cluster: (respond) => this.cluster(respond),
+      cluster: (after, respond) => this.cluster(after, respond),
       scrape: (respond) => this.scrape(respond),
       counted: (route, status, tookMs) => this.metrics?.request(route, status, tookMs),
     });
@@ -231,7 +231,7 @@
     this.routes.request(method, path, body, respond);
   }
 
-  private cluster(respond: Respond): void {
+  private cluster(after: string, respond: Respond): void {
     const { leaderTerm, settings } = this;
     const { types } = this.catalogue;
     if (leaderTerm === null || !leaderTerm.ready || types === null) {
@@ -239,7 +239,7 @@
       return respond({ status: 503, body, retryAfterS: RETRY_LEADER_S });
     }
     const { term, table, workers, placement, fleet } = leaderTerm;
-    const common = { settings, term, table, workers, placement, fleet, types };
+    const common = { settings, term, table, workers, placement, fleet, types, after };
     respond({
       status: 200,
       body: clusterView({ ...common, acting: this.entitled, now: this.core.now() }),
--- a/src/controller/fleet/cloud-client.ts
+++ b/src/controller/fleet/cloud-client.ts
@@ -14,10 +14,13 @@
 
 const CALL_TIMEOUT_MS = 5000;
 const LIST_PAGE_SIZE = 500;
+const LEAST_TOKEN_WAIT_MS = 5;
 /** No calls for this time after the cloud has answered 429. */
 const RATE_LIMIT_PAUSE_MS = 500;
 /** Share of the cloud's limit for the leader; the other controllers read the catalogue. */
 const LEADER_RATE_SHARE = 0.8;
+/** Share of the leader's calls that reading the list of machines may take, however long it is. */
+const LIST_RATE_SHARE = 0.4;
 /** Share of the burst that a rental leaves for lists and releases. */
 const RENT_TOKEN_RESERVE = 0.2;
 
@@ -53,12 +56,23 @@
     this.listPage([], '', done);
   }
 
+  /** Least time between two lists of so many machines that leaves calls for rentals and releases. */
+  listIntervalMs(machines: number): number {
+    const pages = Math.ceil(machines / LIST_PAGE_SIZE);
+    return (pages * 1000) / (this.tokens.perSecond * LIST_RATE_SHARE);
+  }
+
+  /** A long list takes more tokens than there are at once: the next page waits for its own. */
   private listPage(
     found: ListedMachine[],
     from: string,
     done: (machines: ListedMachine[] | null) => void,
   ): void {
-    if (!this.tokens.take()) return done(null);
+    if (!this.tokens.take()) {
+      const waitMs = Math.max(LEAST_TOKEN_WAIT_MS, this.tokens.waitMs());
+      this.core.after(waitMs, 'list-token', () => this.listPage(found, from, done));
+      return;
+    }
     const path = `/machines?limit=${LIST_PAGE_SIZE}${from === '' ? '' : `&from=${from}`}`;
     this.call('machine-list', 'GET', path, undefined, (reply) => {
       const page = this.readPage(reply);
--- a/src/controller/fleet/machine-list.ts
+++ b/src/controller/fleet/machine-list.ts
@@ -12,13 +12,13 @@
 const REPORTS_PER_LIST = 2;
 /** After a failure the list is read again when this share of its lag has not yet passed. */
 const RETRY_LAG_SHARE = 0.7;
-/** A machine that lists don't show is absent after so many times their lag. */
+/** A machine that lists don't show is absent after so many times their lag, or their interval. */
 const ABSENT_LAGS = 4;
 
 /** What the list needs of the other parts of the leader. */
 export interface MachineListContext {
   workers: Pick<Workers, 'machines' | 'setType'>;
-  cloud: Pick<CloudClient, 'listMachines'>;
+  cloud: Pick<CloudClient, 'listIntervalMs' | 'listMachines'>;
   releases: Pick<MachineReleases, 'has' | 'release'>;
   booting: BootingMachines;
   types(): MachineType[] | null;
@@ -45,8 +45,16 @@
 
   /** Reads the list if it is due. */
   step(now: number): void {
-    const everyMs = Math.max(this.lagMs, this.settings.reportMs * REPORTS_PER_LIST);
-    if (!this.reading && now - this.readAt >= everyMs) this.read();
+    if (!this.reading && now - this.readAt >= this.intervalMs) this.read();
+  }
+
+  private get intervalMs(): number {
+    const { cloud, workers } = this.context;
+    return Math.max(
+      this.lagMs,
+      this.settings.reportMs * REPORTS_PER_LIST,
+      cloud.listIntervalMs(workers.machines.size),
+    );
   }
 
   private read(): void {
@@ -98,7 +106,8 @@
 
   /** Once listed a machine stays listed until it is gone; but a list may be older than the last. */
   private markAbsent(listedIds: ReadonlySet<string>, now: number): void {
-    const absentMs = this.lagMs * ABSENT_LAGS + this.settings.reportMs;
+    const shownMs = Math.max(this.lagMs, this.context.cloud.listIntervalMs(listedIds.size));
+    const absentMs = shownMs * ABSENT_LAGS + this.settings.reportMs;
     for (const machine of this.context.workers.machines.values()) {
       if (listedIds.has(machine.id) || machine.listedAt === -Infinity) continue;
       if (now - machine.listedAt > absentMs) machine.listed = 'absent';
--- /dev/null
+++ b/src/controller/operators/view.test.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { alone } from '../../../test/platform.js';
+import { arraySpec } from '../../../test/stand-ins.js';
+import { Job } from '../jobs/table.js';
+import { defaultProperties } from '../settings/properties.js';
+import { Settings } from '../settings/settings.js';
+import { Machine } from '../workers/machine.js';
+import { clusterView, type ViewSource } from './view.js';
+
+const MACHINES = 4500;
+const JOBS = 400;
+/** Responses to users have at most this many bytes, counted as JSON (PROTOCOL). */
+const RESPONSE_BYTES = 64 * 1024;
+
+interface View {
+  machines: { id: string }[];
+  machine_count: number;
+  holds: { machine_count: number }[];
+  cut: string[];
+}
+
+describe('the view of the cluster', () => {
+  const settings = new Settings(alone(), defaultProperties());
+  const names = Array.from(
+    { length: MACHINES },
+    (_, index) => `n-${String(index).padStart(6, '0')}`,
+  );
+
+  function source(after: string): ViewSource {
+    const machines = new Map(names.map((id) => [id, new Machine(id, 0, settings)]));
+    const jobs = new Map<string, Job>();
+    for (let i = 0; i < JOBS; i++) {
+      const id = `req-${i}`;
+      const job = new Job(arraySpec({ id, kind: i % 2 === 0 ? 'gang' : 'service' }), 0, 1, 0);
+      if (i % 2 === 0)
+        job.reservation = {
+          ...{ machines: names.slice(0, 30), since: 0, searchedAt: 0 },
+          ...{ fillAt: Infinity, readyAt: Infinity },
+        };
+      jobs.set(id, job);
+    }
+    const parts = {
+      ...{ settings, after, term: 1, acting: true, now: 0, types: [] },
+      table: { jobs },
+      workers: { machines, assigned: 0, alive: () => true, teams: { state: () => [] } },
+      placement: { lacking: [...jobs.values()].map((job) => ({ job, tasks: 1 })) },
+      fleet: { booting: 0 },
+    };
+    return parts as unknown as ViewSource;
+  }
+
+  const view = (after = ''): View => clusterView(source(after)) as View;
+
+  // Only the first 200 machines were listed, and nothing said that there were more.
+  it('keeps within the size of a response, and says which lists are cut', () => {
+    const first = view();
+    assert.ok(JSON.stringify(first).length < RESPONSE_BYTES);
+    assert.equal(first.machine_count, MACHINES);
+    assert.equal(first.holds[0]?.machine_count, 30);
+    assert.deepEqual(first.cut, ['machines', 'holds', 'services', 'lacking']);
+  });
+
+  it('lists every machine over several answers', () => {
+    const seen: string[] = [];
+    for (let more = true; more;) {
+      const { machines, cut } = view(seen.at(-1) ?? '');
+      seen.push(...machines.map(({ id }) => id));
+      more = cut.includes('machines');
+    }
+    assert.deepEqual(seen, names);
+  });
+});
--- a/src/controller/operators/view.ts
+++ b/src/controller/operators/view.ts
@@ -9,8 +9,18 @@
 import type { Workers } from '../workers/workers.js';
 import type { MachineType } from '../wire/cloud.js';
 
-/** Most machines, services and lacking jobs that are listed one by one. */
-const LISTED = 200;
+/** Most entries of each list; an answer has to stay below 64 KiB. */
+const LISTED = 75;
+
+/** Machines that are named of one job. */
+const NAMES_OF_A_JOB = 8;
+
+/** A list as far as an answer has room for it. */
+interface Listing {
+  entries: unknown[];
+  /** The list goes on. */
+  more: boolean;
+}
 
 /** What the view is made of. */
 export interface ViewSource {
@@ -23,12 +33,21 @@
   workers: Workers;
   placement: Placement;
   fleet: Fleet;
+  /** Machines are listed from the first whose name comes after this one. */
+  after: string;
 }
 
 /** The body of the answer to `/cluster`. */
 export function clusterView(source: ViewSource): unknown {
   const machines = [...source.workers.machines.values()];
   const jobs = [...source.table.jobs.values()];
+  const lists = {
+    machines: machinesView(source, machines),
+    holds: holdsView(source, jobs),
+    services: servicesView(jobs),
+    lacking: lackingView(source),
+  };
+  const names = Object.keys(lists) as (keyof typeof lists)[];
   return {
     leader: source.settings.platform.host,
     term: source.term,
@@ -37,17 +56,33 @@
     pending_tasks: jobs.reduce((sum, job) => sum + job.pending.length, 0),
     assigned_tasks: source.workers.assigned,
     booting: source.fleet.booting,
-    machines: machines.slice(0, LISTED).map((machine) => machineView(source, machine)),
+    machine_count: machines.length,
     teams: teamsView(source),
-    holds: holdsView(source, jobs),
-    services: servicesView(jobs),
-    lacking: source.placement.lacking
-      .slice(0, LISTED)
-      .map(({ job, tasks }) => ({ job: job.spec.id, class: job.spec.class, tasks })),
+    ...Object.fromEntries(names.map((name) => [name, lists[name].entries])),
+    cut: names.filter((name) => lists[name].more),
     largest_placeable: source.types.map((type) => placeableView(source, machines, type)),
   };
 }
 
+/** The first entries of a list, each as the answer shows it. */
+function listed<Entry>(all: readonly Entry[], view: (entry: Entry) => unknown): Listing {
+  return { entries: all.slice(0, LISTED).map(view), more: all.length > LISTED };
+}
+
+function machinesView(source: ViewSource, machines: readonly Machine[]): Listing {
+  const rest = machines.filter(({ id }) => id > source.after);
+  rest.sort((one, other) => (one.id < other.id ? -1 : 1));
+  return listed(rest, (machine) => machineView(source, machine));
+}
+
+function lackingView({ placement }: ViewSource): Listing {
+  return listed(placement.lacking, ({ job, tasks }) => ({
+    job: job.spec.id,
+    class: job.spec.class,
+    tasks,
+  }));
+}
+
 function machineView(source: ViewSource, machine: Machine): unknown {
   return {
     id: machine.id,
@@ -81,35 +116,37 @@
   }));
 }
 
-function holdsView(source: ViewSource, jobs: Job[]): unknown {
+function holdsView(source: ViewSource, jobs: Job[]): Listing {
   // To a tenth of a second; null: never.
   const seconds = (ms: number): number | null =>
     Number.isFinite(ms) ? Math.round((ms - source.now) / 100) / 10 : null;
-  return jobs
-    .filter((job) => job.reservation !== null)
-    .map((job) => ({
-      job: job.spec.id,
-      class: job.spec.class,
-      machines: job.reservation?.machines ?? [],
-      held_s: -(seconds(job.reservation?.since ?? source.now) ?? 0),
-      fills_in_s: seconds(job.reservation?.fillAt ?? Infinity),
-      blocked: job.blocked,
-    }));
+  const holding = jobs.filter((job) => job.reservation !== null);
+  return listed(holding, (job) => ({
+    job: job.spec.id,
+    class: job.spec.class,
+    ...namesView(job.reservation?.machines ?? []),
+    held_s: -(seconds(job.reservation?.since ?? source.now) ?? 0),
+    fills_in_s: seconds(job.reservation?.fillAt ?? Infinity),
+    blocked: job.blocked,
+  }));
+}
+
+function servicesView(jobs: Job[]): Listing {
+  const services = jobs.filter((job) => job.standing);
+  services.sort((one, other) => other.missing - one.missing);
+  return listed(services, (job) => ({
+    job: job.spec.id,
+    class: job.spec.class,
+    replicas: job.spec.tasks,
+    missing: job.missing,
+    ...namesView([...job.assigned.values()].map((assignment) => assignment.machine.id)),
+    exits: job.exits,
+  }));
 }
 
-function servicesView(jobs: Job[]): unknown {
-  return jobs
-    .filter((job) => job.standing)
-    .sort((one, other) => other.missing - one.missing)
-    .slice(0, LISTED)
-    .map((job) => ({
-      job: job.spec.id,
-      class: job.spec.class,
-      replicas: job.spec.tasks,
-      missing: job.missing,
-      machines: [...job.assigned.values()].map((assignment) => assignment.machine.id),
-      exits: job.exits,
-    }));
+/** Names of the machines of one job: the first of them, and how many there are. */
+function namesView(names: readonly string[]): { machines: string[]; machine_count: number } {
+  return { machines: names.slice(0, NAMES_OF_A_JOB), machine_count: names.length };
 }
 
 function placeableView(source: ViewSource, machines: Machine[], type: MachineType): unknown {
--- a/src/controller/routes.ts
+++ b/src/controller/routes.ts
@@ -19,7 +19,8 @@
 /** What answers requests with one method for one path. */
 interface Endpoint {
   method: 'GET' | 'POST';
-  serve: (body: Buffer, respond: Respond) => void;
+  /** `query`: what the target has after its question mark. */
+  serve: (body: Buffer, respond: Respond, query: URLSearchParams) => void;
 }
 
 /** What the routes need beside users' jobs. */
@@ -30,8 +31,8 @@
   ready(): boolean;
   /** Answers a worker's report. */
   report(body: unknown, respond: Respond): void;
-  /** Answers with the view of the cluster. */
-  cluster(respond: Respond): void;
+  /** Answers with the view of the cluster; its list of machines begins after the one named. */
+  cluster(after: string, respond: Respond): void;
   /** Answers with the metrics. */
   scrape(respond: Respond): void;
   /** A request has been answered. */
@@ -150,12 +151,12 @@
   }
 
   private route(method: string, target: string, body: Buffer, respond: Respond): void {
-    const path = target.split('?', 1)[0] ?? '';
+    const [path = '', query = ''] = target.split('?', 2);
     const endpoint = this.endpoint(path);
     if (endpoint === null) respond({ status: 404, body: { error: 'no such path' } });
     else if (method !== endpoint.method)
       respond({ status: 405, body: { error: 'method not allowed' }, allow: endpoint.method });
-    else endpoint.serve(body, respond);
+    else endpoint.serve(body, respond, new URLSearchParams(query));
   }
 
   private endpoint(path: string): Endpoint | null {
@@ -177,12 +178,14 @@
         ? { status: 200, body: { ready: true } }
         : { status: 503, body: { ready: false } };
     const report: Endpoint['serve'] = (body, respond) => source.report(this.decode(body), respond);
+    const cluster: Endpoint['serve'] = (_body, respond, query) =>
+      source.cluster(query.get('after') ?? '', respond);
     const submit: Endpoint['serve'] = (body, respond) =>
       frontend.submit(this.decode(body), respond);
     return new Map<string, Endpoint>([
       [REPORT_PATH, { method: 'POST', serve: report }],
       ['/ready', { method: 'GET', serve: (_body, respond) => respond(ready()) }],
-      ['/cluster', { method: 'GET', serve: (_body, respond) => source.cluster(respond) }],
+      ['/cluster', { method: 'GET', serve: cluster }],
       ['/metrics', { method: 'GET', serve: (_body, respond) => source.scrape(respond) }],
       ['/submissions', { method: 'POST', serve: submit }],
     ]);
--- a/src/controller/store/batcher.ts
+++ b/src/controller/store/batcher.ts
@@ -1,6 +1,6 @@
 /** Group commit of the writes and comparisons that a node makes for its users. */
 import type { Core } from '../core/core.js';
-import { Batch, type BatchEntry } from './batch.js';
+import { Batch, CONDITIONS_PER_WRITE, type BatchEntry } from './batch.js';
 import type { StateClient } from './client.js';
 import type { TransactionResult } from './results.js';
 import { sizeOf } from './pages.js';
@@ -17,7 +17,7 @@
   timeoutMs: number;
   /** How long an entry may wait for its transaction to be sent. */
   queueMs: number;
-  /** Least time between two transactions: more entries share each. */
+  /** Least time between two transactions that are not full: more entries share each. */
   everyMs: number;
 }
 
@@ -27,8 +27,9 @@
  */
 export class Batcher {
   private queue: Queued[] = [];
-  /** Writes of the queued entries. */
+  /** Writes and conditions of the queued entries. */
   private writes = 0;
+  private conditions = 0;
   private nextAt = 0;
   private inFlight = false;
   /** Entries go one by one: it has to be found out whose fault a failure was. */
@@ -49,13 +50,21 @@
     const { queueMs } = this.options;
     if (this.waitMs(entry.writes.length) > queueMs) return false;
     this.queue.push({ ...entry, until: this.core.now() + queueMs });
-    this.count(entry.writes.length);
+    this.count(entry, 1);
     return true;
   }
 
-  private count(writes: number): void {
-    this.writes += writes;
-    this.client.queued += writes;
+  /** Counts an entry that has been queued, or with -1 one that has left the queue. */
+  private count({ writes, conditions }: BatchEntry, times: 1 | -1): void {
+    this.writes += writes.length * times;
+    this.conditions += conditions.length * times;
+    this.client.queued += writes.length * times;
+  }
+
+  /** A whole transaction waits: more entries could not share it. */
+  private get full(): boolean {
+    const { txnOps } = this.client.limits.inForce;
+    return this.writes >= txnOps || this.conditions >= txnOps * CONDITIONS_PER_WRITE;
   }
 
   /** How long until tokens for one more entry are there, after all that wait already. */
@@ -71,7 +80,7 @@
   private flush(): void {
     if (this.inFlight || this.queue.length === 0) return;
     const now = this.core.now();
-    if (now < this.nextAt) return this.later(this.nextAt - now);
+    if (now < this.nextAt && !this.full) return this.later(this.nextAt - now);
     const waitMs = this.client.tokens.waitMs(1, this.options.reserve);
     if (waitMs > 0) return this.later(waitMs);
     this.nextAt = now + this.options.everyMs;
@@ -93,7 +102,7 @@
         return batch;
       }
       this.queue.shift();
-      this.count(-next.writes.length);
+      this.count(next, -1);
       batch.add(next, bytes);
     }
   }
@@ -123,7 +132,7 @@
     if (late.length === 0) return;
     this.queue = this.queue.filter((entry) => entry.until >= now);
     for (const entry of late) {
-      this.count(-entry.writes.length);
+      this.count(entry, -1);
       entry.done({ kind: 'refused' });
     }
   }
@@ -153,7 +162,7 @@
 
   private again(entries: Queued[]): void {
     this.queue.unshift(...entries);
-    for (const entry of entries) this.count(entry.writes.length);
+    for (const entry of entries) this.count(entry, 1);
     this.nextAt = 0;
   }
 
--- a/src/controller/workers/registry.ts
+++ b/src/controller/workers/registry.ts
@@ -5,8 +5,11 @@
 import { Machine } from './machine.js';
 import type { TokenSync } from './token-sync.js';
 
-/** Machines remembered after they are gone. */
-const REMOVED_MACHINES_LIMIT = 10_000;
+/**
+ * Machines that are gone are remembered for so many leases, however many they are: the network may
+ * bring copies of their reports for minutes.
+ */
+const REMOVED_MACHINE_LEASES = 60;
 
 /** What reports and the cloud's list say of a machine. */
 export interface MachineDescription {
@@ -20,8 +23,8 @@
 /** Machines by name, and the names of those that are gone for ever. */
 export class MachineRegistry {
   readonly machines = new Map<string, Machine>();
-  /** Machines that are gone, the latest; names are not used again. */
-  private readonly removedMachines = new Set<string>();
+  /** Machines that are gone, and since when, the oldest first; names are not used again. */
+  private readonly removedMachines = new Map<string, number>();
 
   constructor(
     private readonly core: Pick<Core, 'now'>,
@@ -62,10 +65,16 @@
   /** The machine is gone for ever. */
   remove(machine: Machine): void {
     this.machines.delete(machine.id);
-    this.removedMachines.add(machine.id);
-    if (this.removedMachines.size <= REMOVED_MACHINES_LIMIT) return;
-    const oldest = this.removedMachines.values().next();
-    if (oldest.done !== true) this.removedMachines.delete(oldest.value);
+    this.removedMachines.set(machine.id, this.core.now());
+    this.forgetRemoved();
+  }
+
+  private forgetRemoved(): void {
+    const rememberedMs = this.settings.workerLeaseMs * REMOVED_MACHINE_LEASES;
+    for (const [id, removedAt] of this.removedMachines) {
+      if (this.core.now() - removedAt <= rememberedMs) return;
+      this.removedMachines.delete(id);
+    }
   }
 
   /** Whether a machine of this name is gone for ever, as far as remembered. */
--- a/src/main.ts
+++ b/src/main.ts
@@ -134,9 +134,9 @@
   method: 'POST',
   path: `/submissions/${id}/abort`,
 })).argument('<id>');
-operator('cluster', 'prints the cluster as its leader sees it', () => ({
+operator('cluster', 'prints the cluster as its leader sees it', (_, after) => ({
   method: 'GET',
-  path: '/cluster',
-}));
+  path: after === '' ? '/cluster' : `/cluster?after=${encodeURIComponent(after)}`,
+})).argument('[after]', 'lists machines from the one after this name');
 
 void program.parseAsync();
