--- /dev/null
+++ b/test/simulation/large-fleet.ts
@@ -0,0 +1,90 @@
+/** A deployment of thousands of machines in three zones, and a day on which whole parts of it fail. */
+import { usual } from '../platform.js';
+import { grown, objective, team, type Deployment } from './deployment.js';
+import { Simulation } from './simulation.js';
+
+const ZONES = ['a', 'b', 'c'];
+/** Parts of the machines by type and market; the rest of the capacity is rented when needed. */
+const PARTS = [
+  { type: 'big', spot: false, share: 0.4 },
+  { type: 'big', spot: true, share: 0.3 },
+  { type: 'small', spot: false, share: 0.15 },
+] as const;
+/** Machines for each job that is there at the start. */
+const MACHINES_PER_JOB = 6;
+
+/** Five controllers; what the state service and the cloud take grows with the machines. */
+export function largeFleet(machines: number): Deployment {
+  const base = grown(machines);
+  const gpus = machines * 4;
+  return {
+    ...base,
+    types: base.types.map((type) => ({ ...type, zones: ZONES })),
+    machines: ZONES.flatMap((zone) =>
+      PARTS.map(({ type, spot, share }) => ({
+        ...{ type, zone, spot },
+        count: Math.round((machines * share) / ZONES.length),
+      })),
+    ),
+    platform: {
+      ...usual,
+      ...{ zones: ZONES, sites: ['a', 'b', 'c', 'a', 'b'], reportS: 4, leaseS: 20 },
+      ...{ rps: machines / 8, writeRps: machines / 20, txnOps: 24, ramMb: 1500 },
+      teams:
+        team('red', 0, 0, gpus * 0.2, gpus * 0.45) +
+        team('blue', 0, 0, gpus * 0.2, gpus * 0.3) +
+        objective('wait', 'train', 60, 0.9) +
+        objective('finished', 'score', 200, 0.9),
+    },
+  };
+}
+
+/** Milliseconds from the start of the day to each of its faults. */
+const DAY = {
+  leaderEnds: 15_000,
+  outage: 30_000,
+  spotTaken: 45_000,
+  allEnd: 60_000,
+  zoneLost: 85_000,
+  roll: 120_000,
+  end: 150_000,
+} as const;
+
+const OUTAGE_MS = 8000;
+const SPOT_SHARE = 0.75;
+const SPOT_OVER_MS = 8000;
+const RESTART_MS = 6000;
+const LOST_ZONE = 'b';
+const ZONE_LOST_MS = 30_000;
+const ROLL_EVERY_MS = 4000;
+/** Mean time between two jobs, for each machine. */
+const MACHINE_MS_PER_JOB = 450_000;
+
+/** Plays a day on which one large part after the other fails, to the end of its faults. */
+export function playLargeFleet(machines: number, seed: number): Simulation {
+  const rates = { everyMs: Infinity, doubled: 0.002, errors: 0.005, bootFails: 0.02 };
+  const deployment = largeFleet(machines);
+  const simulation = new Simulation(deployment, seed, rates);
+  const { sim } = simulation;
+  for (let i = 0; i < machines / MACHINES_PER_JOB; i++)
+    simulation.user(simulation.randomJob(), null);
+  const submitNext = (): void => {
+    if (sim.now > DAY.end) return;
+    simulation.user(simulation.randomJob(), sim.random() < 0.04 ? 20_000 : null);
+    sim.after(sim.between(0.3, 1.7) * (MACHINE_MS_PER_JOB / machines), submitNext);
+  };
+  submitNext();
+  sim.after(DAY.leaderEnds, () => simulation.kill(simulation.leader ?? 'kiln-0', RESTART_MS));
+  sim.after(DAY.outage, () => simulation.state.outage(OUTAGE_MS));
+  sim.after(DAY.spotTaken, () => simulation.machineFaults.takeSpot(SPOT_SHARE, SPOT_OVER_MS));
+  sim.after(DAY.allEnd, () => {
+    for (const host of deployment.hosts) simulation.kill(host, RESTART_MS);
+  });
+  sim.after(DAY.zoneLost, () => {
+    const inside = deployment.hosts.filter((host) => simulation.siteOf(host) === LOST_ZONE);
+    simulation.connectionFaults.cutZone(LOST_ZONE, inside, ZONE_LOST_MS);
+  });
+  sim.after(DAY.roll, () => simulation.processes.roll(ROLL_EVERY_MS));
+  simulation.play(DAY.end);
+  return simulation;
+}
