Doc comments checked by the linter; room of machines in modules of one job, whole names

Sending to peers has a module of its own; constants of estimates and reserves are named for what they are.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,4 +1,5 @@
 import js from '@eslint/js';
+import jsdoc from 'eslint-plugin-jsdoc';
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
@@ -29,6 +30,27 @@
       'max-lines-per-function': ['error', { max: 40 }],
     },
   },
+  {
+    files: ['src/**/*.ts'],
+    ignores: ['**/*.test.ts'],
+    plugins: { jsdoc },
+    // Every exported item has a doc comment, and so has every public member of an exported class.
+    rules: {
+      'jsdoc/require-jsdoc': [
+        'error',
+        {
+          publicOnly: { ancestorsOnly: true, esm: true, cjs: false },
+          require: { FunctionDeclaration: true, ClassDeclaration: true, MethodDefinition: true },
+          checkConstructors: false,
+          contexts: [
+            'TSInterfaceDeclaration',
+            'TSTypeAliasDeclaration',
+            'ExportNamedDeclaration > VariableDeclaration',
+          ],
+        },
+      ],
+    },
+  },
   {
     files: ['**/*.test.ts', 'test/**/*.ts'],
     rules: {
--- a/src/controller/core/node-env.ts
+++ b/src/controller/core/node-env.ts
@@ -1,10 +1,17 @@
 /** The environment of a controller in production: Node's clocks, timers and sockets. */
-import net from 'node:net';
 import { HttpClient } from '../http/client.js';
+import type { Message } from '../http/parser.js';
 import type { Sockets } from '../http/sockets.js';
 import { frame } from '../peers/framing.js';
 import { decodeBody, encodeBody } from '../wire/cbor.js';
 import type { Call, Env, Reply, Timer } from './env.js';
+import { PeerLink } from './peer-link.js';
+
+/** Connections to one address at most, and how long one is kept without use. */
+const CONNECTIONS_PER_HOST = 12;
+const CONNECTION_IDLE_MS = 30_000;
+/** The largest answer that is read. */
+const ANSWER_BYTES = 16 * 1024 * 1024;
 
 /** What the environment is given at start. */
 export interface NodeEnvOptions {
@@ -26,89 +33,62 @@
     this.random = options.random;
     this.sockets = options.sockets;
     this.client = new HttpClient({
-      ...{ sockets: options.sockets, perHost: 12, idleMs: 30_000 },
-      maxBodyBytes: 16 * 1024 * 1024,
+      sockets: options.sockets,
+      perHost: CONNECTIONS_PER_HOST,
+      idleMs: CONNECTION_IDLE_MS,
+      maxBodyBytes: ANSWER_BYTES,
     });
-    for (const p of options.peers)
-      this.links.set(p.host, new PeerLink(p.addr, options.peerRetryMs));
+    for (const { host, addr } of options.peers)
+      this.links.set(host, new PeerLink(addr, options.peerRetryMs));
   }
 
+  /** Steady clock in milliseconds. */
   now(): number {
     return performance.now();
   }
 
+  /** Time of day in milliseconds. */
   wall(): number {
     return Date.now();
   }
 
+  /** Runs `fn` once the present events have been handled. */
   soon(fn: () => void): void {
     setImmediate(fn);
   }
 
+  /** Runs `fn` once after `ms`. */
   timer(ms: number, fn: () => void): Timer {
-    const t = setTimeout(fn, ms);
-    return { cancel: () => clearTimeout(t) };
+    const timeout = setTimeout(fn, ms);
+    return { cancel: () => clearTimeout(timeout) };
   }
 
+  /** Sends a request; a broken answer counts as none. */
   call(call: Call, done: (reply: Reply) => void): void {
     const body = call.body === undefined ? null : encodeBody(call.body);
-    this.client.request(call.to, call.method, call.path, body, call.timeoutMs, (m) => {
-      if (m === null) return done({ status: 0, body: null });
-      let value: unknown = null;
-      try {
-        if (m.body.length > 0) value = decodeBody(m.body);
-      } catch {
-        // A broken answer is none.
-        return done({ status: 0, body: null });
-      }
-      done({ status: m.status, body: value });
-    });
+    this.client.request(call.to, call.method, call.path, body, call.timeoutMs, (response) =>
+      done(response === null ? NO_REPLY : readReply(response)),
+    );
   }
 
+  /** Sockets are not short, or a connection to the address is open. */
   mayCall(to: string): boolean {
     return !this.sockets.short || this.client.connected(to);
   }
 
+  /** Sends a message to a peer, or drops it while the peer is slow or away. */
   sendPeer(host: string, bytes: Buffer): void {
     this.links.get(host)?.send(frame(bytes));
   }
 }
 
-/** Bytes that may wait for a slow peer before messages to it are dropped. */
-const BACKLOG = 256 * 1024;
-
-class PeerLink {
-  private socket: net.Socket | null = null;
-  private retryAt = 0;
-
-  constructor(
-    private readonly addr: string,
-    private readonly retryMs: number,
-  ) {}
+const NO_REPLY: Reply = { status: 0, body: null };
 
-  send(bytes: Buffer): void {
-    const socket = this.socket ?? this.open();
-    if (socket === null || socket.writableLength > BACKLOG) return;
-    socket.write(bytes);
-  }
-
-  private open(): net.Socket | null {
-    const now = performance.now();
-    if (now < this.retryAt) return null;
-    this.retryAt = now + this.retryMs;
-    const colon = this.addr.lastIndexOf(':');
-    const socket = net.connect({
-      host: this.addr.slice(0, colon),
-      port: Number(this.addr.slice(colon + 1)),
-      noDelay: true,
-    });
-    this.socket = socket;
-    socket.on('error', () => socket.destroy());
-    socket.on('close', () => {
-      if (this.socket === socket) this.socket = null;
-    });
-    // Nothing is ever said on this side of a link.
-    socket.on('data', () => socket.destroy());
-    return socket;
+function readReply({ status, body }: Message): Reply {
+  try {
+    return { status, body: body.length > 0 ? decodeBody(body) : null };
+  } catch {
+    // A broken answer is none.
+    return NO_REPLY;
   }
 }
--- a/src/controller/fleet/booting-machines.ts
+++ b/src/controller/fleet/booting-machines.ts
@@ -1,8 +1,8 @@
 /** Machines that are rented and have not come up yet. */
-import type { Kind } from '../placement/room.js';
+import type { MachineKind } from '../placement/machine-kind.js';
 
 /** A machine that boots, and since when. */
-export interface BootingMachine extends Kind {
+export interface BootingMachine extends MachineKind {
   since: number;
 }
 
--- a/src/controller/fleet/cloud-client.ts
+++ b/src/controller/fleet/cloud-client.ts
@@ -10,7 +10,7 @@
   writeRent,
   type ListedMachine,
 } from '../wire/cloud.js';
-import type { Kind } from '../placement/room.js';
+import type { MachineKind } from '../placement/machine-kind.js';
 
 const CALL_TIMEOUT_MS = 5000;
 const LIST_PAGE_SIZE = 500;
@@ -31,7 +31,7 @@
 /** Machines to be rented under a name that makes the request idempotent. */
 export interface RentalRequest {
   name: string;
-  kind: Kind;
+  kind: MachineKind;
   count: number;
 }
 
--- a/src/controller/fleet/headroom.ts
+++ b/src/controller/fleet/headroom.ts
@@ -1,5 +1,6 @@
 /** Demand that is expected: classes of jobs seen lately should find room for some more tasks. */
-import { allowed, needOf, whole } from '../placement/room.js';
+import { isAllowed } from '../placement/machine-kind.js';
+import { needOf, wholeTasks } from '../placement/need.js';
 import type { JobSpec } from '../wire/jobs.js';
 import type { Machine } from '../workers/machine.js';
 import type { Demand } from './rental-plan.js';
@@ -19,8 +20,8 @@
 /** Tasks of the job that fit on the machine beside what runs there. */
 function tasksThatFit(spec: JobSpec, machine: Machine): number {
   const { type, zone, spot } = machine;
-  if (type === null || !allowed(spec, { type, zone, spot })) return 0;
-  return whole(
+  if (type === null || !isAllowed(spec, { type, zone, spot })) return 0;
+  return wholeTasks(
     needOf(spec),
     type.cpus - machine.cpus,
     type.gpus - machine.gpus,
--- a/src/controller/fleet/rental-backoff.ts
+++ b/src/controller/fleet/rental-backoff.ts
@@ -1,5 +1,5 @@
 /** Pauses in renting of kinds of machines that the cloud does not have just now. */
-import type { Kind } from '../placement/room.js';
+import type { MachineKind } from '../placement/machine-kind.js';
 
 /** The longest pause, in times of the first. */
 const MAX_PAUSE_FACTOR = 8;
@@ -10,7 +10,7 @@
 }
 
 /** A kind of machine as text: key of its pause, and its name in the log. */
-export function kindKey(kind: Kind): string {
+export function kindKey(kind: MachineKind): string {
   return `${kind.type.name}/${kind.zone}/${kind.spot ? 'spot' : 'ordinary'}`;
 }
 
@@ -21,12 +21,12 @@
   constructor(private readonly firstPauseMs: number) {}
 
   /** The cloud had all that was asked for. */
-  succeeded(kind: Kind): void {
+  succeeded(kind: MachineKind): void {
     this.pauses.delete(kindKey(kind));
   }
 
   /** The cloud had fewer than asked for. `some`: it had a few, so the pause is the first again. */
-  refused(kind: Kind, now: number, some: boolean): void {
+  refused(kind: MachineKind, now: number, some: boolean): void {
     const before = this.pauses.get(kindKey(kind));
     const lengthMs =
       before === undefined || some
@@ -36,7 +36,7 @@
   }
 
   /** The kind may be asked for. */
-  mayRent(kind: Kind, now: number): boolean {
+  mayRent(kind: MachineKind, now: number): boolean {
     const pause = this.pauses.get(kindKey(kind));
     return pause === undefined || pause.until <= now;
   }
--- a/src/controller/fleet/rental-plan.ts
+++ b/src/controller/fleet/rental-plan.ts
@@ -1,5 +1,6 @@
 /** Which machines to rent for tasks that lack room. Pure: no clock, no I/O. */
-import { allowed, needOf, whole, type Kind } from '../placement/room.js';
+import { type MachineKind, isAllowed } from '../placement/machine-kind.js';
+import { needOf, wholeTasks } from '../placement/need.js';
 import type { JobSpec } from '../wire/jobs.js';
 import type { Need } from '../workers/assignment.js';
 
@@ -21,29 +22,29 @@
 
 /** A kind of machine that can be rented, and how many machines its zone has. */
 export interface Offer {
-  kind: Kind;
+  kind: MachineKind;
   machinesInZone: number;
 }
 
 /** Machines of one kind to rent. */
 export interface RentalOrder {
-  kind: Kind;
+  kind: MachineKind;
   count: number;
 }
 
 /** Free room of a machine that is booting or to be rented. */
 interface FreeRoom extends Need {
-  kind: Kind;
+  kind: MachineKind;
 }
 
-function emptyMachine(kind: Kind): FreeRoom {
+function emptyMachine(kind: MachineKind): FreeRoom {
   const { cpus, gpus, memoryGb } = kind.type;
   return { kind, cpus, gpus, memoryGb };
 }
 
 /** Takes room for as many of the tasks as fit; returns how many. */
 function takeRoom(room: FreeRoom, need: Need, tasks: number): number {
-  const taken = Math.min(tasks, whole(need, room.cpus, room.gpus, room.memoryGb));
+  const taken = Math.min(tasks, wholeTasks(need, room.cpus, room.gpus, room.memoryGb));
   room.cpus -= need.cpus * taken;
   room.gpus -= need.gpus * taken;
   room.memoryGb -= need.memoryGb * taken;
@@ -54,8 +55,8 @@
 function weightedPrice(demand: Demand, need: Need, offer: Offer): number | null {
   const { spec, tasks } = demand;
   const { type, spot } = offer.kind;
-  if (!allowed(spec, offer.kind)) return null;
-  const holds = Math.min(tasks, whole(need, type.cpus, type.gpus, type.memoryGb));
+  if (!isAllowed(spec, offer.kind)) return null;
+  const holds = Math.min(tasks, wholeTasks(need, type.cpus, type.gpus, type.memoryGb));
   if (holds < 1) return null;
   // A replica on a spot machine is down each time that the machine is taken.
   const atSpotPrice = spot && spec.kind !== 'service';
@@ -85,11 +86,11 @@
 /** Orders of one round of renting, each for machines of one kind. */
 class RentalPlan {
   readonly orders: RentalOrder[] = [];
-  private readonly openOrders = new Map<Kind, RentalOrder>();
+  private readonly openOrders = new Map<MachineKind, RentalOrder>();
   private readonly rooms: FreeRoom[];
 
   constructor(
-    booting: readonly Kind[],
+    booting: readonly MachineKind[],
     private readonly offers: readonly Offer[],
   ) {
     this.rooms = booting.map(emptyMachine);
@@ -113,7 +114,7 @@
     let placed = 0;
     for (const room of this.rooms) {
       if (placed === tasks) break;
-      if (allowed(spec, room.kind)) placed += takeRoom(room, need, tasks - placed);
+      if (isAllowed(spec, room.kind)) placed += takeRoom(room, need, tasks - placed);
     }
     return placed;
   }
@@ -136,7 +137,7 @@
 /** Orders for the demands, in their order, beyond what the booting machines hold. Counts offers up. */
 export function planRentals(
   demands: readonly Demand[],
-  booting: readonly Kind[],
+  booting: readonly MachineKind[],
   offers: readonly Offer[],
 ): RentalOrder[] {
   const plan = new RentalPlan(booting, offers);
--- a/src/controller/fleet/renting.ts
+++ b/src/controller/fleet/renting.ts
@@ -1,7 +1,7 @@
 /** Rents machines for work that lacks room. */
 import type { Core } from '../core/core.js';
 import type { Placement } from '../placement/placement.js';
-import type { Kind } from '../placement/room.js';
+import type { MachineKind } from '../placement/machine-kind.js';
 import type { Settings } from '../settings/settings.js';
 import type { MachineType } from '../wire/cloud.js';
 import type { JobSpec } from '../wire/jobs.js';
@@ -97,7 +97,7 @@
     for (const type of types)
       for (const zone of type.zones)
         for (const spot of [true, false]) {
-          const kind: Kind = { type, zone, spot };
+          const kind: MachineKind = { type, zone, spot };
           if (this.backoff.mayRent(kind, now))
             offers.push({ kind, machinesInZone: inZone.get(zone) ?? 0 });
         }
--- a/src/controller/jobs/job.ts
+++ b/src/controller/jobs/job.ts
@@ -86,12 +86,12 @@
     return this.standing ? this.spec.tasks - this.running : 0;
   }
 
-  /** Its priority as a number; higher goes first. */
   /** Whether replicas of it are not to start on the machine for now. */
   avoids(machine: string, now: number): boolean {
     return (this.avoided.get(machine)?.until ?? 0) > now;
   }
 
+  /** Its priority as a number; higher goes first. */
   get level(): number {
     return levels[this.spec.priority];
   }
--- a/src/controller/operators/view.ts
+++ b/src/controller/operators/view.ts
@@ -3,7 +3,7 @@
 import type { Job } from '../jobs/job.js';
 import type { JobTable } from '../jobs/table.js';
 import type { Placement } from '../placement/placement.js';
-import { times } from '../placement/room.js';
+import { timesContained } from '../placement/need.js';
 import type { Settings } from '../settings/settings.js';
 import type { Machine } from '../workers/machine.js';
 import type { Workers } from '../workers/workers.js';
@@ -163,7 +163,7 @@
     cpus_on_one: Math.max(0, ...cpus),
     // What a gang of one-GPU tasks (or one-CPU tasks, on machines without GPUs) could have.
     single_tasks: (type.gpus > 0 ? gpus : cpus).reduce(
-      (sum, free) => sum + times(Math.max(0, free), 1),
+      (sum, free) => sum + timesContained(Math.max(0, free), 1),
       0,
     ),
   };
--- a/src/controller/placement/array-placer.ts
+++ b/src/controller/placement/array-placer.ts
@@ -9,7 +9,7 @@
 import type { Preemption } from './preemption.js';
 import type { QueuedJob } from './rank.js';
 import { spreadReplicas } from './replica-spread.js';
-import { needOf } from './room.js';
+import { needOf } from './need.js';
 import type { Targets } from './targets.js';
 import type { TaskStarter } from './task-starter.js';
 import type { Teams } from './teams.js';
--- a/src/controller/placement/candidates.ts
+++ b/src/controller/placement/candidates.ts
@@ -7,7 +7,8 @@
 import { nameOfKinds } from './failed-searches.js';
 import { machinePenalty } from './machine-penalty.js';
 import type { PlacementPass } from './placement-pass.js';
-import { needOf, type Room } from './room.js';
+import { needOf } from './need.js';
+import type { Room } from './room.js';
 
 /** A machine where tasks of a job can start now. */
 export interface Candidate {
@@ -82,7 +83,9 @@
     if (job.avoids(machine.id, now)) return null;
     if (search.warmOnly && this.estimates.cold(job.spec, machine)) return null;
     const fetchMs = this.estimates.fetchMs(job.spec, machine, now);
-    const count = room.fits(job.spec, job.level, search.endsAt + fetchMs, backfill, now, record);
+    const { spec, level } = job;
+    const endsAt = search.endsAt + fetchMs;
+    const count = room.fits({ spec, level, endsAt, backfill, now, record });
     if (count <= 0) return null;
     return { room, count, score: fetchMs / 1000 + machinePenalty(job, room) };
   }
--- a/src/controller/placement/drain.ts
+++ b/src/controller/placement/drain.ts
@@ -6,7 +6,8 @@
 import type { Workers } from '../workers/workers.js';
 import type { Estimates } from './estimates.js';
 import { Moves } from './moves.js';
-import { allowed, needOf, whole } from './room.js';
+import { isAllowed } from './machine-kind.js';
+import { needOf, wholeTasks } from './need.js';
 import { spreadAllowance } from './zones.js';
 
 /** A replica leaves a machine that goes at least this long before, in report intervals. */
@@ -65,13 +66,13 @@
       const { type, zone, spot } = machine;
       if (machine === assignment.machine || type === null || !machine.images.has(spec.image))
         continue;
-      if (!allowed(spec, { type, zone, spot }) || !this.usable(machine, now)) continue;
+      if (!isAllowed(spec, { type, zone, spot }) || !this.usable(machine, now)) continue;
       if (job.avoids(machine.id, now) || !zoneAllows(job, assignment, zone)) continue;
       const taken = this.moves.takenOn(machine);
       const cpus = type.cpus - machine.cpus - taken.cpus;
       const gpus = type.gpus - machine.gpus - taken.gpus;
       const memoryGb = type.memoryGb - machine.memoryGb - taken.memoryGb;
-      if (whole(need, cpus, gpus, memoryGb) > 0) return machine;
+      if (wholeTasks(need, cpus, gpus, memoryGb) > 0) return machine;
     }
     return null;
   }
--- a/src/controller/placement/estimates.ts
+++ b/src/controller/placement/estimates.ts
@@ -6,10 +6,13 @@
 import type { Machine } from '../workers/machine.js';
 
 /** Weight of the newest run in what is known of a class. */
-const LEARN = 0.15;
-const BOUND = 4;
+const NEWEST_RUN_WEIGHT = 0.15;
+/** A run counts as this many times its estimate at most, and as the inverse at least. */
+const LARGEST_RATIO = 4;
 /** Classes remembered; users name them, so they could be many. */
-const CLASSES = 40;
+const MAX_CLASSES = 40;
+/** Classes with longer names are not recorded. */
+const MAX_NAME_LENGTH = 64;
 /** How far owners are off, as the standard deviation of a logarithm, before anything is known: by half. */
 const USUAL_ERROR = 0.5;
 const LEAST_ERROR = 0.1;
@@ -36,45 +39,52 @@
 export class Estimates {
   private readonly seen = new Map<string, Seen>();
 
+  /** A task of the class has run for so long. */
   observe(spec: JobSpec, tookMs: number): void {
     if (spec.estimateS <= 0 || tookMs <= 0) return;
-    const now = Math.log(Math.min(BOUND, Math.max(1 / BOUND, tookMs / (spec.estimateS * 1000))));
+    const ratio = tookMs / (spec.estimateS * 1000);
+    const bounded = Math.min(LARGEST_RATIO, Math.max(1 / LARGEST_RATIO, ratio));
     const { mean, variance } = this.of(spec.class);
-    const off = now - mean;
+    const deviation = Math.log(bounded) - mean;
     this.seen.delete(spec.class);
     this.seen.set(spec.class, {
-      mean: mean + LEARN * off,
-      variance: (1 - LEARN) * (variance + LEARN * off * off),
+      mean: mean + NEWEST_RUN_WEIGHT * deviation,
+      variance: (1 - NEWEST_RUN_WEIGHT) * (variance + NEWEST_RUN_WEIGHT * deviation ** 2),
     });
-    if (this.seen.size > CLASSES) {
+    if (this.seen.size > MAX_CLASSES) {
       const oldest = this.seen.keys().next();
       if (oldest.done !== true) this.seen.delete(oldest.value);
     }
   }
 
-  private of(cls: string): Seen {
-    return this.seen.get(cls) ?? { mean: 0, variance: USUAL_ERROR ** 2 };
+  private of(className: string): Seen {
+    return this.seen.get(className) ?? { mean: 0, variance: USUAL_ERROR ** 2 };
   }
 
   /** What has been learned, for the leader after this one. */
   export(): Record<string, [number, number]> {
-    const short = [...this.seen].filter(([cls]) => cls.length <= 64);
-    return Object.fromEntries(short.map(([cls, s]) => [cls, [s.mean, s.variance]]));
+    const recorded = [...this.seen].filter(([className]) => className.length <= MAX_NAME_LENGTH);
+    return Object.fromEntries(
+      recorded.map(([className, { mean, variance }]) => [className, [mean, variance]]),
+    );
   }
 
+  /** Takes over what an earlier leader has learned. */
   import(learned: unknown): void {
     if (!isMap(learned)) return;
-    for (const [cls, s] of Object.entries(learned)) {
-      const [mean, variance] = Array.isArray(s) ? (s as unknown[]) : [];
+    for (const [className, recorded] of Object.entries(learned)) {
+      const [mean, variance] = Array.isArray(recorded) ? (recorded as unknown[]) : [];
       if (typeof mean === 'number' && typeof variance === 'number')
-        this.seen.set(cls, { mean, variance });
+        this.seen.set(className, { mean, variance });
     }
   }
 
-  ratio(cls: string): number {
-    return Math.exp(this.of(cls).mean);
+  /** How long runs of the class take, as a ratio to their owners' estimates. */
+  ratio(className: string): number {
+    return Math.exp(this.of(className).mean);
   }
 
+  /** How long a task of the job should run; Infinity for a service. */
   runMs(spec: JobSpec): number {
     if (spec.kind === 'service') return Infinity;
     return spec.estimateS * 1000 * this.ratio(spec.class);
--- a/src/controller/placement/free-room.ts
+++ b/src/controller/placement/free-room.ts
@@ -1,6 +1,7 @@
 /** Counting of what a machine would have free without some of its tasks. */
 import type { Need } from '../workers/assignment.js';
-import { EPS, type Room } from './room.js';
+import { EPSILON } from './need.js';
+import type { Room } from './room.js';
 
 /** What is free in a room as one thinks tasks away. One is used for all: nothing is allocated. */
 export class FreeRoom {
@@ -33,9 +34,9 @@
   /** Whether one more such task would fit. */
   enough(need: Need): boolean {
     return (
-      need.gpus <= this.gpus + EPS &&
-      need.cpus <= this.cpus + EPS &&
-      need.memoryGb <= this.memoryGb + EPS
+      need.gpus <= this.gpus + EPSILON &&
+      need.cpus <= this.cpus + EPSILON &&
+      need.memoryGb <= this.memoryGb + EPSILON
     );
   }
 }
--- a/src/controller/placement/gang-reservations.ts
+++ b/src/controller/placement/gang-reservations.ts
@@ -9,7 +9,8 @@
 import { machinePenalty } from './machine-penalty.js';
 import type { PlacementPass } from './placement-pass.js';
 import type { Preemption } from './preemption.js';
-import { needOf, type Room } from './room.js';
+import { needOf } from './need.js';
+import type { Room } from './room.js';
 import type { Target, Targets } from './targets.js';
 import { spreadAllowance, zoneChoices } from './zones.js';
 
--- a/src/controller/placement/moves.ts
+++ b/src/controller/placement/moves.ts
@@ -14,6 +14,7 @@
 export class Moves {
   private moves: Move[] = [];
 
+  /** The replica leaves its machine, and is to start again on the other. */
   begin(from: Assignment, job: Job, to: Machine): void {
     this.moves.push({ from, job, to });
   }
--- a/src/controller/placement/placement-pass.ts
+++ b/src/controller/placement/placement-pass.ts
@@ -3,7 +3,7 @@
 import type { Machine } from '../workers/machine.js';
 import { FailedSearches } from './failed-searches.js';
 import { compareQueued, type QueuedJob } from './rank.js';
-import type { Rooms } from './room.js';
+import type { Rooms } from './rooms.js';
 
 /** Work that found no room in a pass. */
 export interface Shortage {
--- a/src/controller/placement/placement.test.ts
+++ b/src/controller/placement/placement.test.ts
@@ -8,7 +8,8 @@
 import { Machine } from '../workers/machine.js';
 import { Estimates } from './estimates.js';
 import { compareRank, compareQueued, rankTime, queuedJob, type RankSettings } from './rank.js';
-import { needOf, Room } from './room.js';
+import { needOf } from './need.js';
+import { Room } from './room.js';
 import { Targets } from './targets.js';
 import { Guarantees, Teams } from './teams.js';
 import { alone } from '../../../test/platform.js';
@@ -108,6 +109,8 @@
     return new Room(m, 100);
   };
   const one = spec({});
+  const fits = (where: Room, job: JobSpec, level: number, endsAt: number): number =>
+    where.fits({ ...{ spec: job, level, endsAt }, ...{ backfill: 0.9, now: 0 } });
 
   it('counts whole tasks by the scarcest kind of room', () => {
     assert.equal(room().fitsEmpty(needOf(one)), 4);
@@ -118,20 +121,20 @@
   it('lets lower ranks into held room only for work that ends before the hold fills', () => {
     const r = room();
     r.claim({ cpus: 8, gpus: 3, memoryGb: 8 }, 100_000);
-    assert.equal(r.fits(one, 1, 95_000, 0.9, 0), 1);
-    assert.equal(r.fits(one, 1, 80_000, 0.9, 0), 4);
-    assert.equal(r.fits(one, 1, Infinity, 0.9, 0), 1, 'a service never ends');
+    assert.equal(fits(r, one, 1, 95_000), 1);
+    assert.equal(fits(r, one, 1, 80_000), 4);
+    assert.equal(fits(r, one, 1, Infinity), 1, 'a service never ends');
   });
 
   it('keeps room ahead against small arrays, not against gangs or higher priorities', () => {
     const r = room();
     const whole = spec({ class: 'whole', gpus: 4, cpus: 14 });
-    r.keep(whole, 1, 1, 0, 1.5);
+    r.claimAhead(1, 0, { spec: whole, level: 1, larger: 1.5 });
     const small = spec({ kind: 'array', class: 'small' });
-    assert.equal(r.fits(small, 1, 1000, 0.9, 0), 0);
-    assert.equal(r.fits(small, 2, 1000, 0.9, 0), 4);
-    assert.equal(r.fits(one, 1, 1000, 0.9, 0), 4);
-    assert.equal(r.fits(whole, 1, 1000, 0.9, 0), 1);
+    assert.equal(fits(r, small, 1, 1000), 0);
+    assert.equal(fits(r, small, 2, 1000), 4);
+    assert.equal(fits(r, one, 1, 1000), 4);
+    assert.equal(fits(r, whole, 1, 1000), 1);
     assert.ok(r.intrudes(small));
   });
 });
--- a/src/controller/placement/placement.ts
+++ b/src/controller/placement/placement.ts
@@ -17,7 +17,7 @@
 import { Preemption } from './preemption.js';
 import { queuedJob, type QueuedJob, type RankSettings } from './rank.js';
 import type { Reserve } from './reserve.js';
-import { Rooms } from './room.js';
+import { Rooms } from './rooms.js';
 import { Targets } from './targets.js';
 import { TaskStarter } from './task-starter.js';
 import { Guarantees } from './teams.js';
--- a/src/controller/placement/reserve.ts
+++ b/src/controller/placement/reserve.ts
@@ -3,7 +3,9 @@
 import { isMap } from '../wire/cbor.js';
 import { readJob, writeJob, type JobSpec } from '../wire/jobs.js';
 import type { Estimates } from './estimates.js';
-import { needOf, whole, type Room, type Rooms } from './room.js';
+import { needOf, wholeTasks } from './need.js';
+import type { Room } from './room.js';
+import type { Rooms } from './rooms.js';
 
 /** What has been seen of a class of jobs. */
 interface ClassStats {
@@ -19,6 +21,7 @@
   occupancyMs: number;
 }
 
+/** How much room is kept ahead. */
 export interface ReserveSettings {
   /** Time over which arrivals are remembered. */
   memoryMs: number;
@@ -28,17 +31,23 @@
   spare: number;
 }
 
+/** What counts of images and of sizes of jobs is less by this factor with each job. */
+const JOB_DECAY = 0.95;
+
+/** Weight of the newest stay in the mean. */
+const NEWEST_STAY_WEIGHT = 0.15;
+
 /** Places kept for the tasks of one job that may come next. */
-const TOGETHER = 4;
+const MAX_TOGETHER = 4;
 
 /** Weight at which a class is forgotten: several times the memory after its last job. */
-const FORGOTTEN = 0.005;
+const LEAST_WEIGHT = 0.005;
 
 /** Classes that are passed on; they have to fit one value. */
-const EXPORTED = 12;
+const MAX_EXPORTED = 12;
 
 /** A class whose tasks are this much larger on a machine than another's is kept room against it. */
-const LARGER = 1.5;
+const LARGER_FACTOR = 1.5;
 
 /**
  * Segregation by shape (m03 §6, §9): classes of large tasks, and those that need GPUs, keep room
@@ -54,38 +63,42 @@
     private readonly estimates: Estimates,
     now: number,
     /** Wait within which a class should start, by the platform's objectives. */
-    private readonly waitMs: (cls: string) => number | null,
+    private readonly waitMs: (className: string) => number | null,
   ) {
     this.startedAt = now;
   }
 
+  /** A job has been accepted. */
   arrived(job: Job, now: number): void {
     const { spec } = job;
     const stats = this.classes.get(spec.class);
     const images = stats?.images ?? new Map<string, number>();
-    for (const [i, n] of images) images.set(i, n * 0.95);
+    for (const [image, weight] of images) images.set(image, weight * JOB_DECAY);
     images.set(spec.image, (images.get(spec.image) ?? 0) + 1);
     this.classes.set(spec.class, {
       spec,
       level: job.level,
       weight: (stats === undefined ? 0 : this.decayed(stats, now)) + spec.tasks,
       at: now,
-      together: Math.min(TOGETHER, Math.max(spec.tasks, (stats?.together ?? 1) * 0.95)),
+      together: Math.min(MAX_TOGETHER, Math.max(spec.tasks, (stats?.together ?? 1) * JOB_DECAY)),
       images,
       occupancyMs: stats?.occupancyMs ?? 0,
     });
   }
 
+  /** A task of the class has left its machine after this time. */
   ended(spec: JobSpec, occupancyMs: number): void {
     const stats = this.classes.get(spec.class);
     if (stats === undefined) return;
     stats.occupancyMs =
-      stats.occupancyMs === 0 ? occupancyMs : 0.85 * stats.occupancyMs + 0.15 * occupancyMs;
+      stats.occupancyMs === 0
+        ? occupancyMs
+        : stats.occupancyMs + NEWEST_STAY_WEIGHT * (occupancyMs - stats.occupancyMs);
   }
 
   /** What has been seen of the classes that came last, by class, for the leader after this one. */
   export(now: number, wall: number): Map<string, unknown> {
-    const recent = [...this.classes.values()].sort((a, b) => b.at - a.at).slice(0, EXPORTED);
+    const recent = [...this.classes.values()].sort((a, b) => b.at - a.at).slice(0, MAX_EXPORTED);
     const since = wall - (now - this.startedAt);
     return new Map(
       recent.map((stats) => [
@@ -134,7 +147,9 @@
           weight: Number(record['weight']),
           at,
           together: Number(record['together']),
-          images: new Map(Object.entries(record['images']).map(([i, n]) => [i, Number(n)])),
+          images: new Map(
+            Object.entries(record['images']).map(([image, weight]) => [image, Number(weight)]),
+          ),
           occupancyMs: Number(record['stay']),
         });
       } catch {
@@ -160,17 +175,17 @@
   plan(rooms: Rooms, waiting: Set<string>, now: number): void {
     // Classes are named by users: those long unseen are forgotten.
     for (const [name, stats] of this.classes)
-      if (this.decayed(stats, now) < FORGOTTEN) this.classes.delete(name);
+      if (this.decayed(stats, now) < LEAST_WEIGHT) this.classes.delete(name);
     const classes = [...this.classes.values()]
       .filter(
         (stats) =>
           stats.spec.kind === 'gang' || (stats.spec.kind === 'array' && stats.spec.gpus > 0),
       )
       .map((stats) => ({ stats, rooms: rooms.of(stats.spec).flat() }))
-      .filter((x) => x.rooms.length > 0)
+      .filter((choice) => choice.rooms.length > 0)
       // Who has the least choice chooses first.
       .sort((a, b) => a.rooms.length - b.rooms.length || b.stats.level - a.stats.level);
-    for (const { stats, rooms: mine } of classes) this.planClass(stats, mine, waiting, now);
+    for (const choice of classes) this.planClass(choice.stats, choice.rooms, waiting, now);
   }
 
   private planClass(stats: ClassStats, rooms: Room[], waiting: Set<string>, now: number): void {
@@ -180,9 +195,9 @@
     let running = 0;
     const choices: { room: Room; places: number; score: number }[] = [];
     for (const room of rooms) {
-      const t = room.machine.type;
-      if (t === null || room.closed) continue;
-      const all = whole(need, t.cpus, t.gpus, t.memoryGb);
+      const { type } = room.machine;
+      if (type === null || room.closed) continue;
+      const all = wholeTasks(need, type.cpus, type.gpus, type.memoryGb);
       const own = room.machine.classes.get(stats.spec.class) ?? 0;
       total += all;
       running += own;
@@ -196,13 +211,14 @@
     for (const { room, places } of choices) {
       if (left <= 0) break;
       const taken = room.reserved(stats.spec);
-      const n = Math.min(left, places - taken);
-      if (n <= 0) continue;
-      left -= n;
+      const count = Math.min(left, places - taken);
+      if (count <= 0) continue;
+      left -= count;
       const fetch = this.estimates.fetchMs(stats.spec, room.machine, now);
       const patience =
         waiting.has(stats.spec.class) || wait === null ? 0 : Math.max(0, wait - fetch);
-      room.keep(stats.spec, stats.level, n, now + patience, LARGER);
+      const { spec, level } = stats;
+      room.claimAhead(count, now + patience, { spec, level, larger: LARGER_FACTOR });
     }
   }
 
@@ -210,9 +226,9 @@
   private score(stats: ClassStats, room: Room): number {
     let known = 0;
     let all = 0;
-    for (const [image, n] of stats.images) {
-      all += n;
-      if (room.machine.images.has(image)) known += n;
+    for (const [image, weight] of stats.images) {
+      all += weight;
+      if (room.machine.images.has(image)) known += weight;
     }
     const warm = all > 0 ? known / all : 0;
     const free = room.fitsEmpty(needOf(stats.spec)) > 0 ? 1 : 0;
--- a/src/controller/placement/room-filling.ts
+++ b/src/controller/placement/room-filling.ts
@@ -4,7 +4,8 @@
 import type { Assignment, Need } from '../workers/assignment.js';
 import type { Estimates } from './estimates.js';
 import { FreeRoom } from './free-room.js';
-import type { Outlook, Room } from './room.js';
+import type { ExpectedEnd, Outlook } from './outlook.js';
+import type { Room } from './room.js';
 import type { VictimRules } from './victims.js';
 
 /** Room for one task: from when on, and what has to be stopped for it. */
@@ -83,9 +84,9 @@
   /** Room once enough tasks have ended, with nothing more stopped; `null`: there is never enough. */
   private fillByItself(outlook: Outlook, need: Need): Fill | null {
     let stopping = false;
-    for (const { a, at } of outlook.ends) {
-      this.free.add(a.need);
-      if (a.stop !== null) stopping = true;
+    for (const { assignment, at } of outlook.ends) {
+      this.free.add(assignment.need);
+      if (assignment.stop !== null) stopping = true;
       if (!this.free.enough(need)) continue;
       return at === Infinity ? null : fillWithoutVictims(at, stopping);
     }
@@ -103,14 +104,15 @@
       unguaranteed: false,
     };
     const youngAfter = this.rules.youngAfter(now);
-    for (const a of room.machine.assignments.values()) {
-      if (a.phase === 'ended') continue;
-      outlook.ends.push({ a, at: now + this.estimates.remainingMs(a, now) });
-      outlook.longestSaveMs = Math.max(outlook.longestSaveMs, a.saveS * 1000);
-      if (a.stop !== null) outlook.stopping = true;
-      else if (a.job !== null && a.since <= youngAfter) {
-        if (a.job.level < outlook.lowest) outlook.lowest = a.job.level;
-        if (!a.job.guaranteed) outlook.unguaranteed = true;
+    for (const assignment of room.machine.assignments.values()) {
+      if (assignment.phase === 'ended') continue;
+      const { job, since, saveS, stop } = assignment;
+      outlook.ends.push({ assignment, at: now + this.estimates.remainingMs(assignment, now) });
+      outlook.longestSaveMs = Math.max(outlook.longestSaveMs, saveS * 1000);
+      if (stop !== null) outlook.stopping = true;
+      else if (job !== null && since <= youngAfter) {
+        if (job.level < outlook.lowest) outlook.lowest = job.level;
+        if (!job.guaranteed) outlook.unguaranteed = true;
       }
     }
     if (outlook.ends.length > 1) outlook.ends.sort((first, second) => first.at - second.at);
@@ -122,11 +124,12 @@
   private addStopped(outlook: Outlook, used: Set<Assignment>, now: number): number {
     const { reportMs } = this.settings;
     let coming = now + reportMs;
-    for (const { a, at } of outlook.ends) {
-      if (a.stop !== null) coming = Math.max(coming, at);
-      else if (used.has(a)) coming = Math.max(coming, now + reportMs + a.saveS * 1000);
+    for (const { assignment, at } of outlook.ends) {
+      const { stop, saveS, need } = assignment;
+      if (stop !== null) coming = Math.max(coming, at);
+      else if (used.has(assignment)) coming = Math.max(coming, now + reportMs + saveS * 1000);
       else continue;
-      this.free.add(a.need);
+      this.free.add(need);
     }
     return coming;
   }
@@ -151,7 +154,7 @@
       const last = others[waits - 1];
       if (last !== undefined) {
         coming = Math.max(coming, last.at);
-        this.free.add(last.a.need);
+        this.free.add(last.assignment.need);
       }
       if (coming >= natural || (search.made && waits > 0)) break;
       const made = this.stop(job.spec, choice, coming, now);
@@ -167,34 +170,40 @@
     { now, job }: FillSearch,
     outlook: Outlook,
     used: Set<Assignment>,
-  ): { choice: Outlook['ends']; others: Outlook['ends'] } {
-    const choice: Outlook['ends'] = [];
-    const others: Outlook['ends'] = [];
+  ): { choice: ExpectedEnd[]; others: ExpectedEnd[] } {
+    const choice: ExpectedEnd[] = [];
+    const others: ExpectedEnd[] = [];
     for (const end of outlook.ends) {
-      if (end.a.stop !== null || used.has(end.a)) continue;
-      (this.rules.mayStop(job, now, end.a) ? choice : others).push(end);
+      const { assignment } = end;
+      if (assignment.stop !== null || used.has(assignment)) continue;
+      (this.rules.mayStop(job, now, assignment) ? choice : others).push(end);
     }
     return { choice, others };
   }
 
   /** What is to be stopped, of what has not ended by itself by then, for room that lacks only that. */
-  private stop(need: Need, choice: Outlook['ends'], coming: number, now: number): Fill | null {
+  private stop(
+    need: Need,
+    choice: readonly ExpectedEnd[],
+    coming: number,
+    now: number,
+  ): Fill | null {
     const { free } = this;
     const added: Need[] = [];
-    for (const { a, at } of choice) {
+    for (const { assignment, at } of choice) {
       if (at > coming) continue;
-      free.add(a.need);
-      added.push(a.need);
+      free.add(assignment.need);
+      added.push(assignment.need);
     }
     let fillAt = coming;
     const victims: Assignment[] = [];
-    for (const { a, at } of choice) {
+    for (const { assignment, at } of choice) {
       if (free.enough(need)) break;
       if (at <= coming) continue;
-      victims.push(a);
-      free.add(a.need);
-      added.push(a.need);
-      fillAt = Math.max(fillAt, now + this.settings.reportMs + a.saveS * 1000);
+      victims.push(assignment);
+      free.add(assignment.need);
+      added.push(assignment.need);
+      fillAt = Math.max(fillAt, now + this.settings.reportMs + assignment.saveS * 1000);
     }
     const enough = free.enough(need);
     if (enough) this.spare(need, victims, added);
--- a/src/controller/placement/teams.ts
+++ b/src/controller/placement/teams.ts
@@ -4,7 +4,7 @@
 import type { Job } from '../jobs/table.js';
 import type { JobSpec } from '../wire/jobs.js';
 import type { Assignment, Need } from '../workers/assignment.js';
-import { EPS, times } from './room.js';
+import { EPSILON, timesContained } from './need.js';
 
 /** What the tasks of one team take. */
 interface Use {
@@ -43,8 +43,8 @@
     return Math.max(
       0,
       Math.min(
-        times(Settings.cap(use.team.cpusMax) - use.cpus, spec.cpus),
-        times(Settings.cap(use.team.gpusMax) - use.gpus, spec.gpus),
+        timesContained(Settings.cap(use.team.cpusMax) - use.cpus, spec.cpus),
+        timesContained(Settings.cap(use.team.gpusMax) - use.gpus, spec.gpus),
       ),
     );
   }
@@ -54,7 +54,7 @@
     const use = this.uses.get(assignment.team);
     if (use === undefined) return false;
     const over = (used: number, need: number, guaranteed: number): boolean =>
-      need > 0 && used - need >= guaranteed - EPS;
+      need > 0 && used - need >= guaranteed - EPSILON;
     const { need } = assignment;
     // Only what is guaranteed at all can be borrowed beyond.
     if (use.team.gpus > 0 && need.gpus > 0) return over(use.gpus, need.gpus, use.team.gpus);
@@ -92,7 +92,8 @@
       const tasks = job.spec.tasks - job.doneCount;
       const cpus = left.team.cpus > 0 ? job.spec.cpus * tasks : 0;
       const gpus = left.team.gpus > 0 ? job.spec.gpus * tasks : 0;
-      job.guaranteed = cpus + gpus > 0 && cpus <= left.cpus + EPS && gpus <= left.gpus + EPS;
+      job.guaranteed =
+        cpus + gpus > 0 && cpus <= left.cpus + EPSILON && gpus <= left.gpus + EPSILON;
       left.cpus -= cpus;
       left.gpus -= gpus;
     }
--- a/src/controller/placement/victims.ts
+++ b/src/controller/placement/victims.ts
@@ -3,7 +3,7 @@
 import type { Settings } from '../settings/settings.js';
 import type { Assignment } from '../workers/assignment.js';
 import type { Estimates } from './estimates.js';
-import type { Outlook } from './room.js';
+import type { ExpectedEnd, Outlook } from './outlook.js';
 import type { Teams } from './teams.js';
 
 /** Most that a task with checkpoints loses, in times of its save. */
@@ -42,9 +42,9 @@
   }
 
   /** m03 §7: borrowed room first, the newest first. */
-  sort(ends: Outlook['ends']): void {
+  sort(ends: ExpectedEnd[]): void {
     ends.sort(
-      ({ a: first }, { a: second }) =>
+      ({ assignment: first }, { assignment: second }) =>
         Number(this.teams.borrows(second)) - Number(this.teams.borrows(first)) ||
         second.since - first.since,
     );
--- a/src/controller/placement/zones.ts
+++ b/src/controller/placement/zones.ts
@@ -1,7 +1,7 @@
 /** How a job's tasks may be divided among zones. */
 import type { Job } from '../jobs/table.js';
 import type { JobSpec } from '../wire/jobs.js';
-import type { Rooms } from './room.js';
+import type { Rooms } from './rooms.js';
 
 /** Tasks of one job by zone. */
 export type TasksByZone = Map<string, number>;
--- a/src/controller/settings/settings.ts
+++ b/src/controller/settings/settings.ts
@@ -51,7 +51,6 @@
     }
   }
 
-  /** The value of a property. */
   /**
    * A view is renewed with each watch, and below two leases no leader could keep it: where
    * `cancel_s` is short the leader's lease is shortened to fit, down to the least that is allowed.
@@ -69,6 +68,7 @@
     return fittingMs;
   }
 
+  /** The value of a property. */
   get(name: PropertyName): number {
     return this.properties[name];
   }
--- a/src/controller/workers/record.ts
+++ b/src/controller/workers/record.ts
@@ -60,6 +60,7 @@
 
   constructor(private readonly settings: Settings) {}
 
+  /** A task has been assigned to the machine. */
   add(assignment: Assignment): void {
     this.bytes += TASK_BYTES;
     const ofJob = addToCount(this.jobs, assignment.jobId, 1);
@@ -68,6 +69,7 @@
     if (ofAttempt === 1) this.bytes += ATTEMPT_BYTES;
   }
 
+  /** A task has been taken off the machine's record. */
   remove(assignment: Assignment): void {
     this.bytes -= TASK_BYTES;
     const ofJob = addToCount(this.jobs, assignment.jobId, -1);
--- a/src/controller/workers/registry.ts
+++ b/src/controller/workers/registry.ts
@@ -43,6 +43,7 @@
     return machine;
   }
 
+  /** Sets what is known of the machine; an empty address changes nothing. */
   describe(machine: Machine, { type, zone, spot, addr }: MachineDescription): void {
     machine.typeName = type;
     machine.type = this.typeNamed(type) ?? null;
