Workers are answered through an outage; idle machines outlive a takeover; faster aging

Now a leader that can't renew asks every other controller for short promises not to act as leader (0.2 of its lease, asked three times in that) and goes on answering workers while all of them are bound and its view of cancellations is young enough; it places, rents, orders and writes nothing. A process counts as bound from its start, and an elected node begins its term once its promises are over.

The view of cancellations may be 0.7 of what cancel_s leaves (0.5 before), else it would end the extension first; a leader without one hands over after 1.5 times that (2 before), about as soon.

A machine that runs by the list has the time of a silent one.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -6,7 +6,9 @@
 import { ProgressCache } from './jobs/progress.js';
 import { LearnedFigures } from './leader/learned-figures.js';
 import { LeaderTerm } from './leader/leader-term.js';
-import { Leadership } from './leadership/leadership.js';
+import { Leadership, type LeadershipEvents } from './leadership/leadership.js';
+import { answerPromise, askOver } from './leadership/promise-exchange.js';
+import { PROMISE_PATH } from './leadership/promise-request.js';
 import { setLeaderGauges, setNodeGauges, type MetricsSink } from './operators/gauges.js';
 import { Readiness } from './operators/readiness.js';
 import { clusterView } from './operators/view.js';
@@ -66,11 +68,9 @@
     this.catalogue = new Catalogue(core, settings, this.client, () =>
       this.leaderTerm?.ready === true ? this.leaderTerm : null,
     );
-    this.leadership = new Leadership(core, settings, this.client, identity, {
-      elected: (term) => this.elected(term),
-      resumed: () => this.leaderTerm?.feed.catchUp(),
-      deposed: () => this.deposed(),
-    });
+    const ask = askOver(() => this.peers);
+    const events = this.leadershipEvents();
+    this.leadership = new Leadership(core, settings, this.client, identity, events, ask);
     this.peers = new Peers(
       core,
       settings.platform.peers.map((peer) => peer.host),
@@ -89,6 +89,15 @@
 
   // ---- composition
 
+  private leadershipEvents(): LeadershipEvents {
+    return {
+      elected: (term) => this.elected(term),
+      resumed: () => this.leaderTerm?.feed.catchUp(),
+      deposed: () => this.deposed(),
+      mayExtend: () => this.leaderTerm?.ready === true && this.leaderTerm.feed.current,
+    };
+  }
+
   private peerEvents(): PeerEvents {
     return {
       accepted: (id) => this.frontend.learnAccepted(id),
@@ -100,6 +109,7 @@
         if (state === 'cancelled') this.leaderTerm?.table.cancelled(id);
       },
       request: (method, path, body, done) => {
+        if (path === PROMISE_PATH) return done(answerPromise(this.leadership, body), EMPTY_BODY);
         this.routes.handle(method, path, body, (answer) =>
           done(answer.status, answer.body === undefined ? EMPTY_BODY : encodeBody(answer.body)),
         );
@@ -185,14 +195,18 @@
   }
 
   /**
-   * Whether this node may answer workers, order, place and rent: its lease as leader runs, and no
+   * Whether this node may order, place and rent: its lease as leader runs, and no
    * cancellation confirmed longer ago than the settings allow is unknown to it.
    */
   private get entitled(): boolean {
     const { leaderTerm } = this;
-    return (
-      leaderTerm !== null && leaderTerm.ready && this.leadership.acting && leaderTerm.feed.current
-    );
+    return this.leadership.acting && leaderTerm?.ready === true && leaderTerm.feed.current;
+  }
+
+  /** Whether this node may answer workers, which may go on beyond its lease. */
+  get mayAnswerWorkers(): boolean {
+    const { leaderTerm } = this;
+    return this.leadership.mayAnswer && leaderTerm?.ready === true && leaderTerm.feed.current;
   }
 
   private elected(term: number): void {
@@ -201,6 +215,7 @@
     const leaderTerm = new LeaderTerm(term, {
       ...{ core, settings, client, leadership, peers, frontend, progress, catalogue, learned },
       entitled: () => this.entitled,
+      mayAnswerWorkers: () => this.mayAnswerWorkers,
       takenOver: () => this.leaderTerm?.ready === true,
       placementDue: () => this.leaderTerm?.passes.request(),
       passFinished: (tookMs) => this.metrics?.pass(tookMs),
@@ -265,7 +280,8 @@
     const { leaderTerm } = this;
     if (leaderTerm === null) return this.sendToLeader(respond);
     // Elected but not entitled yet, or not any more: the worker tries on.
-    if (!this.entitled || this.catalogue.types === null) return respond({ status: 503, body: {} });
+    if (!this.mayAnswerWorkers || this.catalogue.types === null)
+      return respond({ status: 503, body: {} });
     const answer = leaderTerm.workers.report(report);
     if (this.leaderTerm !== leaderTerm) return respond({ status: 503, body: {} });
     respond(answer.status === 200 ? answer : { status: 503, body: {} });
--- a/src/controller/core/env.ts
+++ b/src/controller/core/env.ts
@@ -23,6 +23,8 @@
 
 /** Clocks, timers, chance and I/O. */
 export interface Env {
+  /** When this process started, or a moment before, on the steady clock. */
+  readonly startedAt: number;
   /** Steady clock in milliseconds. */
   now(): number;
   /** Time of day in milliseconds. */
--- a/src/controller/core/node-env.ts
+++ b/src/controller/core/node-env.ts
@@ -28,6 +28,8 @@
   private readonly sockets: Sockets;
   private readonly links = new Map<string, PeerLink>();
   readonly random: () => number;
+  /** The steady clock counts from the start of the process. */
+  readonly startedAt = 0;
 
   constructor(options: NodeEnvOptions) {
     this.random = options.random;
--- a/src/controller/fleet/fleet.test.ts
+++ b/src/controller/fleet/fleet.test.ts
@@ -222,7 +222,17 @@
     assert.deepEqual(released, ['n-2']);
     assert.deepEqual(
       [...booting],
-      [['n-3', { type: plain, zone: 'a', spot: false, since: -2000 }]],
+      [
+        [
+          'n-3',
+          {
+            ...{ type: plain, zone: 'a', spot: false },
+            running: true,
+            since: -2000,
+            knownSince: 0,
+          },
+        ],
+      ],
     );
   });
 
@@ -255,11 +265,21 @@
     workers.add('silent');
     workers.silence.set('silent', silentMs + 1);
     workers.add('up');
-    booting.set('late', { type: plain, zone: 'a', spot: false, since: -Infinity });
+    const listed = { type: plain, zone: 'a', spot: false, since: -Infinity };
+    booting.set('late', { ...listed, knownSince: 0, running: false });
     assert.deepEqual(unused.find(0, quiet), ['late', 'failed', 'silent']);
     assert.equal(booting.size, 0);
   });
 
+  // A new leader reads the list before machines have found it: those without a record were released.
+  it('are not those that run by the list and have not found this leader yet', () => {
+    const { booting, unused } = search();
+    const listed = { type: plain, zone: 'a', spot: false, since: -Infinity, running: true };
+    booting.set('cut off', { ...listed, knownSince: 0 });
+    assert.deepEqual(unused.find(silentMs, quiet), []);
+    assert.deepEqual(unused.find(silentMs + 1, quiet), ['cut off']);
+  });
+
   it('are forgotten when the cloud no longer lists them', () => {
     const { workers, unused } = search();
     workers.add('gone').listed = 'absent';
--- a/src/controller/fleet/machine-list.ts
+++ b/src/controller/fleet/machine-list.ts
@@ -82,11 +82,11 @@
   }
 
   private applyEntry(entry: ListedMachine, now: number): void {
-    const { workers, booting, releases } = this.context;
+    const { workers, releases } = this.context;
     const known = workers.machines.get(entry.id);
     if (known !== undefined) this.update(known, entry, now);
     else if (entry.state === 'failed') releases.release([entry.id], 'failed');
-    else if (!booting.has(entry.id)) this.addBooting(entry, now);
+    else this.noteBooting(entry, now);
   }
 
   private update(machine: Machine, entry: ListedMachine, now: number): void {
@@ -97,11 +97,20 @@
       this.context.workers.setType(machine, entry.type, entry.zone, entry.spot, entry.addr);
   }
 
-  private addBooting(entry: ListedMachine, now: number): void {
-    const type = this.context.types()?.find((known) => known.name === entry.type);
+  private noteBooting(
+    { id, type: name, zone, spot, ageS, state }: ListedMachine,
+    now: number,
+  ): void {
+    const { booting } = this.context;
+    const running = state === 'running';
+    const known = booting.get(id);
+    if (known !== undefined) {
+      known.running ||= running;
+      return;
+    }
+    const type = this.context.types()?.find((offered) => offered.name === name);
     if (type === undefined) return;
-    const { zone, spot } = entry;
-    this.context.booting.set(entry.id, { type, zone, spot, since: now - entry.ageS * 1000 });
+    booting.set(id, { type, zone, spot, running, since: now - ageS * 1000, knownSince: now });
   }
 
   /** Once listed a machine stays listed until it is gone; but a list may be older than the last. */
--- a/src/controller/fleet/renting.ts
+++ b/src/controller/fleet/renting.ts
@@ -146,7 +146,12 @@
     const { name, kind, count } = request;
     for (const id of machineIds)
       if (!this.context.workers.machines.has(id))
-        this.context.booting.set(id, { ...kind, since: orderedAt });
+        this.context.booting.set(id, {
+          ...kind,
+          since: orderedAt,
+          knownSince: orderedAt,
+          running: false,
+        });
     this.core.log.info(
       { hire: name, offer: kindKey(kind), asked: count, machines: machineIds },
       'machines rented',
--- a/src/controller/fleet/silent-replicas.test.ts
+++ b/src/controller/fleet/silent-replicas.test.ts
@@ -42,6 +42,7 @@
 
   constructor() {
     const env: Env = {
+      startedAt: -Infinity,
       now: () => this.now,
       wall: () => this.now,
       random: () => 0.5,
--- a/src/controller/fleet/unused-machines.ts
+++ b/src/controller/fleet/unused-machines.ts
@@ -52,7 +52,7 @@
   find(now: number, outlook: WorkOutlook): string[] {
     const silentMs = this.settings.workerGoneMs * this.settings.get('fleet.silent.ratio');
     const idleMs = this.allowedIdleMs(now, outlook);
-    const found = this.neverUp(now);
+    const found = this.neverUp(now, silentMs);
     const idleAlike = this.idleByKind();
     for (const machine of [...this.context.workers.machines.values()]) {
       if (this.context.releases.has(machine.id)) continue;
@@ -66,8 +66,12 @@
     return found;
   }
 
-  /** Booting machines that take too long; those that are up are no longer booting. */
-  private neverUp(now: number): string[] {
+  /**
+   * Booting machines that take too long; those that are up are no longer booting. A machine that runs by
+   * the cloud's list may be one that has not found this leader yet, or is cut off: it has the time that
+   * a silent one has.
+   */
+  private neverUp(now: number, silentMs: number): string[] {
     const { booting, workers } = this.context;
     const found: string[] = [];
     const bootRatio = this.settings.get('fleet.boot.ratio');
@@ -76,7 +80,11 @@
         booting.delete(id);
         continue;
       }
-      if (now - machine.since <= machine.type.bootS * (bootRatio * 1000)) continue;
+      const bootMs = machine.type.bootS * bootRatio * 1000;
+      const late = machine.running
+        ? now - machine.knownSince > silentMs
+        : now - machine.since > bootMs;
+      if (!late) continue;
       booting.delete(id);
       found.push(id);
       this.core.log.info({ machine: id }, 'machine never came up');
--- a/src/controller/jobs/feed.test.ts
+++ b/src/controller/jobs/feed.test.ts
@@ -26,6 +26,7 @@
 
   constructor() {
     const env: Env = {
+      startedAt: -Infinity,
       now: () => this.now,
       wall: () => this.now,
       random: () => 0.5,
--- a/src/controller/jobs/frontend.test.ts
+++ b/src/controller/jobs/frontend.test.ts
@@ -33,6 +33,7 @@
     let now = 0;
     this.core = new Core(
       {
+        startedAt: -Infinity,
         now: () => now,
         wall: () => now,
         random: () => 0.5,
--- a/src/controller/jobs/services.test.ts
+++ b/src/controller/jobs/services.test.ts
@@ -66,6 +66,7 @@
 
   constructor(store: Store) {
     const env: Env = {
+      startedAt: -Infinity,
       now: () => this.now,
       wall: () => this.now,
       random: () => 0.5,
--- a/src/controller/leader/leader-term.ts
+++ b/src/controller/leader/leader-term.ts
@@ -24,7 +24,7 @@
 import { Takeover, type Inheritance } from './takeover.js';
 
 /** Views of the jobs that are too old by this factor of their limit end the term. */
-const STALE_VIEW_FACTOR = 2;
+const STALE_VIEW_FACTOR = 1.5;
 /** What was learned is recorded so often in a lease of the workers. */
 const LEARNED_PER_LEASE = 4;
 
@@ -41,6 +41,8 @@
   learned: LearnedFigures;
   /** This node may act as leader, in whatever term. */
   entitled(): boolean;
+  /** This node may answer workers, which may go on beyond its lease. */
+  mayAnswerWorkers(): boolean;
   /** This node leads and has taken over, in whatever term. */
   takenOver(): boolean;
   /** Something became placeable. */
@@ -241,7 +243,7 @@
   tick(heard: readonly PeerStatus[], tickMs: number): void {
     if (!this.ready) return;
     const { settings, leadership } = this.context;
-    this.workers.answering(this.context.entitled(), tickMs);
+    this.workers.answering(this.context.mayAnswerWorkers(), tickMs);
     if (leadership.acting && this.feed.ageMs > settings.viewMs * STALE_VIEW_FACTOR) {
       // Its lease keeps the others from leading, and it may not act itself.
       leadership.handOver('no view of the jobs');
--- a/src/controller/leadership/leadership.ts
+++ b/src/controller/leadership/leadership.ts
@@ -6,10 +6,13 @@
 import type { Event, Item } from '../wire/state.js';
 import { Election, type WonElection } from './election.js';
 import { LEADER_KEY, readLeader, type LeaderInfo } from './leader-record.js';
+import { LeaseExtension, type AskPromise } from './lease-extension.js';
+import { TakeoverPromise } from './takeover-promise.js';
 
 /** Names of the timers' commands in the log. */
 const OBSERVE_COMMAND = 'look';
 const RENEW_COMMAND = 'renew';
+const BEGIN_COMMAND = 'begin-term';
 
 /** Wait before the key is read again, as a share of the lease: the least, and what chance adds. */
 const RETRY_RATIO = 0.04;
@@ -29,6 +32,8 @@
   resumed(): void;
   /** This node leads no longer. */
   deposed(): void;
+  /** Whether the leader has a use for answering workers beyond its lease. */
+  mayExtend(): boolean;
 }
 
 /**
@@ -48,6 +53,8 @@
   /** This node has handed over and leaves the lead to the others until then, if they take it. */
   private yieldsUntil = -Infinity;
   private yielded = false;
+  private readonly promise: TakeoverPromise;
+  private readonly extension: LeaseExtension;
   /** Guards against answers to questions of an earlier term or role. */
   private generation = 0;
 
@@ -57,7 +64,11 @@
     private readonly client: StateClient,
     readonly identity: string,
     private readonly events: LeadershipEvents,
+    askPromise: AskPromise,
   ) {
+    const peers = settings.platform.peers.map(({ host }) => host);
+    this.promise = new TakeoverPromise(core, settings);
+    this.extension = new LeaseExtension(core, settings, peers, askPromise);
     this.election = new Election(core, settings, client, identity);
   }
 
@@ -71,6 +82,25 @@
     return this.ownTerm?.term ?? null;
   }
 
+  /**
+   * Workers may be answered: the lease runs, or the state service serves nobody and all other
+   * controllers are bound by promises. Nothing else may be done without the lease.
+   */
+  get mayAnswer(): boolean {
+    return this.acting || (this.ownTerm !== null && this.extension.active);
+  }
+
+  /**
+   * A leader that the state service does not serve asks this node not to act as leader for a while.
+   * False if this node leads, or knows that the term is over.
+   */
+  promiseTo(term: number): boolean {
+    const over = term <= this.endedTerm || term < (this.info?.term ?? 0);
+    if (this.ownTerm !== null || over) return false;
+    this.promise.give();
+    return true;
+  }
+
   /** The lease still runs, counted from when its last successful renewal was sent. */
   get acting(): boolean {
     return this.ownTerm !== null && this.core.now() < this.actUntil;
@@ -112,6 +142,7 @@
     this.core.log.info({ term: ownTerm.term, reason }, 'no longer leader');
     this.ownTerm = null;
     this.actUntil = -Infinity;
+    this.extension.end();
     this.noLeader();
     this.generation++;
     this.client.setRole(false);
@@ -210,7 +241,15 @@
     this.client.setRole(true);
     this.core.log.info({ term }, 'elected leader');
     this.renewLater(this.generation, this.settings.renewMs);
-    this.events.elected(term);
+    this.beginOncePromisesEnd(this.generation, term);
+  }
+
+  /** Nothing is read or done in the new term while the leader before may still answer workers. */
+  private beginOncePromisesEnd(generation: number, term: number): void {
+    if (generation !== this.generation) return;
+    const { remainingMs } = this.promise;
+    if (remainingMs === 0) return this.events.elected(term);
+    this.core.after(remainingMs, BEGIN_COMMAND, () => this.beginOncePromisesEnd(generation, term));
   }
 
   private renewLater(generation: number, ms: number): void {
@@ -227,15 +266,23 @@
       if (generation !== this.generation) return;
       if (outcome === 'ended') return this.stepDown('lease ended');
       if (outcome === 'ok') this.renewed(ownTerm, sentAt);
+      else this.extend(ownTerm);
       const waitMs = outcome === 'ok' ? this.settings.renewMs : this.settings.renewMs / 4;
       this.renewLater(generation, waitMs);
     });
   }
 
+  /** The lease could not be renewed just now. */
+  private extend({ term }: OwnTerm): void {
+    const leaseUntil = (): number => this.actUntil;
+    this.extension.begin(term, leaseUntil, () => this.events.mayExtend());
+  }
+
   private renewed(ownTerm: OwnTerm, sentAt: number): void {
     // Told even if the gap came while the renewal was on its way.
     const gap = !this.acting;
     this.actUntil = Math.max(this.actUntil, sentAt + this.settings.leaderActsMs);
+    this.extension.end();
     if (!gap) return;
     this.core.log.info({ term: ownTerm.term }, 'lease renewed after a gap');
     this.events.resumed();
--- /dev/null
+++ b/src/controller/leadership/lease-extension.ts
@@ -0,0 +1,86 @@
+/**
+ * A leader's right to answer workers beyond its lease, while the state service serves nobody. Workers
+ * end their tasks when nobody answers them for a lease of theirs, and an outage may be longer.
+ *
+ * The leader asks every other controller for a promise not to act as leader for a short time, again and
+ * again. It may answer workers for that time, counted from when it has asked, once all have promised.
+ * From its last renewal on either its lease ran or all the others were bound, so nobody else has acted:
+ * a leader that has let a gap come up gets no extension any more until its lease is renewed.
+ */
+import type { Core } from '../core/core.js';
+import type { Settings } from '../settings/settings.js';
+
+/** Rounds of requests while one promise lasts. */
+const ROUNDS_PER_PROMISE = 3;
+
+/** Asks another controller for its promise; `done` tells whether it has been given. */
+export type AskPromise = (
+  host: string,
+  term: number,
+  timeoutMs: number,
+  done: (promised: boolean) => void,
+) => void;
+
+/** The rounds of one leader at a time. */
+export class LeaseExtension {
+  private promisedUntil = -Infinity;
+  /** There was a moment at which neither the lease ran nor promises did. */
+  private gap = false;
+  /** Guards against answers to rounds of a time before; `null`: no extension is wanted. */
+  private wanted: object | null = null;
+
+  constructor(
+    private readonly core: Pick<Core, 'after' | 'now'>,
+    private readonly settings: Pick<Settings, 'promiseMs'>,
+    private readonly peers: readonly string[],
+    private readonly ask: AskPromise,
+  ) {}
+
+  /** All others are bound by promises at this moment. */
+  get active(): boolean {
+    return this.core.now() < this.promisedUntil;
+  }
+
+  /**
+   * Begins the rounds, unless they go on already. `leaseUntil`: when the lease ends, by this node's
+   * clock. `useful`: false ends the rounds.
+   */
+  begin(term: number, leaseUntil: () => number, useful: () => boolean): void {
+    if (this.wanted !== null || this.peers.length === 0) return;
+    const wanted = {};
+    this.wanted = wanted;
+    const next = (): void => {
+      if (this.wanted !== wanted || this.gap) return;
+      if (!useful()) return this.end();
+      this.round(term, wanted, leaseUntil);
+      this.core.after(this.settings.promiseMs / ROUNDS_PER_PROMISE, 'promises', next);
+    };
+    next();
+  }
+
+  /** No extension is wanted any more: the lease has been renewed, or the term is over. */
+  end(): void {
+    this.wanted = null;
+    this.gap = false;
+    this.promisedUntil = -Infinity;
+  }
+
+  private round(term: number, wanted: object, leaseUntil: () => number): void {
+    const { promiseMs } = this.settings;
+    const askedAt = this.core.now();
+    let missing = this.peers.length;
+    for (const host of this.peers)
+      this.ask(host, term, promiseMs, (promised) => {
+        if (!promised || this.wanted !== wanted) return;
+        missing--;
+        if (missing === 0) this.promised(askedAt, leaseUntil());
+      });
+  }
+
+  private promised(askedAt: number, leaseUntil: number): void {
+    // Before this moment another may have acted.
+    this.gap = this.core.now() >= Math.max(leaseUntil, this.promisedUntil);
+    if (this.gap) return;
+    this.promisedUntil = Math.max(this.promisedUntil, askedAt + this.settings.promiseMs);
+  }
+}
--- /dev/null
+++ b/src/controller/leadership/takeover-promise.ts
@@ -0,0 +1,37 @@
+/** What this controller has promised a leader that the state service does not serve. */
+import type { Core } from '../core/core.js';
+import { DRIFT, type Settings } from '../settings/settings.js';
+
+/** Clocks of two machines, and timers that fire early by a part of a millisecond. */
+const CLOCK_FACTOR = 1 + 4 * DRIFT;
+const CLOCK_MARGIN_MS = 2;
+
+/**
+ * While a promise lasts this controller does not act as leader, even if it is elected. The process
+ * before on this host may have given one just before it ended; so each process begins as if it had
+ * given one when it started.
+ */
+export class TakeoverPromise {
+  private until: number;
+
+  constructor(
+    private readonly core: Pick<Core, 'now'> & { env: Pick<Core['env'], 'startedAt'> },
+    private readonly settings: Pick<Settings, 'promiseMs'>,
+  ) {
+    this.until = core.env.startedAt + this.lengthMs;
+  }
+
+  private get lengthMs(): number {
+    return this.settings.promiseMs * CLOCK_FACTOR + CLOCK_MARGIN_MS;
+  }
+
+  /** Promises not to act as leader for as long as a promise lasts, from now on. */
+  give(): void {
+    this.until = Math.max(this.until, this.core.now() + this.lengthMs);
+  }
+
+  /** Time until this controller may act as leader, as far as promises are concerned. */
+  get remainingMs(): number {
+    return Math.max(0, this.until - this.core.now());
+  }
+}
--- a/src/controller/peers/peers.test.ts
+++ b/src/controller/peers/peers.test.ts
@@ -53,6 +53,7 @@
     for (const seed of [1, 2]) {
       const random = uniform(seed);
       const env: Env = {
+        startedAt: -Infinity,
         now: () => 0,
         wall: () => 0,
         random,
--- a/src/controller/placement/guarantee.test.ts
+++ b/src/controller/placement/guarantee.test.ts
@@ -62,6 +62,7 @@
 
   constructor(private readonly plain = false) {
     const env: Env = {
+      startedAt: -Infinity,
       now: () => this.now,
       wall: () => this.now,
       random: () => 0.5,
--- a/src/controller/placement/services.test.ts
+++ b/src/controller/placement/services.test.ts
@@ -72,6 +72,7 @@
       ...{ images: new Set(part.images ?? []), fetchedAt: new Map<string, number>() },
     }));
     const env: Env = {
+      startedAt: -Infinity,
       now: () => this.now,
       wall: () => this.now,
       random: () => 0.5,
--- a/src/controller/settings/properties.ts
+++ b/src/controller/settings/properties.ts
@@ -45,7 +45,7 @@
     text: "Share added to a worker's lease before its tasks are taken to be gone.",
   },
   'workers.view.ratio': {
-    value: 0.5,
+    value: 0.7,
     min: 0.05,
     max: 0.9,
     text: "How old the leader's view of cancellations may be, as a ratio to the time that a worker's lease leaves of cancel_s.",
@@ -63,7 +63,7 @@
     text: 'A pass makes way for requests after this time, as a ratio to the report interval.',
   },
   'placement.aging.ratio': {
-    value: 20,
+    value: 8,
     min: 0.5,
     max: 10000,
     text: "Wait that lifts a job by one priority class, as a ratio to the workers' lease.",
@@ -75,7 +75,7 @@
     text: 'Rise of a job by each preemption, as a ratio to a priority class.',
   },
   'placement.late.ratio': {
-    value: 0.5,
+    value: 0,
     min: 0,
     max: 10,
     text: 'What a job that cannot be done in time any more yields, as a ratio to a priority class.',
--- a/src/controller/settings/settings.ts
+++ b/src/controller/settings/settings.ts
@@ -8,6 +8,9 @@
 /** A worker takes an answer up to this long after it has sent the report (PROTOCOL). */
 const ANSWER_MS = 4000;
 
+/** A promise not to act as leader lasts for this share of the leader's lease. */
+const PROMISE_LEASES = 0.2;
+
 /** Leases of the leader that its view of cancellations lasts at least. */
 const VIEW_LEASES = 2;
 
@@ -79,6 +82,11 @@
     return Math.min(stateLimits.valueKb, stateNext.valueKb) * 1024;
   }
 
+  /** How long a controller is bound by a promise not to act as leader. */
+  get promiseMs(): number {
+    return this.leaderLeaseMs * PROMISE_LEASES;
+  }
+
   /** How long after sending a renewal the leader may act on it. */
   get leaderActsMs(): number {
     return this.leaderLeaseMs * (1 - 2 * DRIFT - this.get('leadership.margin.ratio'));
--- a/src/controller/store/records.test.ts
+++ b/src/controller/store/records.test.ts
@@ -45,6 +45,7 @@
     this.limits = new Limits({ stateLimits: takes, stateNext: takes }, () => this.now, 3_600_000);
     this.random = uniform(seed);
     const env: Env = {
+      startedAt: -Infinity,
       now: () => this.now,
       wall: () => this.now,
       random: this.random,
--- a/src/controller/workers/workers.test.ts
+++ b/src/controller/workers/workers.test.ts
@@ -40,6 +40,7 @@
 
   constructor(job: JobSpec, record?: unknown) {
     const env: Env = {
+      startedAt: -Infinity,
       now: () => this.now,
       wall: () => this.now,
       random: () => 0.5,
--- a/test/manual-env.ts
+++ b/test/manual-env.ts
@@ -9,6 +9,8 @@
 /** An environment for the tests of single modules: the test moves the clock and answers the calls. */
 export class ManualEnv implements Env {
   readonly calls: { call: Call; done: (reply: Reply) => void }[] = [];
+  /** Long ago. */
+  readonly startedAt = -Infinity;
   private time = 0;
   private readonly queue: (() => void)[] = [];
   private timers: PendingTimer[] = [];
--- a/test/simulation/process-env.ts
+++ b/test/simulation/process-env.ts
@@ -10,6 +10,7 @@
   private frozenUntil = 0;
   private readonly drift: number;
   private readonly offset: number;
+  readonly startedAt: number;
 
   constructor(
     private readonly sim: Sim,
@@ -19,6 +20,7 @@
   ) {
     this.drift = 1 + sim.between(0, 0.0005);
     this.offset = sim.between(0, 1e6);
+    this.startedAt = this.now();
   }
 
   now(): number {
--- a/test/simulation/processes.ts
+++ b/test/simulation/processes.ts
@@ -98,6 +98,13 @@
       .map(([host]) => host);
   }
 
+  /** The hosts that answer workers, each as it believes itself entitled to. */
+  answering(): string[] {
+    return [...this.processes]
+      .filter(([, { controller }]) => controller.mayAnswerWorkers)
+      .map(([host]) => host);
+  }
+
   /** The host's process ends, and starts again after so long. */
   kill(host: string, restartMs: number): void {
     const process = this.processes.get(host);
--- a/test/stand-ins.ts
+++ b/test/stand-ins.ts
@@ -51,6 +51,7 @@
 /** An environment in which nothing answers and no timer ends. */
 export function idleEnv(clock: FakeClock): Env {
   return {
+    startedAt: -Infinity,
     now: () => clock.time,
     wall: () => clock.time,
     random: () => 0.5,
