Heap: planned with 0.65 of its room, so that a busy machine does not outgrow it

With twelve processes at once on eight cores the heap passed the memory of the smallest place in 3 of 24 runs of the test's load (up to 150 MB of 146): marking beside the program gets too little time then, and the heap grows on.

--- a/src/controller/core/heap-budget.ts
+++ b/src/controller/core/heap-budget.ts
@@ -18,7 +18,7 @@
 const YOUNG_GENERATION_MB = 48;
 
 /** Share of the room that is planned with: while a collection marks, the heap grows on. */
-const PLANNED_SHARE = 0.8;
+const PLANNED_SHARE = 0.65;
 
 /** Least room for the old generation with which a start makes sense. */
 const LEAST_OLD_GENERATION_MB = 32;
--- a/test/memory.test.ts
+++ b/test/memory.test.ts
@@ -73,8 +73,8 @@
   it('is printed by check-config, and follows the settings', () => {
     const small = checkConfig(146);
     assert.equal(small.status, 0);
-    assert.match(small.stdout, /^heap keeps at most 64 MB of 146 MB$/m);
-    assert.match(checkConfig(2000).stdout, /^heap keeps at most 1548 MB of 2000 MB$/m);
+    assert.match(small.stdout, /^heap keeps at most 52 MB of 146 MB$/m);
+    assert.match(checkConfig(2000).stdout, /^heap keeps at most 1257 MB of 2000 MB$/m);
   });
 
   it('holds in a small place while the heap is nearly full and all of it changes', () => {
