--- a/review/stand-ins/cbor-http.ts
+++ b/review/stand-ins/cbor-http.ts
@@ -63,16 +63,26 @@
   return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
-/** Returns loopback addresses that were free a moment ago. */
+/** Ports from which those of the controllers are taken, below those that the system gives to connections. */
+const FIRST_PORT = 12_000;
+const PORTS = 18_000;
+
+function isFree(port: number): Promise<boolean> {
+  const server = http.createServer();
+  return new Promise((resolve) => {
+    server.on('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
+
+/** Returns loopback addresses with ports that were free a moment ago. */
 export async function freeAddresses(count: number): Promise<string[]> {
-  const servers = Array.from({ length: count }, () => http.createServer());
-  const addresses: string[] = [];
-  for (const server of servers) {
-    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-    addresses.push(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+  const ports = new Set<number>();
+  while (ports.size < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
+    if (!ports.has(port) && (await isFree(port))) ports.add(port);
   }
-  for (const server of servers) await new Promise((resolve) => server.close(resolve));
-  return addresses;
+  return [...ports].map((port) => `127.0.0.1:${port}`);
 }
 
 /** Encodes a body and returns its bytes. */
