--- a/review/stand-ins/case.ts
+++ b/review/stand-ins/case.ts
@@ -14,14 +14,18 @@
   const hasTrouble = process.env['TROUBLE'] !== '0';
   const record = new Record(join(folder, 'record.txt'));
   const deployment = new Deployment(root, site(hasTrouble), record);
+  let isFinished = false;
   const finish = (code: number, text: string): void => {
-    record.add(text);
-    deployment.stop();
-    record.save();
-    process.stdout.write(`${text}\n`);
-    process.exit(code);
+    if (isFinished) return;
+    isFinished = true;
+    void deployment.stop().finally(() => {
+      record.add(text);
+      record.save();
+      process.stdout.write(`${text}\n`);
+      process.exit(code);
+    });
   };
-  for (const signal of ['SIGINT', 'SIGTERM'] as const)
+  for (const signal of ['SIGHUP', 'SIGINT', 'SIGTERM'] as const)
     process.on(signal, () => finish(2, `could not run: ${signal}`));
   process.on('uncaughtException', (error) => finish(2, `could not run: ${error.stack ?? ''}`));
   setTimeout(() => finish(2, 'could not run: out of time'), TIME_LIMIT_MS);
--- a/review/stand-ins/deployment.ts
+++ b/review/stand-ins/deployment.ts
@@ -1,5 +1,6 @@
 /** A small deployment: controllers as separate processes, and stand-ins for all that they talk to. */
 import { spawn, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import http from 'node:http';
 import { tmpdir } from 'node:os';
@@ -85,6 +86,7 @@
   reported: WorkerWorld['reported'] = () => undefined;
   leasesExpired = 0;
   private rejections = 0;
+  private isStopped = false;
   starts = 0;
   private readonly processes = new Map<string, ChildProcess>();
   private readonly agent = new http.Agent({ keepAlive: true });
@@ -124,6 +126,7 @@
 
   /** Starts a controller with the `run` command of the deploy file. */
   startController(host: string): void {
+    if (this.isStopped) return;
     const deploy = parse(readFileSync(join(this.root, 'deploy/service.toml'), 'utf8'));
     const [program = '', ...words] = (deploy['run'] as string).split(' ');
     const child = spawn(program, [...words, join(this.directory, `${host}.toml`)], {
@@ -160,9 +163,16 @@
     );
   }
 
-  /** Ends all processes and removes the temporary folder. */
-  stop(): void {
-    for (const child of this.processes.values()) child.kill('SIGKILL');
+  /** Ends all processes, waits until they are gone, and removes the temporary folder. */
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    await Promise.all(
+      [...this.processes.values()].map(async (child) => {
+        if (child.exitCode !== null || child.signalCode !== null) return;
+        child.kill('SIGKILL');
+        await once(child, 'exit');
+      }),
+    );
     rmSync(this.directory, { recursive: true, force: true });
   }
 
