--- a/review/stand-ins-2/http.ts
+++ b/review/stand-ins-2/http.ts
@@ -97,13 +97,23 @@
   return { address: `127.0.0.1:${port}`, close };
 }
 
+/** Ports below the range that systems use for outgoing connections, which could take a port meanwhile. */
+const PORTS = { first: 10_000, count: 20_000 };
+
+function tryPort(port: number): Promise<boolean> {
+  const server = net.createServer();
+  return new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
+
 /** Returns a port of 127.0.0.1 that is free now. */
 export async function freePort(): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { port } = server.address() as net.AddressInfo;
-  await new Promise<void>((resolve) => server.close(() => resolve()));
-  return port;
+  for (;;) {
+    const port = PORTS.first + Math.floor(Math.random() * PORTS.count);
+    if (await tryPort(port)) return port;
+  }
 }
 
 /** A client with connections of its own, which it keeps open. */
