--- a/review/stand-ins-2/cloud.ts
+++ b/review/stand-ins-2/cloud.ts
@@ -48,6 +48,10 @@
   readonly machines = new Map<string, Machine>();
   private readonly hires = new Map<string, string[]>();
   private lastNumber = 0;
+  /** While true, all requests are answered as during an outage. */
+  outage = false;
+  /** Called for each machine that is deleted, before the tasks on it are gone. */
+  onDelete: (machine: Machine) => void = () => undefined;
 
   constructor(
     private readonly models: Model[],
@@ -91,6 +95,11 @@
   }
 
   private handle({ method, path, query, body }: Request): Reply {
+    if (this.outage) {
+      if (path === '/machines/release')
+        this.workerParts.note(`cloud: 503 to a release of ${JSON.stringify(body)}`);
+      return { status: 503, body: { error: 'trouble' } };
+    }
     if (path === '/catalog') return { status: 200, body: { models: this.models.map(modelFields) } };
     if (path === '/machines' && method === 'GET') return this.list(query);
     if (path === '/machines') return this.rent(body);
@@ -139,7 +148,10 @@
   private release(body: unknown): Reply {
     const ids = isFields(body) && Array.isArray(body['kilns']) ? (body['kilns'] as unknown[]) : [];
     for (const id of ids.map(textOf)) {
-      this.machines.get(id)?.worker.stop();
+      const machine = this.machines.get(id);
+      if (machine === undefined) continue;
+      this.onDelete(machine);
+      machine.worker.stop();
       if (this.machines.delete(id)) this.workerParts.note(`cloud: released ${id}`);
     }
     return { status: 200, body: {} };
--- a/review/stand-ins-2/state-service.ts
+++ b/review/stand-ins-2/state-service.ts
@@ -70,6 +70,8 @@
   /** Answers so far, by method, first path segment and status. */
   readonly counts = new Map<string, number>();
   ledger = 0;
+  /** While true, the only controller of a deployment is refused: its leases run out, its watches wait. */
+  refusing = false;
   private changes: Change[] = [];
   /** Revision of the newest change that is no longer retained. */
   private forgottenUpTo = 0;
@@ -93,7 +95,9 @@
   async listen(): Promise<string> {
     const { address } = await serve(async (request) => {
       await sleep(LATENCY_MS);
-      const reply = await this.handle(request);
+      let reply: Reply = this.refusing ? { status: 503 } : await this.handle(request);
+      while (this.refusing && request.path === '/follow' && reply.status === 200) await sleep(20);
+      if (this.refusing) reply = { status: 503 };
       const kind = `${request.method} ${request.path.split('/')[1] ?? ''} ${reply.status}`;
       this.counts.set(kind, (this.counts.get(kind) ?? 0) + 1);
       return reply;
--- a/review/stand-ins-2/worker.ts
+++ b/review/stand-ins-2/worker.ts
@@ -87,6 +87,14 @@
     this.close();
     this.client.close();
     for (const { timer } of this.tasks.values()) if (timer !== null) clearTimeout(timer);
+    this.tasks.clear();
+  }
+
+  /** The tasks that run now. */
+  get running(): string[] {
+    return [...this.tasks.values()]
+      .filter(({ status }) => status === 'running')
+      .map(({ duty }) => duty);
   }
 
   get taskCount(): number {
