--- a/review/6/case.ts
+++ b/review/6/case.ts
@@ -61,7 +61,7 @@
     },
   });
   bench.cloud = cloud;
-  const services = { state: await state.listen(), cloud: await cloud.listen() };
+  const services = { state: [await state.listen()], cloud: await cloud.listen() };
   if (bench.trouble) state.setLimits(NEXT);
   await bench.startAll(site(bench.trouble), services);
   for (const { name, apiAddress } of bench.controllers.list) addresses.set(name, apiAddress);
--- a/review/stand-ins-2/bench.ts
+++ b/review/stand-ins-2/bench.ts
@@ -37,7 +37,7 @@
     fs.writeSync(this.record, `${this.seconds.toFixed(3).padStart(8)} ${text}\n`);
   }
 
-  async startAll(site: Site, services: { cloud: string; state: string }): Promise<void> {
+  async startAll(site: Site, services: { cloud: string; state: string[] }): Promise<void> {
     await this.controllers.create(site, services);
     for (const controller of this.controllers.list) this.controllers.start(controller);
     for (const { apiAddress } of this.controllers.list) await this.waitReady(apiAddress, 15_000);
--- a/review/stand-ins-2/controllers.ts
+++ b/review/stand-ins-2/controllers.ts
@@ -123,7 +123,8 @@
     private readonly note: (text: string) => void,
   ) {}
 
-  async create(site: Site, services: { cloud: string; state: string }): Promise<void> {
+  /** @param services the address of the cloud, and that of the state service for each controller in turn */
+  async create(site: Site, services: { cloud: string; state: string[] }): Promise<void> {
     for (let i = 0; i < site.controllers; i++) {
       const name = `kiln-${i}`;
       this.list.push({
@@ -135,11 +136,12 @@
         process: null,
       });
     }
-    for (const controller of this.list)
-      fs.writeFileSync(
-        controller.settingsFile,
-        settingsToml(site, controller, this.list, services),
-      );
+    for (const [index, controller] of this.list.entries()) {
+      const state = services.state[index % services.state.length] ?? '';
+      const { cloud } = services;
+      const settings = settingsToml(site, controller, this.list, { cloud, state });
+      fs.writeFileSync(controller.settingsFile, settings);
+    }
   }
 
   start(controller: Controller): void {
--- a/review/stand-ins-2/state-service.ts
+++ b/review/stand-ins-2/state-service.ts
@@ -9,6 +9,11 @@
   txnOps: number;
 }
 
+/** Whether one controller is refused. */
+export interface Gate {
+  refusing: boolean;
+}
+
 interface Entry {
   value: unknown;
   stamp: number;
@@ -70,8 +75,6 @@
   /** Answers so far, by method, first path segment and status. */
   readonly counts = new Map<string, number>();
   ledger = 0;
-  /** While true, the only controller of a deployment is refused: its leases run out, its watches wait. */
-  refusing = false;
   private changes: Change[] = [];
   /** Revision of the newest change that is no longer retained. */
   private forgottenUpTo = 0;
@@ -91,13 +94,16 @@
     setInterval(() => this.endHolds(), 20).unref();
   }
 
-  /** Starts to serve; returns the address. */
-  async listen(): Promise<string> {
+  /**
+   * Starts to serve; returns the address. Through `gate` the one controller that uses this address can be refused: its
+   * requests get 503, and its open watches wait.
+   */
+  async listen(gate: Gate = { refusing: false }): Promise<string> {
     const { address } = await serve(async (request) => {
       await sleep(LATENCY_MS);
-      let reply: Reply = this.refusing ? { status: 503 } : await this.handle(request);
-      while (this.refusing && request.path === '/follow' && reply.status === 200) await sleep(20);
-      if (this.refusing) reply = { status: 503 };
+      let reply: Reply = gate.refusing ? { status: 503 } : await this.handle(request);
+      while (gate.refusing && request.path === '/follow' && reply.status === 200) await sleep(20);
+      if (gate.refusing) reply = { status: 503 };
       const kind = `${request.method} ${request.path.split('/')[1] ?? ''} ${reply.status}`;
       this.counts.set(kind, (this.counts.get(kind) ?? 0) + 1);
       return reply;
