--- a/review/6/case.ts
+++ b/review/6/case.ts
@@ -11,7 +11,7 @@
 
 const STATE: StateLimits = { rps: 150, writeRps: 50, valueKb: 16, txnOps: 16 };
 const NEXT: StateLimits = { rps: 150, writeRps: 35, valueKb: 2, txnOps: 5 };
-const TEAM = { name: 'student-app', cpus: 128, cpusMax: 400, gpus: 90, gpusMax: 250 };
+const TEAM = { name: 'student-app', cpus: 0, cpusMax: 0, gpus: 90, gpusMax: 250 };
 const MEGALO: Model = {
   name: 'megalo64',
   cores: 64,
