Elementary functions with the same results on x86-64 and on arm64

So two leaders on different processors could rank the same jobs differently.

runtime/elementary-functions.ts now owns exp, log and pow, on @stdlib's functions in plain JavaScript, and the four modules that used the engine's functions use it. Squares are products. The linter refuses the engine's functions and ** with another base than 2 in src and test.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,6 +2,16 @@
 import jsdoc from 'eslint-plugin-jsdoc';
 import tseslint from 'typescript-eslint';
 
+/** Functions of `Math` whose last bit the language leaves to the engine: it differs between processors. */
+const ENGINE_DEPENDENT_FUNCTIONS = [
+  ...['exp', 'expm1', 'log', 'log1p', 'log2', 'log10', 'pow', 'cbrt', 'hypot'],
+  ...['sin', 'cos', 'tan', 'asin', 'acos', 'atan', 'atan2'],
+  ...['sinh', 'cosh', 'tanh', 'asinh', 'acosh', 'atanh'],
+];
+
+const SAME_RESULTS =
+  'Its last bit differs between processors: use src/controller/runtime/elementary-functions.ts.';
+
 export default tseslint.config(
   { ignores: ['target/', 'journal/', 'node_modules/'] },
   js.configs.recommended,
@@ -42,6 +52,32 @@
       ],
     },
   },
+  {
+    files: ['src/**/*.ts', 'test/**/*.ts'],
+    rules: {
+      'no-restricted-properties': [
+        'error',
+        ...ENGINE_DEPENDENT_FUNCTIONS.map((property) => ({
+          object: 'Math',
+          property,
+          message: SAME_RESULTS,
+        })),
+      ],
+      // Powers of two with whole exponents are exact on every engine.
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector: "BinaryExpression[operator='**']:not([left.raw=/^2n?$/])",
+          message: SAME_RESULTS,
+        },
+        {
+          selector: "BinaryExpression[operator='**'][right.raw=/[.]/]",
+          message: SAME_RESULTS,
+        },
+        { selector: "AssignmentExpression[operator='**=']", message: SAME_RESULTS },
+      ],
+    },
+  },
   {
     files: ['src/**/*.ts', 'test/**/*.ts'],
     rules: {
--- a/src/controller/fleet/arrival-monitor.ts
+++ b/src/controller/fleet/arrival-monitor.ts
@@ -2,6 +2,7 @@
  * Detects that jobs have stopped arriving. While jobs arrive, idle machines are capacity for the next ones;
  * afterwards they only cost money.
  */
+import { exp } from '../runtime/elementary-functions.js';
 
 /** Arrivals count as stopped once no job has arrived for this many times the mean gap between two jobs. */
 const STOPPED_AFTER_GAPS = 12;
@@ -45,8 +46,7 @@
       this.newestSubmittedAt = Math.max(this.newestSubmittedAt, submittedAt);
     }
     if (newJobs === 0) return;
-    const decayed =
-      this.decayingCount * Math.exp((this.lastJobAt - now) / this.decayTimeConstantMs);
+    const decayed = this.decayingCount * exp((this.lastJobAt - now) / this.decayTimeConstantMs);
     this.decayingCount = decayed + newJobs;
     this.jobCount += newJobs;
     this.lastJobAt = now;
--- a/src/controller/placement/estimates/duration-estimator.ts
+++ b/src/controller/placement/estimates/duration-estimator.ts
@@ -1,4 +1,5 @@
 /** Estimates of how long runs and image fetches take. */
+import { exp, log, pow } from '../../runtime/elementary-functions.js';
 import type { Assignment, Job, Machine } from '../../model/entities.js';
 import { isMap } from '../../wire/cbor.js';
 import type { JobSpec } from '../../wire/jobs.js';
@@ -65,11 +66,11 @@
     const ratio = ranMs / (spec.estimatedRunS * 1000);
     const boundedRatio = Math.min(MAX_RUN_TIME_RATIO, Math.max(1 / MAX_RUN_TIME_RATIO, ratio));
     const { mean, variance } = this.statisticsOf(spec.class);
-    const deviation = Math.log(boundedRatio) - mean;
+    const deviation = log(boundedRatio) - mean;
     this.statistics.delete(spec.class);
     this.statistics.set(spec.class, {
       mean: mean + NEWEST_RUN_WEIGHT * deviation,
-      variance: (1 - NEWEST_RUN_WEIGHT) * (variance + NEWEST_RUN_WEIGHT * deviation ** 2),
+      variance: (1 - NEWEST_RUN_WEIGHT) * (variance + NEWEST_RUN_WEIGHT * (deviation * deviation)),
     });
     if (this.statistics.size > MAX_TRACKED_CLASSES) {
       const oldest = this.statistics.keys().next();
@@ -78,7 +79,9 @@
   }
 
   private statisticsOf(className: string): RunTimeStatistics {
-    return this.statistics.get(className) ?? { mean: 0, variance: PRIOR_DEVIATION ** 2 };
+    return (
+      this.statistics.get(className) ?? { mean: 0, variance: PRIOR_DEVIATION * PRIOR_DEVIATION }
+    );
   }
 
   /** Returns mean and variance by class name, to be stored for the next leader. */
@@ -104,7 +107,7 @@
   /** Returns the estimated run time in ms of a task of the job; `Infinity` for a service. */
   runMs(spec: JobSpec): number {
     if (spec.kind === 'service') return Infinity;
-    return spec.estimatedRunS * 1000 * Math.exp(this.statisticsOf(spec.class).mean);
+    return spec.estimatedRunS * 1000 * exp(this.statisticsOf(spec.class).mean);
   }
 
   /** Returns the time in ms that a task assigned to the machine now would wait for its image. */
@@ -165,7 +168,7 @@
     if (runMs <= 0) return Math.max(MIN_REMAINING_RUN_MS, elapsedMs * REMAINING_TO_ELAPSED_RATIO);
     const deviation = Math.max(MIN_DEVIATION, Math.sqrt(this.statisticsOf(spec.class).variance));
     const shape = Math.PI / (Math.sqrt(3) * deviation);
-    const medianRatio = (1 + 2 * (elapsedMs / runMs) ** shape) ** (1 / shape);
+    const medianRatio = pow(1 + 2 * pow(elapsedMs / runMs, shape), 1 / shape);
     return Number.isFinite(medianRatio)
       ? runMs * medianRatio - elapsedMs
       : elapsedMs * REMAINING_TO_ELAPSED_RATIO;
--- a/src/controller/placement/headroom/class-statistics.ts
+++ b/src/controller/placement/headroom/class-statistics.ts
@@ -1,4 +1,5 @@
 /** Statistics of job classes: how often jobs are submitted, and how long tasks occupy their machines. */
+import { exp } from '../../runtime/elementary-functions.js';
 import type { Job } from '../../model/entities.js';
 import type { JobSpec } from '../../wire/jobs.js';
 import type { DurationEstimator } from '../estimates/duration-estimator.js';
@@ -126,13 +127,13 @@
   expectedTasks(statistics: ClassStatistics, now: number): number {
     const { memoryMs } = this;
     const observedMs = Math.max(this.observedMs(now), memoryMs * MIN_OBSERVED_SHARE);
-    const effectiveMs = memoryMs * (1 - Math.exp(-observedMs / memoryMs));
+    const effectiveMs = memoryMs * (1 - exp(-observedMs / memoryMs));
     const { occupancyMs, spec } = statistics;
     const meanOccupancyMs = occupancyMs > 0 ? occupancyMs : this.estimator.runMs(spec);
     return (this.weightAt(statistics, now) / effectiveMs) * meanOccupancyMs;
   }
 
   private weightAt({ weight, updatedAt }: ClassStatistics, now: number): number {
-    return weight * Math.exp((updatedAt - now) / this.memoryMs);
+    return weight * exp((updatedAt - now) / this.memoryMs);
   }
 }
--- a/src/controller/runtime/decaying-rate.ts
+++ b/src/controller/runtime/decaying-rate.ts
@@ -1,4 +1,5 @@
 /** Estimates the current rate of counted events. */
+import { exp } from './elementary-functions.js';
 
 const MS_PER_S = 1000;
 
@@ -32,7 +33,7 @@
 
   private decay(): void {
     const now = this.now();
-    this.decayedSum *= Math.exp((this.updatedAt - now) / this.timeConstantMs);
+    this.decayedSum *= exp((this.updatedAt - now) / this.timeConstantMs);
     this.updatedAt = now;
   }
 }
