Attempt numbers and fencing tokens are exact beyond 2^53

What callers saw: once the state store had counted 2^31 changes, no array ended any more after a failover.

Cause: an attempt number is term * 2^22 + n in a double. The new leader's term was, so the numbers began at, above 2^53: neighbours were equal, CBOR carried them as floats, and the worker's integer came back as a bigint, which is never === to a number. Fencing tokens (term * 2^20) had the same fault from 2^33 changes on. Stored machine records round such numbers too, since they are JSON.

wire/integers.ts gives each integer below 2^64 one representation, a number below 2^53 and a bigint from there on, and combines a term and a counter exactly. A machine's record holds numbers that JSON would round as hexadecimal texts; records and messages below 2^53 are the same to the byte (digests and stored forms unchanged).

Terms of 2^42 and more are left: their numbers would not fit.

--- a/src/controller/model/entities.ts
+++ b/src/controller/model/entities.ts
@@ -3,6 +3,7 @@
  * memory. The three types refer to each other. To avoid import cycles, the modules of jobs and
  * machines have the assignment type as a type parameter, and this module supplies it.
  */
+import type { Int } from '../wire/integers.js';
 import { type ExitCause, taskName, type TaskState } from '../wire/workers.js';
 import { JobBase } from './job.js';
 import type { RecordedAssignment, RecordedJob } from './machine-record-size.js';
@@ -72,7 +73,7 @@
    * of that heartbeat. After a direct start, it is at first the number of the last heartbeat before
    * the call. Once the worker has responded, it is the number in the response.
    */
-  startSentSequence: number | bigint | null;
+  startSentSequence: Int | null;
   /**
    * When this leader first saw the task running, on the monotonic clock in ms; null if it has not,
    * or if an earlier leader sent the start.
@@ -102,7 +103,7 @@
 export function planAssignment(
   job: Job,
   task: number,
-  attempt: number,
+  attempt: Int,
   machine: Machine,
   now: number,
 ): Assignment {
@@ -126,7 +127,7 @@
 
 /** A task as listed in the stored record of a machine. */
 export interface RecordedTask extends RecordedJob {
-  attempt: number;
+  attempt: Int;
   task: number;
   /** Time of the assignment on the wall clock, in ms. */
   assignedAtWallClock: number;
@@ -161,6 +162,6 @@
 }
 
 /** Returns a key that identifies one attempt of a task among all attempts on a machine. */
-export function attemptKey(name: string, attempt: number | bigint): string {
+export function attemptKey(name: string, attempt: Int): string {
   return `${name}@${attempt}`;
 }
--- a/src/controller/model/job.ts
+++ b/src/controller/model/job.ts
@@ -1,5 +1,6 @@
 /** An active job: the state of its tasks, its assignments, and its state for placement. */
 import type { JobSpec, JobStatus, Priority, TerminalState } from '../wire/jobs.js';
+import type { Int } from '../wire/integers.js';
 import type { TaskState } from '../wire/workers.js';
 import { PendingTasks } from './pending-tasks.js';
 
@@ -123,7 +124,7 @@
   /** When the scheduler last searched for tasks to preempt in favour of this array job. */
   preemptionSearchedAt = -Infinity;
   /** Attempt number shared by tasks that are started individually; 0 before the first one. */
-  private sharedAttempt = 0;
+  private sharedAttempt: Int = 0;
   /** Tasks that were assigned with the number `sharedAttempt`. */
   private readonly startedInAttempt = new Set<number>();
 
@@ -175,7 +176,7 @@
    *
    * @param nextAttempt - returns a new attempt number; called only if one is needed
    */
-  attemptFor(task: number, nextAttempt: () => number): number {
+  attemptFor(task: number, nextAttempt: () => Int): Int {
     if (this.sharedAttempt === 0 || this.startedInAttempt.has(task)) {
       this.sharedAttempt = nextAttempt();
       this.startedInAttempt.clear();
--- a/src/controller/model/machine-record-size.ts
+++ b/src/controller/model/machine-record-size.ts
@@ -4,6 +4,7 @@
  * needs it before each assignment. All sizes are upper bounds.
  */
 import type { Settings } from '../settings/settings.js';
+import type { Int } from '../wire/integers.js';
 import { adjustCount } from './keyed-counts.js';
 import type { ResourceRequest } from './resource-request.js';
 
@@ -44,7 +45,7 @@
 
 /** The fields of an assignment that affect the size of a machine's record. */
 export interface RecordedAssignment extends RecordedJob {
-  readonly attempt: number;
+  readonly attempt: Int;
   /** Time of the assignment on this node's monotonic clock, in ms. */
   readonly assignedAt: number;
 }
--- a/src/controller/model/machine.ts
+++ b/src/controller/model/machine.ts
@@ -1,6 +1,7 @@
 /** The leader's state of a machine. */
 import type { Settings } from '../settings/settings.js';
 import type { MachineType } from '../wire/cloud.js';
+import type { Int } from '../wire/integers.js';
 import type { JobSpec } from '../wire/jobs.js';
 import { adjustCount } from './keyed-counts.js';
 import { MachineRecordSize, type RecordedAssignment } from './machine-record-size.js';
@@ -43,7 +44,7 @@
   /** Agent epochs below this number have ended, even if the worker has not begun a new one yet. */
   lowestValidAgentEpoch = 0;
   /** Sequence number of the last heartbeat in the present agent epoch. */
-  lastHeartbeatSequence: number | bigint = 0;
+  lastHeartbeatSequence: Int = 0;
   /** Time at which this leader registered the machine. */
   readonly firstSeenAt: number;
   /** Time of the last heartbeat in this term; -Infinity before the first. */
@@ -63,7 +64,7 @@
    */
   fencingEpoch = 0;
   /** The fencing token that the worker has to report before tasks are placed on the machine. */
-  expectedToken = 0;
+  expectedToken: Int = 0;
   /**
    * Whether a heartbeat of this agent epoch has reported the expected token. This proves that
    * responses reach the worker and that the heartbeat is not a late copy from before this term.
@@ -72,7 +73,7 @@
   /** Time since which the worker has been expected to acknowledge the token. */
   tokenUnacknowledgedSince: number;
   /** The highest fencing token that the worker has reported. */
-  highestAcknowledgedToken: number | bigint = 0;
+  highestAcknowledgedToken: Int = 0;
   /**
    * Number of heartbeats that lacked a task whose start had been sent to the worker. Reset when a
    * heartbeat shows that a message of the leader has reached the worker.
@@ -89,7 +90,7 @@
    * the command, so a heartbeat without the task does not prove that the task is gone. `clear` has
    * to carry a higher token, because workers refuse lower tokens than they have seen (invariant 6).
    */
-  readonly directStartTokens = new Map<string, number>();
+  readonly directStartTokens = new Map<string, Int>();
   /** Number of calls with direct commands that have not been answered. */
   pendingDirectCalls = 0;
 
--- a/src/controller/placement/placers/task-starter.test.ts
+++ b/src/controller/placement/placers/task-starter.test.ts
@@ -1,11 +1,12 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { capacityOf, gpuJob } from '../../../../test/placement-fixtures.js';
+import type { Int } from '../../wire/integers.js';
 import { TaskStarter } from './task-starter.js';
 
 describe('TaskStarter', () => {
   it('starts the lowest pending tasks of a gang with one attempt number that is unique to the term', () => {
-    const started: number[][] = [];
+    const started: [task: number, attempt: Int][] = [];
     const starter = new TaskStarter(
       { term: 3, assign: (_, task, attempt) => started.push([task, attempt]) },
       () => undefined,
--- a/src/controller/placement/placers/task-starter.ts
+++ b/src/controller/placement/placers/task-starter.ts
@@ -1,5 +1,6 @@
 /** Assignment of tasks to machines, with attempt numbers that are unique across all terms. */
 import type { Job } from '../../model/entities.js';
+import { combineInts, type Int } from '../../wire/integers.js';
 import type { Workers } from '../../workers/workers.js';
 import type { FreeCapacity } from '../capacity/free-capacity.js';
 
@@ -20,17 +21,17 @@
   ) {}
 
   /** Returns a new attempt number, for a whole gang or for tasks that start independently. */
-  nextAttempt(): number {
+  nextAttempt(): Int {
     this.attempts++;
     if (this.attempts >= ATTEMPTS_PER_TERM) this.attemptsExhausted();
-    return this.workers.term * ATTEMPTS_PER_TERM + this.attempts;
+    return combineInts(this.workers.term, ATTEMPTS_PER_TERM, this.attempts);
   }
 
   /**
    * Starts up to `count` pending tasks of the job on a machine.
    * @param attempt - the attempt number that all tasks of a gang share; missing if the job is not a gang
    */
-  start(job: Job, capacity: FreeCapacity, count: number, attempt?: number): void {
+  start(job: Job, capacity: FreeCapacity, count: number, attempt?: Int): void {
     capacity.forecast = null;
     for (let started = 0; started < count; started++) {
       const task = job.pending.pop();
--- a/src/controller/wire/fields.ts
+++ b/src/controller/wire/fields.ts
@@ -3,17 +3,11 @@
  * field is invalid or, except for optional fields, absent.
  */
 import { isMap, type Fields } from './cbor.js';
+import { type Int, isInt } from './integers.js';
 
 /** Thrown for a body that does not follow the protocol. The message gives the field's name on the wire. */
 export class WireError extends Error {}
 
-/**
- * An integer from 0 to below 2^64. Integers from 2^53 on, which a number cannot hold exactly, are decoded as
- * bigints and kept as such. Nearly all integers are smaller and remain numbers, which are cheaper; JavaScript
- * compares numbers with bigints exactly.
- */
-export type Int = number | bigint;
-
 /** Returns the body as a map; throws a `WireError` that refers to it as `name` if it is not a map. */
 export function requireMap(body: unknown, name: string): Fields {
   if (!isMap(body)) throw new WireError(`${name}: expected a map`);
@@ -44,9 +38,8 @@
 /** Reads an integer from 0 to below 2^64. */
 export function readInt(map: Fields, name: string): Int {
   const value = map[name];
-  if (typeof value === 'bigint' && value >= 0n && value < 1n << 64n) return value;
-  if (typeof value === 'number' && Number.isSafeInteger(value) && value >= 0) return value;
-  throw new WireError(`${name}: expected a whole number`);
+  if (!isInt(value)) throw new WireError(`${name}: expected a whole number`);
+  return value;
 }
 
 /** Reads an integer from `min` to `max`; both bounds must be integers that a number holds exactly. */
--- a/src/controller/wire/workers.ts
+++ b/src/controller/wire/workers.ts
@@ -9,8 +9,8 @@
   readText,
   requireMap,
   WireError,
-  type Int,
 } from './fields.js';
+import type { Int } from './integers.js';
 import { MAX_TASKS } from './jobs.js';
 
 /** State of a task on its machine. */
@@ -142,7 +142,7 @@
 }
 
 /** Encodes the response to a heartbeat. */
-export function writeHeartbeatResponse(fencingToken: number, commands: WorkerCommand[]): Fields {
+export function writeHeartbeatResponse(fencingToken: Int, commands: WorkerCommand[]): Fields {
   return { baton: fencingToken, orders: commands.map(writeCommand) };
 }
 
@@ -151,7 +151,7 @@
  * fencing tokens that are not lower than the highest that it has seen (invariant 6).
  */
 export function writeDirectCommands(
-  fencingToken: number,
+  fencingToken: Int,
   agentEpoch: number,
   commands: WorkerCommand[],
 ): Fields {
--- a/src/controller/workers/assignments.ts
+++ b/src/controller/workers/assignments.ts
@@ -13,6 +13,7 @@
 } from '../model/entities.js';
 import { adjustCount } from '../model/keyed-counts.js';
 import type { EventLoop } from '../runtime/event-loop.js';
+import type { Int } from '../wire/integers.js';
 import type { FailureTracker } from './failure-tracker.js';
 import type { TeamUsage } from './team-usage.js';
 
@@ -52,7 +53,7 @@
    * Assigns the task to the machine. Its start command is sent only after the machine's record
    * lists the assignment (invariant 4).
    */
-  assign(job: Job, task: number, attempt: number, machine: Machine): void {
+  assign(job: Job, task: number, attempt: Int, machine: Machine): void {
     const assignment = planAssignment(job, task, attempt, machine, this.eventLoop.now());
     this.register(assignment);
     job.currentAssignments.set(task, assignment);
--- a/src/controller/workers/fencing-token-sync.ts
+++ b/src/controller/workers/fencing-token-sync.ts
@@ -4,6 +4,7 @@
  */
 import { attemptKey, type Machine } from '../model/entities.js';
 import type { EventLoop } from '../runtime/event-loop.js';
+import type { Int } from '../wire/integers.js';
 import { FENCING_EPOCH_LIMIT, makeFencingToken, termOfToken } from './fencing-token.js';
 
 /**
@@ -22,7 +23,7 @@
   ) {}
 
   /** Returns the token that commands and heartbeat responses to the machine carry at present. */
-  currentToken(machine: Machine): number {
+  currentToken(machine: Machine): Int {
     return makeFencingToken(this.term, machine.fencingEpoch);
   }
 
@@ -30,7 +31,7 @@
    * Returns true if the token is of this term. The worker that reported it has then received a
    * message from this leader.
    */
-  isOfThisTerm(token: number | bigint): boolean {
+  isOfThisTerm(token: Int): boolean {
     return termOfToken(token) === this.term;
   }
 
@@ -52,7 +53,7 @@
    * Processes the token in a heartbeat. Returns true if it is the first heartbeat that shows the
    * expected token, which proves that responses reach the machine.
    */
-  acknowledge(machine: Machine, token: number | bigint): boolean {
+  acknowledge(machine: Machine, token: Int): boolean {
     for (const [attempt, startToken] of machine.directStartTokens)
       if (token > startToken) machine.directStartTokens.delete(attempt);
     if (token > machine.highestAcknowledgedToken) {
@@ -69,7 +70,7 @@
    * Ensures that the response to the heartbeat being handled invalidates all direct starts of the
    * attempt. Returns true if the worker may still carry out a direct start of the attempt.
    */
-  voidDirectStart(machine: Machine, name: string, attempt: number | bigint): boolean {
+  voidDirectStart(machine: Machine, name: string, attempt: Int): boolean {
     const token = machine.directStartTokens.get(attemptKey(name, attempt));
     if (token === undefined) return false;
     if (token === this.currentToken(machine)) machine.fencingEpoch++;
--- a/src/controller/workers/fencing-token.ts
+++ b/src/controller/workers/fencing-token.ts
@@ -9,6 +9,8 @@
  * (docs/design.md, invariant 6).
  */
 
+import { combineInts, highPart, type Int } from '../wire/integers.js';
+
 /** Number of fencing epochs within one term. */
 const FENCING_EPOCHS_PER_TERM = 2 ** 20;
 
@@ -20,14 +22,11 @@
 export const FENCING_EPOCH_LIMIT = FENCING_EPOCHS_PER_TERM - 2;
 
 /** Combines a term and a fencing epoch into a token. */
-export function makeFencingToken(term: number, fencingEpoch: number): number {
-  return term * FENCING_EPOCHS_PER_TERM + fencingEpoch;
+export function makeFencingToken(term: number, fencingEpoch: number): Int {
+  return combineInts(term, FENCING_EPOCHS_PER_TERM, fencingEpoch);
 }
 
-/**
- * Returns the term of a token. Workers may report tokens above the largest safe integer, as bigint.
- */
-export function termOfToken(token: number | bigint): number {
-  if (typeof token === 'bigint') return Number(token / BigInt(FENCING_EPOCHS_PER_TERM));
-  return Math.floor(token / FENCING_EPOCHS_PER_TERM);
+/** Returns the term of a token. */
+export function termOfToken(token: Int): number {
+  return Number(highPart(token, FENCING_EPOCHS_PER_TERM));
 }
--- a/src/controller/workers/machine-record.test.ts
+++ b/src/controller/workers/machine-record.test.ts
@@ -4,6 +4,7 @@
 import { newMachine, settings } from '../../../test/workers-fixture.js';
 import type { Assignment, Machine } from '../model/entities.js';
 import { storedSize } from '../store/page.js';
+import { combineInts, type Int } from '../wire/integers.js';
 import { decodeMachineRecord, encodeMachineRecord } from './machine-record.js';
 
 const NOW = 500_000;
@@ -15,14 +16,18 @@
 interface AssignedTask {
   job: number;
   task: number;
-  attempt: number;
+  attempt: Int;
   assignedAt: number;
 }
 
+/** Attempt numbers in their whole range: JSON would round those of the later terms. */
+const attemptNumber = fc
+  .tuple(fc.constantFrom(77, 2 ** 31, 2 ** 42 - 1), fc.integer({ min: 1, max: 4 }))
+  .map(([term, attempt]) => combineInts(term, ATTEMPTS_PER_TERM, attempt));
 const assignedTask: fc.Arbitrary<AssignedTask> = fc.record({
   job: fc.nat(4),
   task: fc.nat(1200),
-  attempt: fc.integer({ min: 1, max: 4 }),
+  attempt: attemptNumber,
   assignedAt: fc.double({ min: 0, max: NOW, noNaN: true }),
 });
 const assignedTasks = fc.uniqueArray(assignedTask, {
@@ -37,7 +42,7 @@
   const jobId = `req-${String(job).padStart(6, '0')}`;
   return {
     ...{ name: `${jobId}/${task}`, jobId, job: null, team: 'red', task },
-    ...{ attempt: 77 * ATTEMPTS_PER_TERM + attempt, machine: machine, agentEpoch: 1, assignedAt },
+    ...{ attempt, machine, agentEpoch: 1, assignedAt },
     ...{ request: { cpus: 1.25, gpus: 0, memoryGb: 2.3 }, checkpointSaveS: 0, phase: 'seen' },
     ...{ state: null, startSentSequence: null, runningAt: null },
     ...{ lastHeartbeatNumber: 0, stop: null },
@@ -58,6 +63,11 @@
   return encodeMachineRecord(machine, settings, NOW, WALL_CLOCK_NOW);
 }
 
+/** Size of the machine's record in a page, which contains it as JSON in a text. */
+function sizeInPage(machine: Machine): number {
+  return storedSize(JSON.stringify(encode(machine)));
+}
+
 describe('a machine record', () => {
   it('preserves each task, its request, and its time within two heartbeat intervals', () => {
     fc.assert(
@@ -86,7 +96,7 @@
       fc.property(assignedTasks, (tasks) => {
         const machine = machineWith(tasks);
         const { recordSize } = machine;
-        const tasksBytes = storedSize(encode(machine)) - storedSize(encode(newMachine()));
+        const tasksBytes = sizeInPage(machine) - sizeInPage(newMachine());
         assert.ok(
           tasksBytes <= recordSize.bytes,
           `${tasksBytes} bytes written, at most ${recordSize.bytes} expected`,
--- a/src/controller/workers/machine-record.ts
+++ b/src/controller/workers/machine-record.ts
@@ -8,15 +8,19 @@
 import type { ResourceRequest } from '../model/resource-request.js';
 import type { Settings } from '../settings/settings.js';
 import { isList } from '../wire/cbor.js';
+import { type Int, toInt } from '../wire/integers.js';
 import type { MachineDescription } from './machine-registry.js';
 
+/** An attempt number as `encodeAttempt` writes it if JSON would round it. */
+const HEXADECIMAL = /^0x[0-9a-f]{1,16}$/;
+
 /** The encoded tasks of one attempt that were assigned in the same time slot. */
 interface EncodedAttempt {
-  readonly attempt: number;
+  readonly attempt: Int;
   /** Number of the time slot in which the tasks were assigned; see `assignmentTimeSlotMs`. */
   readonly timeSlot: number;
-  /** The attempt number, the assignment time of the first task, and the task numbers. */
-  readonly encoded: number[];
+  /** The encoded attempt number, the assignment time of the first task, and the task numbers. */
+  readonly encoded: unknown[];
 }
 
 /** The encoded tasks of one job. */
@@ -67,12 +71,27 @@
   );
   if (existing !== undefined) return existing;
   const assignedAtWallClock = Math.round(wallClockNow - (now - assignedAt));
-  const entry = { attempt, timeSlot, encoded: [attempt, assignedAtWallClock] };
+  const entry = { attempt, timeSlot, encoded: [encodeAttempt(attempt), assignedAtWallClock] };
   job.attempts.push(entry);
   job.encoded.push(entry.encoded);
   return entry;
 }
 
+/**
+ * Encodes an attempt number. Numbers that JSON would round are hexadecimal texts. Older versions read those with
+ * `Number`, as rounded as they read numbers of that size anyway.
+ */
+function encodeAttempt(attempt: Int): number | string {
+  return typeof attempt === 'number' ? attempt : `0x${attempt.toString(16)}`;
+}
+
+/** Decodes an attempt number. Older versions wrote all of them as numbers, rounded from 2^53 on. */
+function decodeAttempt(encoded: unknown): Int {
+  if (typeof encoded === 'string' && HEXADECIMAL.test(encoded)) return toInt(BigInt(encoded));
+  const attempt = Number(encoded);
+  return Number.isInteger(attempt) && attempt > 0 ? toInt(BigInt(attempt)) : 0;
+}
+
 /** A decoded machine record. */
 export interface MachineRecord extends MachineDescription {
   agentEpoch: number;
@@ -114,7 +133,7 @@
     for (const task of numbers)
       tasks.push({
         ...job,
-        attempt: Number(attempt),
+        attempt: decodeAttempt(attempt),
         assignedAtWallClock: Number(assignedAt),
         task: Number(task),
       });
--- a/src/controller/workers/workers.ts
+++ b/src/controller/workers/workers.ts
@@ -5,6 +5,7 @@
 import type { Settings } from '../settings/settings.js';
 import type { RecordStore } from '../store/record-store.js';
 import type { MachineType } from '../wire/cloud.js';
+import type { Int } from '../wire/integers.js';
 import type { Heartbeat } from '../wire/workers.js';
 import { type AgentEpochEvents, AgentEpochs } from './agent-epochs.js';
 import { type AssignmentEvents, Assignments } from './assignments.js';
@@ -145,7 +146,7 @@
    * Assigns the task to the machine. Its start command is sent only after the machine's record
    * lists the assignment (invariant 4).
    */
-  assign(job: Job, task: number, attempt: number, machine: Machine): void {
+  assign(job: Job, task: number, attempt: Int, machine: Machine): void {
     this.assignments.assign(job, task, attempt, machine);
   }
 
--- a/test/placement-worker.ts
+++ b/test/placement-worker.ts
@@ -1,6 +1,7 @@
 /** Simulated workers of the placement tests, as plain data. */
 import type { MachineType } from '../src/controller/wire/cloud.js';
 import type { TaskStatus } from '../src/controller/wire/workers.js';
+import type { Int } from '../src/controller/wire/integers.js';
 import { makeFencingToken } from '../src/controller/workers/fencing-token.js';
 
 /** The leader's term in the placement tests. */
@@ -26,7 +27,7 @@
   spot: boolean;
   unresponsive: boolean;
   agentEpoch: number;
-  fencingToken: number;
+  fencingToken: Int;
   spotNoticeS: number | null;
   tasks: TaskStatus[];
   images: Set<string>;
--- a/test/simulation/deployments/deployment.ts
+++ b/test/simulation/deployments/deployment.ts
@@ -24,6 +24,8 @@
   platform: PlatformOptions;
   /** Maximum number of entries on one page of a read from the state store. */
   pageSize: number;
+  /** Number of changes that the state store has counted before the simulation; 0 if absent. */
+  firstRevision?: number;
   /**
    * Virtual time at which a fault scenario starts to inject faults, in milliseconds. By then the
    * rented machines must be up and run the jobs of the scenario.
--- a/test/simulation/simulation-parts.ts
+++ b/test/simulation/simulation-parts.ts
@@ -47,9 +47,11 @@
   random: SeededRandom,
   network: Network,
   { stateStoreAddr: address, stateLimits, workers }: Platform,
-  pageSize: number,
+  { pageSize, firstRevision = 0 }: Deployment,
 ): StateStoreServer {
-  const store = new StateStoreServer(clock, random, network, address, stateLimits, pageSize);
+  const store = new StateStoreServer(
+    ...([clock, random, network, address, stateLimits, pageSize, firstRevision] as const),
+  );
   store.maxWriteDelayMs = workers.leaseS * 1000 * MAX_WRITE_DELAY_LEASES;
   return store;
 }
--- a/test/simulation/simulation.ts
+++ b/test/simulation/simulation.ts
@@ -73,7 +73,7 @@
     rates: FaultRates,
     { log = silentLog, versionOf = () => presentVersion() }: SimulationOptions = {},
   ) {
-    const { hosts, pageSize } = deployment;
+    const { hosts } = deployment;
     const platform = platformOf(hosts, hosts[0] ?? '', deployment.platform);
     const { clock } = this;
     const random = new SeededRandom(seed);
@@ -87,7 +87,7 @@
       platform.workers.cancelDeadlineS * 1000,
       () => clock.now,
     );
-    this.stateStore = createStateStore(clock, random, network, platform, pageSize);
+    this.stateStore = createStateStore(clock, random, network, platform, deployment);
     this.machines = this.machineContext(platform, rates);
     this.users = this.userPopulation();
     this.cloud = createCloud(this.machines, deployment, platform, rates);
--- a/test/simulation/state-store/key-value-store.ts
+++ b/test/simulation/state-store/key-value-store.ts
@@ -74,15 +74,16 @@
   private readonly leases = new Map<number, Lease>();
   private log: Change[] = [];
   private watches: Watch[] = [];
-  private revision = 0;
   private lastLeaseId = 0;
 
   /**
    * Creates an empty store; `onRead` is called for each key that a watch reports to a controller.
+   * @param revision - number of changes that the store has counted before
    */
   constructor(
     private readonly now: () => number,
     private readonly onRead: (reader: string, key: string) => void,
+    private revision = 0,
   ) {}
 
   /** Grants a lease and returns its id. */
@@ -178,7 +179,7 @@
    * longer has all changes after the watch's revision.
    */
   watch(watch: Watch): boolean {
-    const oldest = this.log[0]?.revision ?? 0;
+    const oldest = this.log[0]?.revision ?? this.revision + 1;
     if (watch.afterRevision < oldest - 1) return false;
     this.watches.push(watch);
     this.answerIfChanged(watch);
--- a/test/simulation/state-store/state-store-server.ts
+++ b/test/simulation/state-store/state-store-server.ts
@@ -74,9 +74,11 @@
     address: string,
     private limits: StateLimits,
     private readonly pageSize: number,
+    firstRevision: number,
   ) {
     const now = (): number => clock.now;
-    this.store = new KeyValueStore(now, (host, key) => this.unanswered.recordRead(host, key));
+    const onRead = (host: string, key: string): void => this.unanswered.recordRead(host, key);
+    this.store = new KeyValueStore(now, onRead, firstRevision);
     this.requestTokens = new TokenBucket(now, limits.rps, limits.rps);
     this.putTokens = new TokenBucket(now, limits.writeRps, limits.writeRps);
     network.listen(address, 'state', (from, request, respond) =>
--- a/test/workers-fixture.ts
+++ b/test/workers-fixture.ts
@@ -6,6 +6,7 @@
 import { defaultProperties } from '../src/controller/settings/properties.js';
 import { Settings } from '../src/controller/settings/settings.js';
 import type { StateStoreClient } from '../src/controller/store/client.js';
+import type { Int } from '../src/controller/wire/integers.js';
 import { type JobSpec, writeJobSpec } from '../src/controller/wire/jobs.js';
 import type { Heartbeat, TaskStatus } from '../src/controller/wire/workers.js';
 import { makeFencingToken } from '../src/controller/workers/fencing-token.js';
@@ -21,7 +22,7 @@
 export const TERM = 50;
 
 /** The lowest fencing token of `TERM`. */
-export const TOKEN = makeFencingToken(TERM, 0);
+export const TOKEN = Number(makeFencingToken(TERM, 0));
 
 /** The attempt with which tasks are assigned by default. */
 export const ATTEMPT = 9;
@@ -44,7 +45,7 @@
 }
 
 /** The body of a heartbeat of machine `n-1` without tasks, with the field names of the worker protocol. */
-export function heartbeatBody(sequence: number, fencingToken: number): object {
+export function heartbeatBody(sequence: number, fencingToken: Int): object {
   return {
     ...{ kiln: 'n-1', address: '10.1.0.1:9', model: 'g', hall: 'a', loaners: false },
     ...{ tenure: 1, tally: sequence, baton: fencingToken, recall_s: null, duties: [] },
@@ -128,7 +129,7 @@
 
   /** Handles the machine's next heartbeat; returns null if it is refused. */
   receiveHeartbeat(
-    fencingToken: number,
+    fencingToken: Int,
     tasks: TaskStatus[] = [],
     overrides: Partial<Heartbeat> = {},
   ): SentCommands | null {
