Late copies of start commands: tests with controllers and machines that return

Elsewhere a task ran on two machines, and a cancelled one ran again: a controller or machine had come back within a second, and a copy of a start that had been carried out and answered reached the machine once more. A copy must start nothing.

--- a/test/simulation/faults/observed-events.ts
+++ b/test/simulation/faults/observed-events.ts
@@ -9,6 +9,8 @@
   | 'poll after a change'
   | 'direct command of an older leader'
   | 'direct command to a machine with blocked heartbeats'
+  | 'repeated direct command'
+  | 'task started by a repeated direct command'
   | 'leader killed while a new machine starts'
   | 'leader killed with every team at its limit'
   | 'leader alone in its zone'
--- a/test/simulation/machines/heartbeat-loop.ts
+++ b/test/simulation/machines/heartbeat-loop.ts
@@ -28,12 +28,13 @@
   readonly id: string;
   readonly dead: boolean;
   readonly hungUntil: number;
-  readonly agentEpoch: number;
+  /** Number of the worker's agent epochs so far, including those that it has forgotten in a restart. */
+  readonly epochCount: number;
   /** Creates the next heartbeat, with a new sequence number. */
   heartbeat(): unknown;
   whenAwake(run: () => void): void;
-  /** Handles the response to the heartbeat that was sent at `sentAt` in `agentEpoch`. */
-  acceptResponse(response: HeartbeatResponse, agentEpoch: number, sentAt: number): void;
+  /** Handles the response to the heartbeat that was sent at `sentAt`, in the epoch with this number. */
+  acceptResponse(response: HeartbeatResponse, epochCount: number, sentAt: number): void;
 }
 
 /** Sends a worker's heartbeats, one at a time, to the controller that accepts them. */
@@ -119,7 +120,7 @@
     const { clock, network, controllers } = this.context;
     const { source } = this;
     const sentAt = clock.now;
-    const { agentEpoch } = source;
+    const { epochCount } = source;
     const host = controllers[this.controllerIndex] ?? '';
     network.call(
       source.id,
@@ -134,15 +135,15 @@
       (reply) =>
         source.whenAwake(() => {
           this.inFlight = false;
-          this.handleReply(reply, agentEpoch, sentAt);
+          this.handleReply(reply, epochCount, sentAt);
           this.schedule();
         }),
     );
   }
 
-  private handleReply(reply: Reply, agentEpoch: number, sentAt: number): void {
+  private handleReply(reply: Reply, epochCount: number, sentAt: number): void {
     if (reply.status === 200)
-      this.source.acceptResponse(reply.body as HeartbeatResponse, agentEpoch, sentAt);
+      this.source.acceptResponse(reply.body as HeartbeatResponse, epochCount, sentAt);
     else if (reply.status === 421) this.redirect((reply.body as { foreman?: string }).foreman);
     else this.tryNextController();
   }
--- a/test/simulation/machines/task-runner.ts
+++ b/test/simulation/machines/task-runner.ts
@@ -37,6 +37,8 @@
 
 /** Runs the tasks of one machine according to the commands of the controllers. */
 export class TaskRunner implements GangMemberRunner {
+  /** Number of attempts that commands have started, including those that were refused. */
+  startCount = 0;
   private readonly tasks = new Map<string, Task>();
   private readonly images = new Set<string>();
 
@@ -94,6 +96,7 @@
   private start(command: Command, existing: Task | undefined): void {
     if (existing?.attempt === command.try) return;
     if (existing !== undefined && existing.status !== 'exited') return;
+    this.startCount++;
     const task = newTask(command);
     this.tasks.set(command.duty, task);
     const spec = this.context.specOf(task.jobId);
--- a/test/simulation/machines/worker.ts
+++ b/test/simulation/machines/worker.ts
@@ -23,9 +23,21 @@
   orders?: Command[];
 }
 
+/** What a worker keeps when its machine restarts; it always loses its tasks. */
+export interface RestartMemory {
+  /** Whether it begins the next agent epoch; otherwise it begins the first one again. */
+  agentEpoch: boolean;
+  /** Whether it knows the highest fencing token that it has seen. */
+  fencingToken: boolean;
+}
+
+/** By PROTOCOL a worker's epochs increase, and it keeps the highest token it has seen. */
+const FULL_MEMORY: RestartMemory = { agentEpoch: true, fencingToken: true };
+
 /** Simulated machine and worker that follow PROTOCOL. */
 export class Worker implements HeartbeatSource, TaskHost {
   agentEpoch = 1;
+  epochCount = 1;
   /** Virtual time until which the machine hangs. */
   hungUntil = 0;
   dead = false;
@@ -71,12 +83,17 @@
   }
 
   /**
-   * Restarts the machine: it loses its tasks, begins a new agent epoch and does not respond for
+   * Restarts the machine: it loses its tasks, begins an agent epoch and does not respond for
    * `ms`. It keeps its id.
    */
-  restart(ms: number): void {
+  restart(ms: number, memory = FULL_MEMORY): void {
     if (this.dead) return;
     this.startEpoch();
+    if (!memory.fencingToken) this.fencingToken = 0;
+    if (!memory.agentEpoch) {
+      this.agentEpoch = 1;
+      this.heartbeatNumber = 0;
+    }
     this.hang(ms);
   }
 
@@ -149,6 +166,7 @@
     this.tasks.killAll();
     this.tasks.clear();
     this.agentEpoch++;
+    this.epochCount++;
     this.leaseStartedAt = this.context.clock.now;
     this.stateChanged();
   }
@@ -178,8 +196,8 @@
    * Handles the response to a heartbeat: adopts the fencing token, renews the lease and executes
    * the commands.
    */
-  acceptResponse(response: HeartbeatResponse, agentEpoch: number, sentAt: number): void {
-    if (agentEpoch !== this.agentEpoch) return;
+  acceptResponse(response: HeartbeatResponse, epochCount: number, sentAt: number): void {
+    if (epochCount !== this.epochCount) return;
     if (response.baton === undefined || response.baton < this.fencingToken) return;
     // The call's time-out drops responses that arrive too late. A response that arrived in time
     // while the machine hung may be too old by the time at which the machine resumes.
@@ -203,7 +221,17 @@
     if (this.heartbeats.blocked)
       observedEvents.record('direct command to a machine with blocked heartbeats');
     this.fencingToken = directCommand.baton;
-    for (const command of directCommand.orders ?? []) this.tasks.execute(command);
+    this.executeDirectly(directCommand.orders ?? [], request.duplicate);
     respond({ status: 200, body: this.heartbeat() });
   }
+
+  private executeDirectly(commands: readonly Command[], duplicate: boolean): void {
+    const { observedEvents } = this.context;
+    const startsBefore = this.tasks.startCount;
+    for (const command of commands) this.tasks.execute(command);
+    if (!duplicate) return;
+    observedEvents.record('repeated direct command');
+    if (this.tasks.startCount > startsBefore)
+      observedEvents.record('task started by a repeated direct command');
+  }
 }
--- a/test/simulation/network.ts
+++ b/test/simulation/network.ts
@@ -33,6 +33,9 @@
 /** Maximum one-way latency while the network is not slowed down, in milliseconds. */
 export const USUAL_MAX_LATENCY_MS = 2;
 
+/** Shortest time after which a copy of a request is delivered, in milliseconds; longer than a usual latency. */
+const MIN_COPY_DELAY_MS = 5;
+
 const NO_BYTES = Buffer.alloc(0);
 
 /** The value that a caller receives if no reply arrives. */
@@ -59,6 +62,8 @@
   duplicatedHeartbeats = 0;
   /** Number of copies of requests delivered so far, including retained heartbeats. */
   duplicatesDelivered = 0;
+  /** Number of copies of each direct command, each delivered up to `maxDuplicateDelayMs` later. */
+  copiesOfCommands = 0;
   /** Fraction of the direct commands that are delayed. */
   delayedCommands = 0;
   /** Number of delayed direct commands delivered so far. */
@@ -242,7 +247,9 @@
       });
     };
     if (call.method === 'POST' && this.duplicated > 0 && this.random.next() < this.duplicated)
-      deliverCopyLater(5);
+      deliverCopyLater(MIN_COPY_DELAY_MS);
+    if (call.path === '/do')
+      for (let copy = 0; copy < this.copiesOfCommands; copy++) deliverCopyLater(MIN_COPY_DELAY_MS);
     if (this.duplicatedHeartbeats > 0 && call.path === '/v1/report')
       if (this.random.next() < this.duplicatedHeartbeats) deliverCopyLater(2000);
     if (this.retainedHeartbeats > 0 && call.path === '/v1/report')
