A transaction or page that the state store refuses for its size never blocks others

Cause, found in the record store: a refused transaction goes back to the front of the queue and is sent again for ever, together with the pages beside it; the transactions that end jobs wait behind it. One that exceeds the known limits was never sent, and held up the queue as well.

If the store refuses a commit, its transactions and then its pages are sent one by one; what is refused on its own is given up or, for a page, made smaller and in the end set aside. Refusals halve the known size for a while: records that were too large only for that time are now written when the size has grown again; before they waited until they were set again.

Tests: both new cases of record-store.test.ts failed before ("gives up a transaction ...", "writes a record that was too large ...").

--- a/src/controller/store/commit-builder.ts
+++ b/src/controller/store/commit-builder.ts
@@ -71,7 +71,8 @@
     if (this.pages.has(page)) {
       if (this.size + growth > MAX_TRANSACTION_SIZE) return false;
     } else {
-      if (!mayAddPage || !this.fits(1, 1, page.size + growth)) return false;
+      const isOnlyPart = this.context.isolation.scope === 'everything' || this.isEmpty;
+      if (!mayAddPage || !isOnlyPart || !this.fits(1, 1, page.size + growth)) return false;
       this.addPage(page);
     }
     this.size += growth;
@@ -88,14 +89,22 @@
     this.context.client.budget.writeTokens.forceTake(1);
   }
 
-  /** Moves as many transactions as fit from the front of the queue to the commit. */
-  addTransactions(): void {
+  /**
+   * Moves as many transactions as fit, at most `maxCount`, from the front of the queue to the commit. Gives up
+   * those that no commit can contain, which would hold up the others.
+   */
+  addTransactions(maxCount: number): void {
     const { client, transactions: queue } = this.context;
-    for (;;) {
+    while (this.transactions.length < maxCount) {
       const transaction = queue.peek();
       if (transaction === undefined) return;
       const { conditions, writes } = transaction;
       const size = storedSize([conditions, writes]);
+      if (this.exceedsLimits(transaction, size)) {
+        queue.shift();
+        queue.giveUp(transaction);
+        continue;
+      }
       if (!this.fits(writes.length, conditions.length, size)) return;
       queue.shift();
       this.transactions.push(transaction);
@@ -106,6 +115,17 @@
     }
   }
 
+  /** Whether the transaction exceeds the limits even if the commit contains nothing else. */
+  private exceedsLimits({ conditions, writes }: PendingTransaction, size: number): boolean {
+    const { maxValueSize } = this.context.client.budget.limits;
+    return (
+      writes.length > this.maxWrites ||
+      conditions.length + 1 > MAX_CONDITIONS_PER_WRITE * this.maxWrites ||
+      FRAME_SIZE + size > MAX_TRANSACTION_SIZE ||
+      writes.some((write) => 'put' in write && storedSize(write.value) > maxValueSize)
+    );
+  }
+
   private fits(writeCount: number, conditionCount: number, size: number): boolean {
     return (
       this.writeCount + writeCount <= this.maxWrites &&
--- a/src/controller/store/commit-planner.ts
+++ b/src/controller/store/commit-planner.ts
@@ -67,16 +67,31 @@
   plan(dueWrites: DueWrites, fencingCondition: Condition): Commit | null {
     const now = this.context.eventLoop.now();
     const builder = new CommitBuilder(this.context, fencingCondition);
+    const { isolation } = this.context;
+    if (isolation.scope !== 'everything') this.addPart(builder);
+    if (isolation.scope !== 'everything') return builder.isEmpty ? null : builder.build();
     if (dueWrites.pages) {
       this.pagesDueAt = now + this.minPageIntervalMs;
       this.addUrgent(builder);
     }
     // Transactions end jobs, and users wait for them, so they precede deferrable entries.
-    builder.addTransactions();
+    builder.addTransactions(Infinity);
     if (dueWrites.pages) this.addDeferrable(builder, dueWrites.deferrable, now);
     return builder.isEmpty ? null : builder.build();
   }
 
+  /** Adds one part of a commit that was refused, or ends the isolation if there is none left. */
+  private addPart(builder: CommitBuilder): void {
+    const { isolation, transactions, pending } = this.context;
+    if (isolation.scope === 'one-transaction' && transactions.length > 0) {
+      builder.addTransactions(1);
+    } else if (isolation.scope === 'one-page' && pending.urgent.size > 0) {
+      this.addUrgent(builder);
+    } else {
+      isolation.end();
+    }
+  }
+
   private addUrgent(builder: CommitBuilder): void {
     const { immediate, urgent } = this.context.pending;
     for (const entry of immediate) if (!this.tryAdd(builder, entry, true)) break;
@@ -116,14 +131,14 @@
 
   /**
    * Skips an entry whose value exceeds the largest value size. The value was set by this leader, or under
-   * higher limits, for instance by an earlier leader. Until a value that fits is set, the stored value stays
-   * unchanged, and the callbacks of the oversized value are not called. Therefore no start command is sent for
+   * higher limits, for instance by an earlier leader. Until a value that fits is set or the largest value size
+   * has grown, the stored value stays unchanged, and the callbacks of the oversized value are not called. Therefore no start command is sent for
    * a task that only the oversized value lists, and the stored value remains an upper bound of the running
    * tasks (invariant 4).
    */
   private skipOversized(entry: RecordEntry): void {
     const { pending, eventLoop } = this.context;
-    pending.remove(entry);
+    pending.setAside(entry);
     eventLoop.log.warn(
       { key: entry.key, size: entry.size },
       'record exceeds the largest value size; not written',
--- a/src/controller/store/commit-sender.ts
+++ b/src/controller/store/commit-sender.ts
@@ -94,6 +94,7 @@
     const { pages, pending } = this.context;
     for (const { page, keys } of sent.sentPages) pages.markWritten(page, keys, revision);
     pending.markStored(sent.entries, sent.callbacks);
+    this.context.isolation.partSettled();
     for (const transaction of sent.transactions) transaction.done('ok');
   }
 
@@ -107,13 +108,36 @@
       if (result.kind === 'unknown') pages.markPossiblyWritten(page, keys);
     }
     pending.requeue(sent.entries, sent.callbacks);
-    this.settleTransactions(sent.transactions, failedKeys);
+    if (result.kind === 'too-large') this.handleTooLarge(sent);
+    else this.settleTransactions(sent.transactions, failedKeys);
     this.hooks.onFailed();
     if (result.kind === 'conflict') return;
     const pauseMs = result.kind === 'refused' ? REFUSED_PAUSE_MS : FAILED_PAUSE_MS;
     this.pauseUntil = eventLoop.now() + pauseMs;
   }
 
+  /**
+   * Handles a refusal for size. The parts of the commit are sent one by one. A part that is refused on its own
+   * is given up, so that it never holds up the others: a transaction at once, a page once it is as small as it
+   * can be. The limits that a refusal lowers make the next page smaller.
+   */
+  private handleTooLarge({ entries, pages, transactions }: SentCommit): void {
+    const { isolation, transactions: queue, pending, client, eventLoop } = this.context;
+    if (pages.length + transactions.length > 1) {
+      isolation.begin(transactions.length, pages.length);
+      for (const transaction of transactions.reverse()) queue.unshift(transaction);
+      return;
+    }
+    for (const transaction of transactions) queue.giveUp(transaction);
+    if (pages.length > 0) {
+      if (entries.length > 1 && !client.budget.limits.sizesAreLowest) return;
+      for (const entry of entries) pending.remove(entry);
+      const keys = entries.map(({ key }) => key);
+      eventLoop.log.warn({ keys }, 'state store refuses these records; not written');
+    }
+    isolation.partSettled();
+  }
+
   /** Reports a conflict to transactions whose own conditions failed. Queues the others again, in order. */
   private settleTransactions(
     transactions: PendingTransaction[],
--- a/src/controller/store/limits.ts
+++ b/src/controller/store/limits.ts
@@ -66,6 +66,11 @@
     return this.current.valueKb * BYTES_PER_KB;
   }
 
+  /** Whether a refusal for size would not lower the size of the largest value any more. */
+  get sizesAreLowest(): boolean {
+    return this.current.valueKb <= MIN_VALUE_KB || this.halvings >= MAX_HALVINGS;
+  }
+
   /**
    * Halves the sizes after the store has rejected a value or a transaction, presumably for its size. The
    * store may have found another fault instead, so larger sizes are tried again after `retryMs`.
--- a/src/controller/store/pending-writes.ts
+++ b/src/controller/store/pending-writes.ts
@@ -22,6 +22,8 @@
   readonly urgent = new Set<RecordEntry>();
   readonly immediate = new Set<RecordEntry>();
   readonly deferrable = new Set<RecordEntry>();
+  /** Entries that exceed the largest value that may be written now. */
+  private readonly oversized = new Set<RecordEntry>();
   private readonly callbacks: StoredCallbacks = new Map();
 
   /** Number of entries that are waiting to be sent. */
@@ -31,6 +33,7 @@
 
   /** Queues an entry. If it is queued already, its priority may be raised but is never lowered. */
   add(entry: RecordEntry, priority: WritePriority): void {
+    this.oversized.delete(entry);
     if (priority === 'immediate') this.immediate.add(entry);
     if (priority === 'deferrable') {
       if (!this.urgent.has(entry)) this.deferrable.add(entry);
@@ -47,6 +50,21 @@
     this.deferrable.delete(entry);
   }
 
+  /** Sets an entry aside that exceeds the largest value, until `readmit` finds that it fits. */
+  setAside(entry: RecordEntry): void {
+    this.remove(entry);
+    this.oversized.add(entry);
+  }
+
+  /** Queues the entries that were set aside and that fit now, because the largest value has grown. */
+  readmit(fits: (entry: RecordEntry) => boolean): void {
+    for (const entry of this.oversized)
+      if (fits(entry)) {
+        this.oversized.delete(entry);
+        this.urgent.add(entry);
+      }
+  }
+
   /** Adds a callback to call once the entry's current value or a newer one is stored. */
   addStoredCallback(entry: RecordEntry, callback: StoredCallback): void {
     const callbacks = this.callbacks.get(entry);
--- a/src/controller/store/record-store-context.ts
+++ b/src/controller/store/record-store-context.ts
@@ -1,5 +1,6 @@
 /** Objects that the parts of the leader's record store share. */
 import type { EventLoop } from '../runtime/event-loop.js';
+import type { CommitIsolation } from './commit-isolation.js';
 import type { Settings } from '../settings/settings.js';
 import type { StateStoreClient } from './client.js';
 import type { PageTable } from './page-table.js';
@@ -14,4 +15,5 @@
   readonly pages: PageTable;
   readonly pending: PendingWrites;
   readonly transactions: TransactionQueue;
+  readonly isolation: CommitIsolation;
 }
--- a/src/controller/store/record-store.test.ts
+++ b/src/controller/store/record-store.test.ts
@@ -142,6 +142,46 @@
     assert.equal(store.sizeRefusals, 0);
   });
 
+  // Guards against a transaction that no limit of the state store allows: it was sent again for ever, and the
+  // transactions that end jobs waited behind it.
+  it('gives up a transaction that exceeds the limits, and carries out those behind it', () => {
+    const store = new UnreliableStateStore(6, 0);
+    const outcomes: string[] = [];
+    const transact = (key: string, value: unknown): void =>
+      store.records.transact([{ key, version: 0 }], [{ put: key, value }], (outcome) =>
+        outcomes.push(`${key} ${outcome}`),
+      );
+    // The store enforces its lower limits before the leader knows of them.
+    store.limits = { ...stateLimits, valueKb: 2, txnOps: 4 };
+    let storedCount = 0;
+    transact('first', 'x');
+    transact('large', 'x'.repeat(5000));
+    transact('last', 'x');
+    for (let i = 0; i < 8; i++)
+      store.records.set(`k/${i}`, 'y'.repeat(900), 'urgent', () => storedCount++);
+    store.run(3000);
+    assert.deepEqual(outcomes, ['first ok', 'large too-large', 'last ok']);
+    assert.equal(storedCount, 8);
+    assert.equal(store.records.transactionsGivenUp, 1);
+    assert.ok(store.sizeRefusals < 10, `${store.sizeRefusals} size refusals`);
+  });
+
+  // Guards against records that stayed unwritten: refusals halve the known size for a while, and a larger record that
+  // was set in that time was not written until it was set again.
+  it('writes a record that was too large once the known limit has grown', () => {
+    const store = new UnreliableStateStore(7, 0);
+    store.knownLimits = store.createKnownLimits(stateLimits, { ...stateLimits, valueKb: 2 }, 1000);
+    const records = store.electLeader();
+    store.knownLimits.recordSizeRefusal();
+    let stored = false;
+    records.set('k/large', 'x'.repeat(1500), 'urgent', () => (stored = true));
+    store.run(500);
+    assert.ok(!stored, 'the known limit is half of 2 KiB');
+    store.run(2000);
+    store.run(100);
+    assert.ok(stored);
+  });
+
   // Guards against an incident in which the starts of a service's replicas waited for write tokens behind
   // thousands of other starts.
   it('commits immediate records before urgent ones', () => {
--- a/src/controller/store/record-store.ts
+++ b/src/controller/store/record-store.ts
@@ -3,6 +3,7 @@
 import type { Settings } from '../settings/settings.js';
 import type { Condition, KeyValue, Write } from '../wire/state.js';
 import type { StateStoreClient } from './client.js';
+import { CommitIsolation } from './commit-isolation.js';
 import { CommitPlanner } from './commit-planner.js';
 import { CommitSender } from './commit-sender.js';
 import type { Page } from './page.js';
@@ -56,9 +57,10 @@
     private readonly options: RecordStoreOptions,
   ) {
     this.pages = new PageTable(() => client.budget.limits.maxValueSize);
-    this.transactions = new TransactionQueue(client.budget);
+    this.transactions = new TransactionQueue(client.budget, eventLoop.log);
     const { pages, pending, transactions } = this;
-    const context = { eventLoop, settings, client, pages, pending, transactions };
+    const isolation = new CommitIsolation();
+    const context = { eventLoop, settings, client, pages, pending, transactions, isolation };
     this.planner = new CommitPlanner(context);
     this.sender = new CommitSender(context, options.fencingCondition.key, {
       onFenced: () => options.onFenced(),
@@ -79,6 +81,11 @@
     return this.sender.writesSent;
   }
 
+  /** Number of transactions given up because the state store can't carry them out, for the metrics. */
+  get transactionsGivenUp(): number {
+    return this.transactions.givenUp;
+  }
+
   /** Loads the pages that earlier leaders have stored. */
   load(items: KeyValue[]): void {
     this.pages.load(items);
@@ -124,7 +131,9 @@
 
   /** Sends the next commit if one is due and allowed. Otherwise starts a timer for the next attempt. */
   flush(): void {
-    if (this.closed || this.sender.inFlight || this.backlog === 0) return;
+    if (this.closed || this.sender.inFlight) return;
+    this.pending.readmit((entry) => this.pages.allocator.fitsInPage(entry));
+    if (this.backlog === 0) return;
     const now = this.eventLoop.now();
     if (!this.options.leaseAllowsWrites()) return this.flushLater(NO_LEASE_RETRY_MS);
     const { pauseUntil } = this.sender;
--- a/test/unreliable-state-store.ts
+++ b/test/unreliable-state-store.ts
@@ -75,10 +75,17 @@
     this.records = this.electLeader();
   }
 
-  /** Returns the limits that a leader assumes before any refusal, given the limits in its settings. */
-  createKnownLimits(present: StateLimits, upcoming: StateLimits): StateStoreLimits {
+  /**
+   * Returns the limits that a leader assumes before any refusal, given the limits in its settings.
+   * @param retryMs - time after a refusal until the halved size limits are raised again
+   */
+  createKnownLimits(
+    present: StateLimits,
+    upcoming: StateLimits,
+    retryMs = SIZE_RETRY_MS,
+  ): StateStoreLimits {
     const platform = { stateLimits: present, upcomingStateLimits: upcoming };
-    return new StateStoreLimits(platform, () => this.now, SIZE_RETRY_MS);
+    return new StateStoreLimits(platform, () => this.now, retryMs);
   }
 
   private createRuntime(): Runtime {
