--- a/src/controller/operators/gauges.ts
+++ b/src/controller/operators/gauges.ts
@@ -3,6 +3,7 @@
 import type { JobTable } from '../jobs/job-table.js';
 import type { Job } from '../model/entities.js';
 import type { Placement } from '../placement/placement.js';
+import type { RecordStore } from '../store/record-store.js';
 import type { Workers } from '../workers/workers.js';
 import type { Metrics } from './metrics.js';
 
@@ -26,6 +27,7 @@
   workers: Pick<Workers, 'machines'>;
   fleet: Pick<Fleet, 'bootingCount'>;
   placement: Pick<Placement, 'preemptionCount'>;
+  records: Pick<RecordStore, 'transactionsGivenUp'>;
 }
 
 function sum(jobs: readonly Job[], amount: (job: Job) => number): number {
@@ -59,5 +61,10 @@
   );
   metrics.setGauge('machines', 'Machines known.', leader.workers.machines.size);
   metrics.setGauge('booting', 'Machines rented and not up yet.', leader.fleet.bootingCount);
+  metrics.setGauge(
+    'transactions_given_up',
+    'Transactions that exceed the limits of the state store, in this term.',
+    leader.records.transactionsGivenUp,
+  );
   metrics.setPreemptions(leader.placement.preemptionCount);
 }
