Catalogue of machine types in several keys if it exceeds a value

A catalogue above the known size of a value is now stored in keys `catalogue/<n>`, each written in a transaction of its own, and `catalogue` names the set. A reader takes only a complete set.

--- a/src/controller/fleet/machine-type-catalogue.ts
+++ b/src/controller/fleet/machine-type-catalogue.ts
@@ -5,37 +5,32 @@
 import type { EventLoop } from '../runtime/event-loop.js';
 import type { Settings } from '../settings/settings.js';
 import type { StateStoreClient } from '../store/client.js';
-import type { RecordStore } from '../store/record-store.js';
-import { readCatalogue, writeCatalogue, type MachineType } from '../wire/cloud.js';
+import { readCatalogue, type MachineType } from '../wire/cloud.js';
+import { CatalogueStore, type CatalogueWriter } from './catalogue-store.js';
 
-const CATALOGUE_KEY = 'catalogue';
-const STATE_STORE_TIMEOUT_MS = 1500;
 const CLOUD_TIMEOUT_MS = 3000;
 /** Shortest delay before a retry. Random jitter makes the delay up to twice as long. */
 const RETRY_DELAY_MS = 500;
 /** The catalogue is read again when it is older than this many worker leases. */
 const REFRESH_LEASES = 3;
 
-/** The part of the leader's term that is needed to store the catalogue. */
-export interface CatalogueWriter {
-  /** Whether the term has ended. */
-  readonly closed: boolean;
-  readonly records: Pick<RecordStore, 'transact'>;
-}
-
 /** Holds the machine types that this controller has read. */
 export class MachineTypeCatalogue {
   private knownTypes: MachineType[] | null = null;
   /** When the types were last read or a refresh was last started, whichever is later. */
   private lastRefreshAt = -Infinity;
+  private readonly store: CatalogueStore;
 
   constructor(
     private readonly eventLoop: EventLoop,
     private readonly settings: Settings,
-    private readonly client: Pick<StateStoreClient, 'read' | 'budget'>,
+    client: Pick<StateStoreClient, 'read' | 'readPrefix' | 'budget'>,
     /** Returns this controller's term; null unless it is the leader and has recovered the state. */
     private readonly currentTerm: () => CatalogueWriter | null,
-  ) {}
+  ) {
+    const wallClock = (): number => eventLoop.runtime.wallClock();
+    this.store = new CatalogueStore(client, eventLoop.log, wallClock);
+  }
 
   /** The machine types, or null until they have been read. */
   get types(): MachineType[] | null {
@@ -44,10 +39,8 @@
 
   /** Reads the catalogue from the state store or, if none can be read there, from the cloud. */
   load(): void {
-    this.client.budget.requestTokens.forceTake();
-    this.client.read(CATALOGUE_KEY, STATE_STORE_TIMEOUT_MS, (result) => {
-      if (result.kind === 'ok' && result.value !== null && this.knownTypes === null)
-        this.update(result.value.value);
+    this.store.read((body) => {
+      this.updateIfUnknown(body);
       if (this.knownTypes === null) this.readFromCloud();
     });
   }
@@ -62,19 +55,9 @@
 
   /** Stores the catalogue in the state store, for controllers that start while the cloud is unavailable. */
   publish(term: CatalogueWriter): void {
-    this.client.budget.requestTokens.forceTake();
-    this.client.read(CATALOGUE_KEY, STATE_STORE_TIMEOUT_MS, (result) => {
-      if (result.kind === 'failed' || term.closed) return;
-      if (result.value !== null && this.knownTypes === null) this.update(result.value.value);
-      if (this.knownTypes === null) return;
-      const value = writeCatalogue(this.knownTypes);
-      if (JSON.stringify(result.value?.value) === JSON.stringify(value)) return;
-      const version = result.value?.version ?? 0;
-      term.records.transact(
-        [{ key: CATALOGUE_KEY, version }],
-        [{ put: CATALOGUE_KEY, value }],
-        () => undefined,
-      );
+    this.store.save(term, (stored) => {
+      this.updateIfUnknown(stored);
+      return this.knownTypes;
     });
   }
 
@@ -103,6 +86,10 @@
     if (term !== null) this.publish(term);
   }
 
+  private updateIfUnknown(stored: unknown): void {
+    if (stored !== null && this.knownTypes === null) this.update(stored);
+  }
+
   private update(body: unknown): void {
     try {
       this.knownTypes = readCatalogue(body);
