Sizes of stored values are counted in bytes, not in characters

Values with names outside ASCII could exceed the size that the state store accepts: sizes were the number of characters of the JSON, and such letters take two to four bytes each. storedSize and the size of a machine's record count bytes now, and so does the simulated state store.

Test: the property of machine-record.test.ts has jobs of such a team; it failed before ("uses at most the tracked number of bytes").

--- a/src/controller/fleet/catalogue-store.ts
+++ b/src/controller/fleet/catalogue-store.ts
@@ -16,7 +16,7 @@
 /** Prefix of the keys of the parts. The number of the part follows it. */
 const PART_PREFIX = 'catalogue/';
 const TIMEOUT_MS = 1500;
-/** Upper bound of the size of a part without its machine types, in characters of JSON (`storedSize`). */
+/** Upper bound of the size of a part without its machine types, in bytes of JSON (`storedSize`). */
 const PART_OVERHEAD = 80;
 
 /** The part of the leader's term that is needed to store the catalogue. */
--- a/src/controller/model/machine-record-size.ts
+++ b/src/controller/model/machine-record-size.ts
@@ -59,7 +59,7 @@
 }
 
 function encodedJobBytes(job: RecordedJob): number {
-  return JSON.stringify(encodeJob(job)).length + JOB_BYTES;
+  return Buffer.byteLength(JSON.stringify(encodeJob(job))) + JOB_BYTES;
 }
 
 /** Returns how many bytes tasks of the job add to a machine's record. */
--- a/src/controller/store/batch.ts
+++ b/src/controller/store/batch.ts
@@ -16,7 +16,7 @@
 }
 
 /**
- * Largest total size of the entries of a transaction, in characters of JSON (`storedSize`). It is below the
+ * Largest total size of the entries of a transaction, in bytes of JSON (`storedSize`). It is below the
  * store's limit of 64 KiB to leave space for the encoding.
  */
 const MAX_TRANSACTION_SIZE = 60 * 1024;
--- a/src/controller/store/commit-builder.ts
+++ b/src/controller/store/commit-builder.ts
@@ -7,13 +7,13 @@
 import type { PendingTransaction } from './transaction-queue.js';
 
 /**
- * Largest size of a transaction, in characters of JSON (`storedSize`). It is below the store's limit of 64 KiB
+ * Largest size of a transaction, in bytes of JSON (`storedSize`). It is below the store's limit of 64 KiB
  * to leave space for the encoding.
  */
 const MAX_TRANSACTION_SIZE = 56 * 1024;
 
 /**
- * Upper bound of the size of the fencing condition and of the encoding around the lists, in characters of JSON.
+ * Upper bound of the size of the fencing condition and of the encoding around the lists, in bytes of JSON.
  */
 const FRAME_SIZE = 512;
 
--- a/src/controller/store/limits.ts
+++ b/src/controller/store/limits.ts
@@ -61,7 +61,7 @@
     };
   }
 
-  /** Size of the largest value that may be written now, in characters of JSON (`storedSize`). */
+  /** Size of the largest value that may be written now, in bytes of JSON (`storedSize`). */
   get maxValueSize(): number {
     return this.current.valueKb * BYTES_PER_KB;
   }
--- a/src/controller/store/page-allocator.ts
+++ b/src/controller/store/page-allocator.ts
@@ -10,7 +10,7 @@
  */
 const SMALL_VALUE_FILL_RATIO = 0.8;
 /**
- * Size to which pages are filled if `FILL_RATIO` would give a smaller one, in characters of JSON
+ * Size to which pages are filled if `FILL_RATIO` would give a smaller one, in bytes of JSON
  * (`storedSize`).
  */
 const SMALL_VALUE_SIZE = 2048;
--- a/src/controller/store/page.ts
+++ b/src/controller/store/page.ts
@@ -5,7 +5,7 @@
   readonly key: string;
   /** The newest value as JSON, or null for a deletion. */
   json: string | null;
-  /** Upper bound of the entry's size in its page, in characters of JSON (`storedSize`). */
+  /** Upper bound of the entry's size in its page, in bytes of JSON (`storedSize`). */
   size: number;
   /**
    * The page that contains the newest value, or will contain it once it is written; null if no page has been
@@ -27,7 +27,7 @@
   readonly key: string;
   /** The entries whose newest value is in this page, or will be in it once the page is written. */
   readonly entries: Set<RecordEntry>;
-  /** Upper bound of the page's size with its current entries, in characters of JSON (`storedSize`). */
+  /** Upper bound of the page's size with its current entries, in bytes of JSON (`storedSize`). */
   size: number;
   /** Last known version at the state store; 0 if the page does not exist there. */
   version: number;
@@ -40,17 +40,17 @@
   versionUnknown: boolean;
 }
 
-/** Upper bound of the size of a page without entries, in characters of JSON. */
+/** Upper bound of the size of a page without entries, in bytes of JSON. */
 export const EMPTY_PAGE_SIZE = 40;
 
-/** Upper bound of the size of an entry without its key and value, in characters of JSON. */
+/** Upper bound of the size of an entry without its key and value, in bytes of JSON. */
 const ENTRY_OVERHEAD = 8;
-/** Size of `null`, in characters of JSON. */
+/** Size of `null`, in bytes of JSON. */
 const NULL_SIZE = 4;
 
 /** Returns the size of a value in the unit of the state store's limits: characters of its JSON. */
 export function storedSize(value: unknown): number {
-  return JSON.stringify(value).length;
+  return Buffer.byteLength(JSON.stringify(value));
 }
 
 /** Returns a new entry without a value. */
--- a/src/controller/workers/machine-record.test.ts
+++ b/src/controller/workers/machine-record.test.ts
@@ -15,6 +15,7 @@
 
 interface AssignedTask {
   job: number;
+  team: string;
   task: number;
   attempt: Int;
   assignedAt: number;
@@ -26,6 +27,7 @@
   .map(([term, attempt]) => combineInts(term, ATTEMPTS_PER_TERM, attempt));
 const assignedTask: fc.Arbitrary<AssignedTask> = fc.record({
   job: fc.nat(4),
+  team: fc.constantFrom('red', 'équipe-Εσπερινή-夜'),
   task: fc.nat(1200),
   attempt: attemptNumber,
   assignedAt: fc.double({ min: 0, max: NOW, noNaN: true }),
@@ -36,12 +38,12 @@
 });
 
 function assignmentOf(
-  { job, task, attempt, assignedAt }: AssignedTask,
+  { job, team, task, attempt, assignedAt }: AssignedTask,
   machine: Machine,
 ): Assignment {
   const jobId = `req-${String(job).padStart(6, '0')}`;
   return {
-    ...{ name: `${jobId}/${task}`, jobId, job: null, team: 'red', task },
+    ...{ name: `${jobId}/${task}`, jobId, job: null, team, task },
     ...{ attempt, machine, agentEpoch: 1, assignedAt },
     ...{ request: { cpus: 1.25, gpus: 0, memoryGb: 2.3 }, checkpointSaveS: 0, phase: 'seen' },
     ...{ state: null, startSentSequence: null, runningAt: null },
@@ -110,7 +112,13 @@
 
   it('groups the tasks of one attempt that were assigned in the same time slot', () => {
     const tasks = Array.from({ length: 40 }, (_, task) => {
-      return { job: 1, task, attempt: 1, assignedAt: task < 30 ? 1000 : 1000 + TIME_SLOT_MS };
+      return {
+        job: 1,
+        team: 'red',
+        task,
+        attempt: 1,
+        assignedAt: task < 30 ? 1000 : 1000 + TIME_SLOT_MS,
+      };
     });
     const value = encode(machineWith(tasks));
     const [, , , , , job] = value;
--- a/test/simulation/state-store/key-value-store.ts
+++ b/test/simulation/state-store/key-value-store.ts
@@ -63,7 +63,9 @@
   const { writes = [], if: conditions = [] } = transaction;
   const { txnOps, valueKb } = limits;
   if (writes.length > txnOps || conditions.length > MAX_CONDITIONS_PER_WRITE * txnOps) return false;
-  return writes.every(({ value }) => JSON.stringify(value ?? null).length <= valueKb * 1024);
+  return writes.every(
+    ({ value }) => Buffer.byteLength(JSON.stringify(value ?? null)) <= valueKb * 1024,
+  );
 }
 
 /**
