A watch of the leader that is too old starts from the present revision

Cause: it watched the leader's key from the version of the key; once the state store no longer retains that change the watch gets 410, and it read the key and watched from the same version again, eleven times a second, which used up its requests. After a failed watch running followers did the same.

After 410 the follower now reads the key with a request that returns the present revision and watches from there; after a failed watch it continues from the last revision it saw.

--- a/src/controller/leadership/leader-watch.ts
+++ b/src/controller/leadership/leader-watch.ts
@@ -33,6 +33,8 @@
 /** Reads the leader key and then watches it for changes, with one request at a time. */
 export class LeaderWatch {
   private isObserving = false;
+  /** Revision up to which the last watch or range read has shown all changes of the key. */
+  private lastRevision = 0;
   private readonly backoff = new HandOverBackoff();
 
   /** @param identity - distinguishes this process from earlier processes on the same host */
@@ -79,15 +81,33 @@
   }
 
   private keyRead(result: ReadResult<KeyValue | null>): void {
-    if (result.kind === 'failed') return this.retry();
-    const item = result.value;
+    if (result.kind === 'failed') this.retry();
+    else this.leaderRead(result.value);
+  }
+
+  private leaderRead(item: KeyValue | null): void {
     if (item === null) return this.keyFree();
     this.backoff.keyTaken();
     const leader = readLeaderRecord(item.value, item.version);
     if (leader === null) return this.retry();
     if (this.isOfPreviousProcess(leader)) return this.revokeLeaseOf(leader);
     this.events.leaderChanged(leader);
-    this.watch(item.version);
+    this.watch(Math.max(item.version, this.lastRevision));
+  }
+
+  /**
+   * Reads the key and the present revision, to watch from there. Called if the state store does not retain the
+   * changes since the revision of the watch, such as that at which a long-serving leader created the key.
+   */
+  private readWithRevision(): void {
+    this.isObserving = true;
+    this.client.readPrefix(LEADER_KEY, this.timeoutMs, (result) => {
+      this.isObserving = false;
+      if (!this.events.isFollower()) return;
+      if (result.kind === 'failed') return this.retry();
+      this.lastRevision = Math.max(this.lastRevision, result.value.revision);
+      this.leaderRead(result.value.items.find(({ key }) => key === LEADER_KEY) ?? null);
+    });
   }
 
   /** Whether an earlier process on this host created the key. That process has ended: only one runs at a time. */
@@ -106,19 +126,16 @@
     this.client.watch(LEADER_KEY, revision, this.settings.leaderLeaseMs, (result) => {
       this.isObserving = false;
       if (!this.events.isFollower()) return;
-      if (result.kind === 'ok')
-        this.watchAnswered(result.value.events, revision, result.value.revision);
-      else this.retry();
+      if (result.kind === 'too-old') return this.readWithRevision();
+      if (result.kind === 'failed') return this.retry();
+      this.lastRevision = Math.max(revision, result.value.revision);
+      this.watchAnswered(result.value.events, this.lastRevision);
     });
   }
 
-  private watchAnswered(
-    events: readonly WatchEvent[],
-    watchedRevision: number,
-    revision: number,
-  ): void {
+  private watchAnswered(events: readonly WatchEvent[], revision: number): void {
     const lastEvent = events.filter((event) => event.key === LEADER_KEY).at(-1);
-    if (lastEvent === undefined) this.watch(Math.max(watchedRevision, revision));
+    if (lastEvent === undefined) this.watch(revision);
     else if (lastEvent.kind === 'put') {
       this.events.leaderChanged(readLeaderRecord(lastEvent.value, lastEvent.version));
       this.watch(revision);
--- a/test/simulation/deployments/deployment.ts
+++ b/test/simulation/deployments/deployment.ts
@@ -26,6 +26,8 @@
   pageSize: number;
   /** Number of changes that the state store has counted before the simulation; 0 if absent. */
   firstRevision?: number;
+  /** Number of newest changes that the state store retains for watches; 10,000 if absent. */
+  retainedChanges?: number;
   /**
    * Virtual time at which a fault scenario starts to inject faults, in milliseconds. By then the
    * rented machines must be up and run the jobs of the scenario.
--- a/test/simulation/simulation-parts.ts
+++ b/test/simulation/simulation-parts.ts
@@ -47,10 +47,11 @@
   random: SeededRandom,
   network: Network,
   { stateStoreAddr: address, stateLimits, workers }: Platform,
-  { pageSize, firstRevision = 0 }: Deployment,
+  { pageSize, firstRevision = 0, retainedChanges }: Deployment,
 ): StateStoreServer {
   const store = new StateStoreServer(
-    ...([clock, random, network, address, stateLimits, pageSize, firstRevision] as const),
+    ...([clock, random, network, address, stateLimits, pageSize] as const),
+    ...([firstRevision, retainedChanges] as const),
   );
   store.maxWriteDelayMs = workers.leaseS * 1000 * MAX_WRITE_DELAY_LEASES;
   return store;
--- a/test/simulation/state-store/key-value-store.ts
+++ b/test/simulation/state-store/key-value-store.ts
@@ -3,10 +3,8 @@
 import type { StateLimits } from '../../../src/controller/settings/platform.js';
 import type { Respond } from '../network.js';
 
-/** Maximum number of changes in the log; a longer log is trimmed. */
-const MAX_LOG_LENGTH = 20_000;
-/** Number of newest changes that are kept when the log is trimmed. */
-const LOG_LENGTH_AFTER_TRIM = 10_000;
+/** Number of newest changes that the log keeps, by default. It is trimmed when it is twice as long. */
+const RETAINED_CHANGES = 10_000;
 /** Maximum number of conditions of a transaction, as a multiple of its maximum number of writes. */
 const MAX_CONDITIONS_PER_WRITE = 4;
 
@@ -81,11 +79,13 @@
   /**
    * Creates an empty store; `onRead` is called for each key that a watch reports to a controller.
    * @param revision - number of changes that the store has counted before
+   * @param retainedChanges - number of newest changes that watches can be answered from
    */
   constructor(
     private readonly now: () => number,
     private readonly onRead: (reader: string, key: string) => void,
     private revision = 0,
+    private readonly retainedChanges = RETAINED_CHANGES,
   ) {}
 
   /** Grants a lease and returns its id. */
@@ -199,7 +199,8 @@
     if (deleted) this.entries.delete(key);
     else this.entries.set(key, { value, version: this.revision, leaseId });
     this.log.push({ revision: this.revision, key, value, deleted });
-    if (this.log.length > MAX_LOG_LENGTH) this.log = this.log.slice(-LOG_LENGTH_AFTER_TRIM);
+    if (this.log.length > 2 * this.retainedChanges)
+      this.log = this.log.slice(-this.retainedChanges);
   }
 
   private notify(): void {
--- a/test/simulation/state-store/state-store-server.ts
+++ b/test/simulation/state-store/state-store-server.ts
@@ -41,6 +41,8 @@
   tooLarge = 0;
   /** Number of requests served. */
   requests = 0;
+  /** Number of watches refused because their revision is too old. */
+  outdatedWatches = 0;
   /** Number of puts and deletions in the requests served. */
   puts = 0;
   /** Number of requests refused by the rate limits. */
@@ -75,10 +77,11 @@
     private limits: StateLimits,
     private readonly pageSize: number,
     firstRevision: number,
+    retainedChanges?: number,
   ) {
     const now = (): number => clock.now;
     const onRead = (host: string, key: string): void => this.unanswered.recordRead(host, key);
-    this.store = new KeyValueStore(now, onRead, firstRevision);
+    this.store = new KeyValueStore(now, onRead, firstRevision, retainedChanges);
     this.requestTokens = new TokenBucket(now, limits.rps, limits.rps);
     this.putTokens = new TokenBucket(now, limits.writeRps, limits.writeRps);
     network.listen(address, 'state', (from, request, respond) =>
@@ -272,7 +275,10 @@
       respond,
       open: true,
     };
-    if (!this.store.watch(watch)) return respond(GONE);
+    if (!this.store.watch(watch)) {
+      this.outdatedWatches++;
+      return respond(GONE);
+    }
     this.clock.after(Number(query.get('hold_ms')), () => {
       if (!this.unavailable) this.store.closeWatch(watch);
     });
