A request that waits for a token is answered when its time is over

They are now dropped, and answered with 503, by a timer at the first expiry.

Test: group-commit.test.ts, "drops an expired entry although no token comes"; it failed before.

--- a/src/controller/store/group-commit.test.ts
+++ b/src/controller/store/group-commit.test.ts
@@ -116,6 +116,19 @@
     assert.equal(client.budget.queuedWrites, 0);
   });
 
+  // Guards against requests of users that got no answer: entries that expired were dropped only when a token came.
+  it('drops an expired entry although no token comes', () => {
+    addWrites(['a']);
+    answer(200, { ledger: 1 });
+    const outcomes = addWrites(['b']);
+    client.budget.requestTokens.forceTake(1_000_000);
+    runtime.advance(maxQueueMs / 2);
+    assert.deepEqual([...outcomes], []);
+    runtime.advance(maxQueueMs / 2 + 1);
+    runtime.advance(maxQueueMs);
+    assert.deepEqual([...outcomes], [['b', 'refused']]);
+  });
+
   it('drops an entry that has been queued for longer than the longest queueing time', () => {
     addWrites(['a']);
     const outcomes = addWrites(['b']);
--- a/src/controller/store/group-commit.ts
+++ b/src/controller/store/group-commit.ts
@@ -89,12 +89,12 @@
   private flush(): void {
     if (this.inFlight || this.queue.length === 0) return;
     const now = this.eventLoop.now();
+    this.dropExpired(now);
     if (now < this.nextFlushAt && !this.hasFullBatch)
       return this.flushLater(this.nextFlushAt - now);
     const waitMs = this.client.budget.requestTokens.waitMs(1, this.options.tokenReserve);
     if (waitMs > 0) return this.flushLater(waitMs);
     this.nextFlushAt = now + this.options.minIntervalMs;
-    this.dropExpired(now);
     const batch = this.takeBatch();
     if (!batch.isEmpty) this.send(batch);
   }
@@ -183,10 +183,13 @@
     this.nextFlushAt = 0;
   }
 
+  /** Starts a timer for the next flush, at the latest when the first entry expires. */
   private flushLater(delayMs: number): void {
     if (this.timerRunning) return;
     this.timerRunning = true;
-    this.eventLoop.after(Math.max(MIN_TIMER_MS, delayMs), 'group-commit', () => {
+    const expiresInMs = (this.queue[0]?.expiresAt ?? Infinity) - this.eventLoop.now();
+    const timerMs = Math.max(MIN_TIMER_MS, Math.min(delayMs, expiresInMs + 1));
+    this.eventLoop.after(timerMs, 'group-commit', () => {
       this.timerRunning = false;
     });
   }
