The watch on active jobs reads again at growing intervals

Each watch that was too old was followed at once by a read of all active jobs and another watch. With a state store that retains few changes this loops as fast as answers come, at the expense of other requests. The first read still comes at once; the next ones wait for growing times, up to a quarter of the maximum staleness, so the view stays fresh.

Test: job-watch.test.ts, "reads at growing intervals while each watch is too old, and stays fresh"; it failed before.

--- a/src/controller/jobs/job-watch.test.ts
+++ b/src/controller/jobs/job-watch.test.ts
@@ -122,6 +122,20 @@
     assert.deepEqual(handlerCalls, []);
   });
 
+  // Guards against a loop of reads that uses up the node's requests when the state store retains few changes.
+  it('reads at growing intervals while each watch is too old, and stays fresh', () => {
+    const { runtime, watch, snapshotRequests } = fixture;
+    const durationMs = 60_000;
+    for (let ms = 0; ms < durationMs; ms += 10) {
+      fixture.lastRequest.done({ kind: 'too-old' });
+      snapshotRequests.at(-1)?.({ kind: 'ok', value: { items: [], revision: 30_000 } });
+      assert.ok(watch.isFresh);
+      runtime.advance(10);
+    }
+    const shortestMs = settings.maxWatchStalenessMs / 4;
+    assert.ok(snapshotRequests.length <= 10 + durationMs / shortestMs);
+  });
+
   it('calls no handler and sends no request after it is closed', () => {
     fixture.watch.close();
     fixture.answer(8, [{ kind: 'delete', key: 'live/req-1' }]);
--- a/src/controller/jobs/job-watch.ts
+++ b/src/controller/jobs/job-watch.ts
@@ -23,6 +23,12 @@
 /** Maximum number of attempts per heartbeat interval to read all active records. */
 const SNAPSHOTS_PER_HEARTBEAT = 10;
 
+/**
+ * Largest delay before all active records are read again, if watches are too old several times in a row, as a
+ * share of the maximum staleness.
+ */
+const MAX_SNAPSHOT_DELAY_RATIO = 1 / 4;
+
 /**
  * Follows the active records in the state store, and measures how stale its view of them may be.
  *
@@ -43,6 +49,8 @@
   /** Number of the last request. Responses and timers of earlier requests are ignored. */
   private lastRequestNumber = 0;
   private closed = false;
+  /** Number of watches in a row that were too old, because the state store retains few changes. */
+  private outdatedWatches = 0;
 
   constructor(
     private readonly eventLoop: Pick<EventLoop, 'now' | 'after'>,
@@ -110,9 +118,10 @@
     if (holdMs > 0) this.schedule(requestNumber, holdMs * LOST_AFTER_HOLDS, () => this.watch(0));
     this.client.watch(ACTIVE_PREFIX, this.lastRevision, holdMs, (result) => {
       if (!this.isCurrent(requestNumber)) return;
-      if (result.kind === 'too-old') return this.readSnapshot();
+      if (result.kind === 'too-old') return this.watchOutdated(requestNumber);
       if (result.kind === 'failed')
         return this.schedule(requestNumber, this.watchIntervalMs, () => this.watch(0));
+      this.outdatedWatches = 0;
       this.lastRevision = Math.max(this.lastRevision, result.value.revision);
       this.lastReadSentAt = Math.max(this.lastReadSentAt, sentAt);
       this.handler.onEvents(result.value.events);
@@ -120,6 +129,15 @@
     });
   }
 
+  /** Reads all active records, at once for the first watch that is too old, then after growing delays. */
+  private watchOutdated(requestNumber: number): void {
+    const maxDelayMs = this.settings.maxWatchStalenessMs * MAX_SNAPSHOT_DELAY_RATIO;
+    const delayMs = Math.min(maxDelayMs, this.snapshotIntervalMs * 2 ** this.outdatedWatches);
+    this.outdatedWatches++;
+    if (this.outdatedWatches === 1) this.readSnapshot();
+    else this.schedule(requestNumber, delayMs, () => this.readSnapshot());
+  }
+
   /**
    * Reads all active records. Called if the state store can't report all changes since the last
    * read.
