What a term of the leader starts ends with the term

The cloud was out when a leader returned idle machines, and its term ended; when the same controller led again, a timer of the old term repeated the release, though jobs ran on the machines by then. Cause: the timer asked whether the node may act as leader, which refers to the current term, and nothing ended it.

Each term now has a scope: an event loop and a state store client of its own, from which all components of the term start their timers, calls and transactions. Closing it with the term drops what is still open. The type of the environment that the components get lacks the common loop and client, so that none can go around the scope.

--- a/src/controller/leader/leader-components.ts
+++ b/src/controller/leader/leader-components.ts
@@ -7,7 +7,7 @@
 import { Placement } from '../placement/placement.js';
 import { RecordStore } from '../store/record-store.js';
 import { Workers } from '../workers/workers.js';
-import type { CurrentRole, LeaderEnvironment } from './leader-context.js';
+import type { CurrentRole, TermEnvironment, TermScope } from './leader-context.js';
 
 /** Creates and connects the components of one term. */
 export class LeaderComponents {
@@ -20,7 +20,8 @@
 
   constructor(
     private readonly term: number,
-    private readonly environment: LeaderEnvironment,
+    private readonly scope: TermScope,
+    private readonly environment: TermEnvironment,
     private readonly role: CurrentRole,
   ) {
     this.records = this.createRecords();
@@ -31,7 +32,8 @@
   }
 
   private createRecords(): RecordStore {
-    const { eventLoop, settings, client, leadership } = this.environment;
+    const { eventLoop, client } = this.scope;
+    const { settings, leadership } = this.environment;
     return new RecordStore(eventLoop, settings, client, {
       fencingCondition: { key: LEADER_KEY, version: this.term },
       leaseAllowsWrites: () => leadership.holdsLease,
@@ -40,7 +42,8 @@
   }
 
   private createTable(): JobTable {
-    const { eventLoop, settings, client, frontend, peers } = this.environment;
+    const { eventLoop, client } = this.scope;
+    const { settings, frontend, peers } = this.environment;
     return new JobTable(eventLoop, settings, client, this.records, {
       onIncompleteGang: (job) => this.workers.stopJob(job, 0, 'gang lost a member'),
       onRecordRemoved: (job) => this.workers.stopAll(job, 'job ended'),
@@ -56,8 +59,8 @@
   }
 
   private createWorkers(): Workers {
-    const { eventLoop, settings, catalogue, leadership, learned } = this.environment;
-    return new Workers(eventLoop, settings, this.term, this.records, this.table, {
+    const { settings, catalogue, leadership, learned } = this.environment;
+    return new Workers(this.scope.eventLoop, settings, this.term, this.records, this.table, {
       findMachineType: (name) => catalogue.types?.find((type) => type.name === name),
       termReported: (term) => leadership.observeTerm(term),
       placementInputChanged: () => this.role.requestPlacement(),
@@ -69,9 +72,9 @@
   }
 
   private createPlacement(): Placement {
-    const { eventLoop, settings, leadership, learned } = this.environment;
+    const { settings, leadership, learned } = this.environment;
     return new Placement(
-      eventLoop,
+      this.scope.eventLoop,
       settings,
       this.table,
       this.workers,
@@ -83,9 +86,9 @@
   }
 
   private createFleet(): Fleet {
-    const { eventLoop, settings, catalogue } = this.environment;
+    const { settings, catalogue } = this.environment;
     const { table, workers, placement, role } = this;
-    return new Fleet(eventLoop, settings, {
+    return new Fleet(this.scope.eventLoop, settings, {
       ...{ table, workers, placement },
       types: () => catalogue.types,
       mayActAsLeader: () => role.mayActAsLeader,
@@ -93,9 +96,9 @@
   }
 
   private jobAdded(job: Job): void {
-    const { learned, eventLoop } = this.environment;
+    const { learned } = this.environment;
     // Jobs read during recovery are excluded because previous leaders have counted them.
-    if (this.role.hasRecovered) learned.headroom.recordSubmission(job, eventLoop.now());
+    if (this.role.hasRecovered) learned.headroom.recordSubmission(job, this.scope.eventLoop.now());
   }
 
   private jobTerminated(job: Job): void {
--- a/src/controller/leader/leader-context.ts
+++ b/src/controller/leader/leader-context.ts
@@ -4,7 +4,7 @@
 import type { ProgressCache } from '../jobs/job-progress.js';
 import type { Leadership } from '../leadership/leadership.js';
 import type { Peers } from '../peers/peers.js';
-import type { EventLoop } from '../runtime/event-loop.js';
+import type { EventLoop, EventLoopScope } from '../runtime/event-loop.js';
 import type { Settings } from '../settings/settings.js';
 import type { StateStoreClient } from '../store/client.js';
 import type { LearnedStatistics } from './learned-statistics.js';
@@ -30,6 +30,18 @@
   readonly metrics: PlacementPassObserver | null;
 }
 
+/**
+ * The event loop and the state store client of one term. Whatever the term starts with them, timers, calls and
+ * transactions, ends with the term.
+ */
+export interface TermScope {
+  readonly eventLoop: EventLoopScope;
+  readonly client: StateStoreClient;
+}
+
+/** The components of the controller without those that a term must use through its scope. */
+export type TermEnvironment = Omit<LeaderEnvironment, 'eventLoop' | 'client'>;
+
 /**
  * What this node may do as leader. The values always refer to the current term, even when they are read by a
  * callback of a term that has ended.
--- a/src/controller/leader/leader-term.ts
+++ b/src/controller/leader/leader-term.ts
@@ -3,13 +3,19 @@
 import { JobWatch } from '../jobs/job-watch.js';
 import type { HandOverReason } from '../leadership/leadership.js';
 import type { PeerStatus } from '../peers/message.js';
+import { EventLoopScope } from '../runtime/event-loop.js';
 import type { RecordStore } from '../store/record-store.js';
 import type { KeyValue } from '../wire/state.js';
 import { ActiveJobs } from './active-jobs.js';
 import { FailoverRecovery, type RecoveredState, type RecoveryTarget } from './failover-recovery.js';
 import { isIsolated, type WorkerReachability } from './isolation.js';
 import { LeaderComponents } from './leader-components.js';
-import type { CurrentRole, LeaderEnvironment } from './leader-context.js';
+import type {
+  CurrentRole,
+  LeaderEnvironment,
+  TermEnvironment,
+  TermScope,
+} from './leader-context.js';
 import { PassScheduler } from './pass-scheduler.js';
 
 /** The leader hands over if the staleness of its job watch exceeds the allowed staleness times this factor. */
@@ -30,14 +36,21 @@
   private isRecovered = false;
   private isClosed = false;
 
+  private readonly scope: TermScope;
+  private readonly environment: TermEnvironment;
+
   constructor(
     readonly term: number,
-    private readonly environment: LeaderEnvironment,
+    environment: LeaderEnvironment,
     private readonly role: CurrentRole,
   ) {
-    const { eventLoop, settings, client, frontend } = environment;
+    const eventLoop = new EventLoopScope(environment.eventLoop);
+    const client = environment.client.within(eventLoop);
+    const { settings, frontend } = environment;
+    this.scope = { eventLoop, client };
+    this.environment = environment;
     this.startedAt = eventLoop.now();
-    this.components = new LeaderComponents(term, environment, role);
+    this.components = new LeaderComponents(term, this.scope, environment, role);
     this.activeJobs = new ActiveJobs(frontend, this.components.table);
     this.jobWatch = new JobWatch(eventLoop, settings, client, {
       onSnapshot: (records) => this.activeJobs.replaceAll(records),
@@ -70,7 +83,7 @@
 
   /** Starts to read the state that previous leaders stored. */
   start(): void {
-    new FailoverRecovery(this.environment.eventLoop, this.environment.client, this).start();
+    new FailoverRecovery(this.scope.eventLoop, this.scope.client, this).start();
   }
 
   /** Adds the active jobs, which are read before the pages. */
@@ -80,7 +93,7 @@
 
   /** Restores the leader's components from the stored state; from then on the leader may act. */
   recover({ jobs, pages, revision, sentAt }: RecoveredState): void {
-    const { learned, eventLoop, catalogue } = this.environment;
+    const { learned, catalogue } = this.environment;
     const { records, table, workers, placement } = this.components;
     records.load(pages);
     learned.load(records, table.jobs.values());
@@ -89,7 +102,7 @@
     placement.loadReservations();
     table.finishRecovery();
     this.isRecovered = true;
-    eventLoop.log.info(
+    this.scope.eventLoop.log.info(
       { term: this.term, jobs: jobs.length, machines: workers.machines.size },
       'state recovered, acting as leader',
     );
@@ -98,9 +111,10 @@
     catalogue.publish(this);
   }
 
-  /** Ends the term: its components write no more records, and the job watch stops. */
+  /** Ends the term: its components write no more records, and whatever they wait for has no effect any more. */
   close(): void {
     this.isClosed = true;
+    this.scope.eventLoop.close();
     this.components.records.close();
     this.jobWatch.close();
   }
@@ -152,7 +166,8 @@
   }
 
   private isIsolated(peerStatuses: readonly PeerStatus[]): boolean {
-    const { eventLoop, settings } = this.environment;
+    const { settings } = this.environment;
+    const { eventLoop } = this.scope;
     const { workers } = this.components;
     // Isolation is not checked shortly after the election: each failover interrupts the answers to workers,
     // and several failovers in succession would leave the workers without answers for too long.
@@ -169,7 +184,8 @@
   }
 
   private recordStatisticsIfDue(): void {
-    const { eventLoop, settings, learned } = this.environment;
+    const { settings, learned } = this.environment;
+    const { eventLoop } = this.scope;
     const intervalMs = settings.workerLeaseMs / STATISTICS_RECORDS_PER_LEASE;
     if (eventLoop.now() - this.statisticsRecordedAt <= intervalMs) return;
     this.statisticsRecordedAt = eventLoop.now();
--- a/src/controller/runtime/event-loop.test.ts
+++ b/src/controller/runtime/event-loop.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { beforeEach, describe, it } from 'node:test';
 import { ManualRuntime, silentLogger } from '../../../test/manual-runtime.js';
-import { EventLoop } from './event-loop.js';
+import { EventLoop, EventLoopScope } from './event-loop.js';
 
 describe('EventLoop', () => {
   let runtime: ManualRuntime;
@@ -54,3 +54,22 @@
     assert.deepEqual(handled, ['tick at 10', 'tick at 20', 'tick at 30']);
   });
 });
+
+describe('EventLoopScope', () => {
+  // Guards against work of an ended term: a timer of the term repeated the release of machines in a later term.
+  it('handles no event, timer or hook after it is closed, and leaves the other events alone', () => {
+    const runtime = new ManualRuntime();
+    const handled: string[] = [];
+    const eventLoop = new EventLoop(runtime, silentLogger);
+    const scope = new EventLoopScope(eventLoop);
+    scope.onBatchEnd(() => handled.push('hook'));
+    scope.post('before', () => handled.push('before'));
+    runtime.advance(0);
+    scope.after(10, 'timer', () => handled.push('timer'));
+    scope.post('queued', () => handled.push('queued'));
+    eventLoop.post('other', () => handled.push('other'));
+    scope.close();
+    runtime.advance(20);
+    assert.deepEqual(handled, ['before', 'hook', 'other']);
+  });
+});
--- a/src/controller/runtime/event-loop.ts
+++ b/src/controller/runtime/event-loop.ts
@@ -88,3 +88,37 @@
     }
   }
 }
+
+/**
+ * A part of an event loop that belongs to one owner, such as a leader's term. Once it is closed, the timers and replies
+ * that the owner waits for have no effect, so the owner need not cancel each of them.
+ */
+export class EventLoopScope extends EventLoop {
+  private closed = false;
+
+  constructor(private readonly parent: EventLoop) {
+    super(parent.runtime, parent.log);
+  }
+
+  /** Whether the scope is closed. */
+  get isClosed(): boolean {
+    return this.closed;
+  }
+
+  /** Drops all events of the scope that have not been handled yet, and all later ones. */
+  close(): void {
+    this.closed = true;
+  }
+
+  override post(name: string, handle: Handler): void {
+    this.parent.post(name, () => {
+      if (!this.closed) handle();
+    });
+  }
+
+  override onBatchEnd(hook: Handler): void {
+    this.parent.onBatchEnd(() => {
+      if (!this.closed) hook();
+    });
+  }
+}
--- a/src/controller/store/client.ts
+++ b/src/controller/store/client.ts
@@ -1,5 +1,5 @@
 /** Client of the state store: a consensus-backed key-value store with leases and watches. */
-import type { EventLoop } from '../runtime/event-loop.js';
+import type { EventLoop, EventLoopScope } from '../runtime/event-loop.js';
 import type { Reply } from '../runtime/runtime.js';
 import type { Settings } from '../settings/settings.js';
 import {
@@ -74,13 +74,26 @@
   readonly budget: RateBudget;
   readonly health: CallHealth;
 
+  /**
+   * @param eventLoop - the loop in which responses are handled
+   * @param settings - limits and address of the state store
+   * @param shared - the client whose budget and health this one shares; omitted for the first client
+   * @param scope - once it is closed, callers get no more responses
+   */
   constructor(
     private readonly eventLoop: EventLoop,
     private readonly settings: Settings,
+    shared?: Pick<StateStoreClient, 'budget' | 'health'>,
+    private readonly scope?: EventLoopScope,
   ) {
     const now = (): number => eventLoop.now();
-    this.budget = new RateBudget(now, settings);
-    this.health = new CallHealth(now);
+    this.budget = shared?.budget ?? new RateBudget(now, settings);
+    this.health = shared?.health ?? new CallHealth(now);
+  }
+
+  /** Returns a client that shares the budget, and whose callers get no more responses once `scope` is closed. */
+  within(scope: EventLoopScope): StateStoreClient {
+    return new StateStoreClient(this.eventLoop, this.settings, this, scope);
   }
 
   /** Compare-and-swap transaction: carries out all writes if all conditions hold, and none otherwise. */
@@ -178,7 +191,7 @@
       this.eventLoop.post(operation, () => {
         if (callId !== null) this.health.endCall(callId);
         this.recordOutcome(reply);
-        done(reply);
+        if (this.scope?.isClosed !== true) done(reply);
       });
     });
   }
--- a/test/simulation/machines/cloud.ts
+++ b/test/simulation/machines/cloud.ts
@@ -50,6 +50,12 @@
   private nextMachineIndex = 0;
   /** Virtual time until which newly rented machines boot within two seconds. */
   private quickBootUntil = 0;
+  /** Virtual time until which all requests are refused. */
+  private outageUntil = 0;
+  /** Number of release requests refused in an outage. */
+  releasesRefused = 0;
+  /** Ids of the machines that were released while tasks ran on them. */
+  readonly releasedWhileBusy: string[] = [];
   /** Listeners called when a machine has booted. */
   readonly onBoot: ((id: string) => void)[] = [];
 
@@ -103,6 +109,11 @@
     this.quickBootUntil = this.context.clock.now + ms;
   }
 
+  /** For `ms`, refuses all requests. */
+  outage(ms: number): void {
+    this.outageUntil = this.context.clock.now + ms;
+  }
+
   /** Returns the time since the machine was rented; Infinity if it does not exist. */
   ageMs(id: string): number {
     const machine = this.machines.get(id);
@@ -134,6 +145,10 @@
 
   private serve(request: IncomingRequest, respond: Respond): void {
     const path = request.path.split('?', 1)[0];
+    if (this.context.clock.now < this.outageUntil) {
+      if (path === '/machines/release') this.releasesRefused++;
+      return respond({ status: 503, body: { error: 'trouble' } });
+    }
     if (path === '/catalog')
       respond({ status: 200, body: { models: this.types.map(toCatalogueEntry) } });
     else if (path === '/machines/release') this.release(request, respond);
@@ -142,7 +157,10 @@
   }
 
   private release(request: IncomingRequest, respond: Respond): void {
-    for (const id of (request.body() as { kilns: string[] }).kilns) this.reclaim(id);
+    for (const id of (request.body() as { kilns: string[] }).kilns) {
+      if (this.machines.get(id)?.worker?.isBusy === true) this.releasedWhileBusy.push(id);
+      this.reclaim(id);
+    }
     respond({ status: 200, body: {} });
   }
 
--- a/test/simulation/machines/task-runner.ts
+++ b/test/simulation/machines/task-runner.ts
@@ -63,6 +63,11 @@
     this.tasks.clear();
   }
 
+  /** Whether a task has not exited. */
+  get isBusy(): boolean {
+    return [...this.tasks.values()].some(({ status }) => status !== 'exited');
+  }
+
   /** Returns the tasks in the form in which heartbeats list them. */
   heartbeatTasks(): Record<string, unknown>[] {
     return [...this.tasks.values()].map(toHeartbeatTask);
--- a/test/simulation/machines/worker.ts
+++ b/test/simulation/machines/worker.ts
@@ -124,6 +124,11 @@
     this.heartbeats.block(ms);
   }
 
+  /** Whether a task is on the machine. */
+  get isBusy(): boolean {
+    return !this.dead && this.tasks.isBusy;
+  }
+
   /** The capacity that no task uses, and the properties of the machine. */
   get freeCapacity(): FreeCapacity {
     return {
