--- a/src/controller/runtime/event-loop.ts
+++ b/src/controller/runtime/event-loop.ts
@@ -110,12 +110,14 @@
     this.closed = true;
   }
 
+  /** Queues an event, which is dropped if the scope is closed before it is handled. */
   override post(name: string, handle: Handler): void {
     this.parent.post(name, () => {
       if (!this.closed) handle();
     });
   }
 
+  /** Registers a hook that runs after each batch of events until the scope is closed. */
   override onBatchEnd(hook: Handler): void {
     this.parent.onBatchEnd(() => {
       if (!this.closed) hook();
