Reads of ended jobs wait their turn, and a full bucket grants any call

Cause: the read of a terminal record had to find its token at once. Reserves are ratios of the bucket: polls leave 0.3 of 9.2 tokens, reads need 0.2 of them and one token, which is more than polls leave, for ever. Below 1.25 requests a second no machine was rented, and below 1.43 no poll was served, because a call and its reserve exceeded the whole bucket.

A read that finds no token now waits in a queue, which gets at most half of the node's requests; each job that was asked about is read in its turn, also when its caller was answered with 503 meanwhile. A full bucket grants any call that fits in it, and holds at least one request token.

--- a/src/controller/jobs/recorded-states.ts
+++ b/src/controller/jobs/recorded-states.ts
@@ -5,8 +5,9 @@
 import type { TerminalState } from '../wire/jobs.js';
 import type { Condition } from '../wire/state.js';
 import { CALL_TIMEOUT_MS, type FrontendContext } from './frontend-context.js';
-import { activeKey, terminalKey, terminalStateIn } from './job-records.js';
+import { activeKey, terminalKey } from './job-records.js';
 import { SharedRequests } from './shared-requests.js';
+import { TerminalStateReads } from './terminal-state-reads.js';
 
 /**
  * State of a job according to the state store. `absent`: the job was never accepted; `unknown`: the
@@ -33,10 +34,12 @@
   private readonly activeJobQueries: GroupCommit;
   /** Queries for all other jobs. */
   private readonly otherJobQueries: GroupCommit;
+  private readonly terminalStateReads: TerminalStateReads;
   private readonly sharedRequests = new SharedRequests<RecordedStateCallback>();
 
   constructor(private readonly context: FrontendContext) {
     const { eventLoop, client, settings } = context;
+    this.terminalStateReads = new TerminalStateReads(context);
     const options = {
       timeoutMs: CALL_TIMEOUT_MS,
       maxQueueMs: CALL_TIMEOUT_MS,
@@ -96,19 +99,10 @@
    * be absent. The active and the terminal record of a job never exist together (invariant 3).
    */
   resolveConflict(id: string, failedKeys: readonly string[], done: RecordedStateCallback): void {
-    if (failedKeys.includes(terminalKey(id))) return this.readTerminalState(id, done);
+    if (failedKeys.includes(terminalKey(id)))
+      return this.terminalStateReads.read(id, (state) => done(state ?? 'unknown'));
     if (!failedKeys.includes(activeKey(id))) return done('unknown');
     this.context.jobStates.markActive(id);
     done('active');
   }
-
-  private readTerminalState(id: string, done: RecordedStateCallback): void {
-    const { client, jobStates } = this.context;
-    if (!client.budget.requestTokens.tryTake(1, tokenReserve.reads)) return done('unknown');
-    client.read(terminalKey(id), CALL_TIMEOUT_MS, (result) => {
-      const state = terminalStateIn(result);
-      if (state !== null) jobStates.markTerminal(id, state);
-      done(state ?? 'unknown');
-    });
-  }
 }
--- a/src/controller/runtime/token-bucket.test.ts
+++ b/src/controller/runtime/token-bucket.test.ts
@@ -28,6 +28,17 @@
     assert.ok(bucket.tryTake());
   });
 
+  // Guards against buckets that grant nothing: a call and its reserve exceeded the burst, so that at 1.2 calls a
+  // second no machine was ever rented.
+  it('grants a call of any priority from a full bucket, at any rate', () => {
+    for (const ratePerS of [0.2, 1, 1.2, 1.4, 2, 200])
+      for (const reserve of [0, 0.2, 0.3, 1]) {
+        const full = new TokenBucket(() => now, ratePerS, Math.max(1, ratePerS));
+        assert.equal(full.waitMs(1, reserve), 0);
+        assert.ok(full.tryTake(1, reserve));
+      }
+  });
+
   it('makes later callers wait after forceTake has taken more tokens than there were', () => {
     bucket.forceTake(25);
     assert.equal(bucket.waitMs(), 600);
--- a/src/controller/runtime/token-bucket.ts
+++ b/src/controller/runtime/token-bucket.ts
@@ -50,7 +50,7 @@
   tryTake(count = 1, reserve = 0): boolean {
     this.refill();
     if (this.now() < this.pausedUntil) return false;
-    if (this.tokens - count < reserve * this.burst) return false;
+    if (this.tokens - count < this.reservedTokens(count, reserve)) return false;
     this.tokens -= count;
     return true;
   }
@@ -77,11 +77,16 @@
   /** Returns the milliseconds until `tryTake` with the same arguments can succeed, or 0 if it can now. */
   waitMs(count = 1, reserve = 0): number {
     this.refill();
-    const missingTokens = count + reserve * this.burst - this.tokens;
+    const missingTokens = count + this.reservedTokens(count, reserve) - this.tokens;
     const refillMs = missingTokens <= 0 ? 0 : (missingTokens / this.ratePerS) * MS_PER_S;
     return Math.max(refillMs, this.pausedUntil - this.now(), 0);
   }
 
+  /** Tokens that the caller has to leave. A full bucket grants any call that fits in it. */
+  private reservedTokens(count: number, reserve: number): number {
+    return Math.max(0, Math.min(reserve * this.burst, this.burst - count));
+  }
+
   private refill(): void {
     const now = this.now();
     const addedTokens = ((now - this.refilledAt) / MS_PER_S) * this.ratePerS;
--- a/src/controller/store/rate-budget.ts
+++ b/src/controller/store/rate-budget.ts
@@ -30,6 +30,8 @@
  * its writes at once.
  */
 const MIN_WRITE_BURST = 4;
+/** Smallest burst of the request tokens, in tokens: with less, no request could ever be sent. */
+const MIN_REQUEST_BURST = 1;
 /** Time in milliseconds for which no tokens are granted after the store has refused a call for its rate. */
 const REFUSAL_PAUSE_MS = 100;
 
@@ -69,7 +71,7 @@
     const followersShare = peers.length > 0 ? followersRatio : 0;
     const share = isLeader ? 1 - followersShare : followersShare / Math.max(1, peers.length);
     const requestsPerS = this.limits.current.rps * this.usableRatio * share;
-    this.requestTokens.setRate(requestsPerS, requestsPerS);
+    this.requestTokens.setRate(requestsPerS, Math.max(requestsPerS, MIN_REQUEST_BURST));
     this.isLeader = isLeader;
     this.updateWriteShare([]);
   }
